--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/mangotally/application.py
@@ -0,0 +1,205 @@
+"""The composition root: wires the parts of one host."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any, Self
+
+import aiohttp
+
+from mangotally.callers import chat, server, services
+from mangotally.callers import programs as program_routes
+from mangotally.engines import client as engine_client
+from mangotally.homes import (
+    calls,
+    configuration,
+    membership,
+    organisations,
+    pools,
+    programs,
+    turns,
+)
+from mangotally.hosts import link, peers, router
+from mangotally.log import follower
+from mangotally.log import http as http_log
+from mangotally.operators import server as operator_server
+from mangotally.policy import pools as pool_policy
+from mangotally.policy import records
+from mangotally.roster import http as http_roster
+from mangotally.services import client as service_client
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.settings import host as host_settings
+
+logger = logging.getLogger(__name__)
+
+
+class Application:
+    """One host of the fleet."""
+
+    def __init__(
+        self,
+        settings: host_settings.HostSettings,
+        clock: clock_lib.Clock | None = None,
+    ) -> None:
+        """Makes a host; entering it starts it."""
+        self.settings = settings
+        self.clock = clock or clock_lib.SystemClock()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts the host; it serves on return."""
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start(stack)
+            self._stack = stack.pop_all()
+        logger.info("host_ready", extra={"host": self.settings.host_id})
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops the host, in reverse order of its start."""
+        await self._stack.aclose()
+        logger.info("host_stopped", extra={"host": self.settings.host_id})
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of this process."""
+        now_ms = self.clock.now_ms()
+        read_ms = self.configuration_reader.read_ms
+        return {
+            "host": self.settings.host_id,
+            "place": self.settings.place,
+            "view": {
+                member.host: {
+                    "address": member.address,
+                    "place": member.place,
+                    "incarnation": member.incarnation,
+                }
+                for member in self.members.view.members.values()
+            },
+            "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
+            "configuration": {
+                "version": self.live.current.version,
+                "age_ms": None if read_ms is None else int(now_ms - read_ms),
+                "keys": len(self.live.current.working_keys()),
+            },
+            "organisations": self.organisations.dump(),
+            "pools": self.pools.dump(),
+            "programs": self.programs.dump(),
+        }
+
+    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        session = await stack.enter_async_context(_client_session())
+        log = http_log.HttpLog(session, self.settings.log.url)
+        handlers = router.Router()
+        self.live = configuration.LiveConfiguration()
+        self.configuration_reader = await stack.enter_async_context(
+            follower.Follower(
+                log, records.CONFIGURATION_STREAM, self.live, self.clock
+            )
+        )
+        await self.configuration_reader.wait_caught_up()
+        await stack.enter_async_context(
+            link.Server(handlers, self.settings.rpc_address)
+        )
+        self.members = membership.Membership(self.settings, log, self.clock)
+        self.peers = peers.Peers(self.members, handlers)
+        await stack.enter_async_context(self.peers)
+        self._make_homes(session, log)
+        for home in (
+            self.organisations,
+            self.pools,
+            self.programs,
+            self.calls,
+        ):
+            home.attach(handlers)
+        await stack.enter_async_context(self.pools)
+        await stack.enter_async_context(self.members)
+        await stack.enter_async_context(self._operator_server(log))
+        await stack.enter_async_context(self._caller_server())
+
+    def _make_homes(
+        self, session: aiohttp.ClientSession, log: http_log.HttpLog
+    ) -> None:
+        settings = self.settings
+        engine = engine_client.HttpEngineClient(session)
+        roster = http_roster.HttpRoster(session, settings.roster_url)
+        self.organisations = organisations.OrganisationHome(
+            self.members, self.live, self.clock
+        )
+        self.pools = pools.PoolHome(
+            settings,
+            self.members,
+            self.live,
+            roster,
+            engine,
+            pool_policy.FirstComeScheduler,
+            self.clock,
+        )
+        self.programs = programs.ProgramHome(
+            settings.log.partitions,
+            log,
+            self.members,
+            turns.TurnRunner(self.members, self.peers, engine),
+            self.clock,
+        )
+        self.calls = calls.CallHome(
+            settings.log.partitions,
+            log,
+            self.members,
+            self.pools,
+            service_client.ServiceClient(session),
+        )
+
+    def _caller_server(self) -> server.HttpServer:
+        settings = self.settings
+        return server.HttpServer(
+            settings.address,
+            settings.port,
+            [
+                program_routes.ProgramRoutes(
+                    self.live, self.programs, self.peers, self.clock
+                ),
+                chat.ChatRoutes(
+                    self.live,
+                    self.members,
+                    self.programs,
+                    self.peers,
+                    self.clock,
+                ),
+                services.ServiceRoutes(
+                    self.live,
+                    self.members,
+                    self.calls,
+                    self.peers,
+                    settings.open_services,
+                ),
+            ],
+            settings.max_body_bytes,
+            settings.shutdown_ms,
+        )
+
+    def _operator_server(self, log: http_log.HttpLog) -> server.HttpServer:
+        settings = self.settings
+        return server.HttpServer(
+            settings.address,
+            settings.operators_port,
+            [
+                operator_server.OperatorRoutes(
+                    settings.operator_key_digests,
+                    self.live,
+                    log,
+                    self.configuration_reader,
+                    self.dump,
+                )
+            ],
+            settings.max_body_bytes,
+            shutdown_ms=0,
+        )
+
+
+def _client_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+    return aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, trust_env=False
+    )
--- /dev/null
+++ b/mangotally/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/mangotally/callers/problems.py
@@ -0,0 +1,41 @@
+"""Failures as `application/problem+json` answers."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from mangotally.util import clock
+
+if TYPE_CHECKING:
+    from mangotally import errors
+
+CONTENT_TYPE = "application/problem+json"
+
+
+def body_of(failure: errors.Failure) -> dict[str, object]:
+    """Returns the JSON body of a failure."""
+    return {
+        "type": f"urn:mangotally:{failure.reason.value}",
+        "status": failure.status,
+        "title": failure.reason.value,
+        "detail": failure.detail,
+        "ran": failure.ran.value,
+    }
+
+
+def response_of(failure: errors.Failure) -> web.Response:
+    """Returns the HTTP answer for a failure."""
+    headers = {}
+    if failure.retry_after_ms is not None:
+        seconds = math.ceil(failure.retry_after_ms / clock.MS_PER_S)
+        headers["Retry-After"] = str(max(1, seconds))
+    return web.Response(
+        status=failure.status,
+        text=json.dumps(body_of(failure)),
+        content_type=CONTENT_TYPE,
+        headers=headers,
+    )
--- /dev/null
+++ b/mangotally/callers/programs.py
@@ -0,0 +1,136 @@
+"""Programs: open, look at and end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.callers import access, bodies, problems
+from mangotally.hosts import messages
+from mangotally.policy import records
+from mangotally.settings import lists
+
+if TYPE_CHECKING:
+    from mangotally.homes import configuration as live_configuration
+    from mangotally.homes import programs as program_home
+    from mangotally.hosts import peers as peers_lib
+    from mangotally.util import clock as clock_lib
+
+PATH = "/v1/programs"
+
+
+class ProgramRoutes:
+    """Routes below `/v1/programs`."""
+
+    def __init__(
+        self,
+        live: live_configuration.LiveConfiguration,
+        home: program_home.ProgramHome,
+        peers: peers_lib.Peers,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes the routes; `attach` adds them."""
+        self._live = live
+        self._home = home
+        self._peers = peers
+        self._clock = clock
+
+    def attach(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        app.router.add_post(PATH, self._open)
+        app.router.add_get(f"{PATH}/{{program}}", self._describe)
+        app.router.add_delete(f"{PATH}/{{program}}", self._close)
+
+    async def _open(self, request: web.Request) -> web.Response:
+        caller = access.identify(request, self._live)
+        if isinstance(caller, result.Failure):
+            return problems.response_of(caller.failure())
+        body = bodies.parse(bodies.NewProgram, await request.read())
+        if isinstance(body, result.Failure):
+            return problems.response_of(body.failure())
+        wanted = body.unwrap()
+        allowed = access.check_service(
+            caller.unwrap(), wanted.service, lists.ServiceKind.MODEL, self._live
+        )
+        if isinstance(allowed, result.Failure):
+            return problems.response_of(allowed.failure())
+        opened = self._opened(caller.unwrap(), wanted)
+        home = self._home.home_of(opened.organisation, opened.program)
+        answer = await self._peers.call(home, messages.OpenProgram(opened))
+        return _respond(answer, status=201)
+
+    def _opened(
+        self, caller: access.Caller, wanted: bodies.NewProgram
+    ) -> records.ProgramOpened:
+        plan = caller.plan
+        parent = ids.ProgramId(wanted.parent) if wanted.parent else None
+        wall_ms = min(
+            wanted.budget.wall_ms or plan.program_wall_ms,
+            wanted.deadline_ms or plan.program_wall_ms,
+            plan.program_wall_ms,
+        )
+        budget = records.Budget(
+            min(
+                wanted.budget.tokens or plan.program_tokens, plan.program_tokens
+            ),
+            min(wanted.budget.calls or plan.program_calls, plan.program_calls),
+            wall_ms,
+        )
+        return records.ProgramOpened(
+            caller.organisation,
+            ids.new_program_id(parent),
+            parent,
+            ids.ServiceId(wanted.service),
+            budget,
+            self._clock.wall_ms() + wall_ms,
+        )
+
+    async def _describe(self, request: web.Request) -> web.Response:
+        caller = access.identify(request, self._live)
+        if isinstance(caller, result.Failure):
+            return problems.response_of(caller.failure())
+        organisation = caller.unwrap().organisation
+        program = ids.ProgramId(request.match_info["program"])
+        answer = await self._peers.call(
+            self._home.home_of(organisation, program),
+            messages.DescribeProgram(organisation, program),
+        )
+        return _respond(answer, status=200)
+
+    async def _close(self, request: web.Request) -> web.Response:
+        caller = access.identify(request, self._live)
+        if isinstance(caller, result.Failure):
+            return problems.response_of(caller.failure())
+        organisation = caller.unwrap().organisation
+        program = ids.ProgramId(request.match_info["program"])
+        answer = await self._peers.call(
+            self._home.home_of(organisation, program),
+            messages.CloseProgram(organisation, program),
+        )
+        return _respond(answer, status=200)
+
+
+def _respond(
+    answer: errors.Outcome[messages.ProgramDescription], status: int
+) -> web.Response:
+    if isinstance(answer, result.Failure):
+        return problems.response_of(answer.failure())
+    found = answer.unwrap()
+    body = {
+        "program_id": found.program,
+        "parent": found.parent,
+        "service": found.service,
+        "turns": found.turns,
+        "state": "open" if found.closed is None else "ended",
+        "used": {"tokens": found.used_tokens, "calls": found.used_calls},
+        "budget": {
+            "tokens": found.budget.tokens,
+            "calls": found.budget.calls,
+            "wall_ms": found.budget.wall_ms,
+        },
+        "deadline_wall_ms": found.deadline_wall_ms,
+    }
+    return web.json_response(body, status=status)
--- /dev/null
+++ b/mangotally/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/mangotally/commands/process.py
@@ -0,0 +1,54 @@
+"""Runs a service as the process's main work until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from typing import TYPE_CHECKING, Any
+
+# uvloop would open an io_uring with its first loop.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import aiomisc
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Coroutine
+    from contextlib import AbstractAsyncContextManager
+
+_POOL_THREADS = 2
+
+
+def run_until_stopped(
+    open_service: Callable[[], AbstractAsyncContextManager[object]],
+) -> None:
+    """Runs a service until SIGTERM or SIGINT, then closes it in order."""
+    with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
+        loop.run_until_complete(_serve(open_service))
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """Runs a coroutine to its end."""
+    with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
+        loop.run_until_complete(work)
+
+
+async def _serve(
+    open_service: Callable[[], AbstractAsyncContextManager[object]],
+) -> None:
+    async with _stop_signal() as stopped, open_service():
+        await stopped.wait()
+
+
+@contextlib.asynccontextmanager
+async def _stop_signal() -> AsyncIterator[asyncio.Event]:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    try:
+        yield stopped
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
--- /dev/null
+++ b/mangotally/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines."""
--- /dev/null
+++ b/mangotally/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Services that a host provides for the keys it is home of."""
--- /dev/null
+++ b/mangotally/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the hosts of the fleet."""
--- /dev/null
+++ b/mangotally/hosts/link.py
@@ -0,0 +1,284 @@
+"""One long-lived stream between two hosts that carries many calls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from typing import TYPE_CHECKING, Any, Self
+
+import grpc
+import grpc.aio
+from returns import result
+
+from mangotally import errors
+from mangotally.hosts import hosts_pb2, hosts_pb2_grpc, messages, router
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+MAX_BATCH_FRAMES = 256
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+KEEPALIVE_MS = 2000
+OPTIONS = (
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.so_reuseport", 0),
+)
+_END = object()
+
+
+class FrameWriter:
+    """Collects frames and writes all that wait as one batch."""
+
+    def __init__(self, write: Callable[[Any], Awaitable[None]]) -> None:
+        """Makes a writer over the write method of a gRPC stream."""
+        self._write = write
+        self._queue: asyncio.Queue[Any] = asyncio.Queue()
+
+    def put(self, call_id: int, kind: int, message: Any = None) -> None:
+        """Queues one frame."""
+        frame = hosts_pb2.Frame(call_id=call_id, kind=kind)
+        if message is not None:
+            frame.type, frame.body = messages.registry.encode(message)
+        self._queue.put_nowait(frame)
+
+    async def run(self) -> None:
+        """Writes until cancelled or the stream breaks."""
+        while True:
+            frames = [await self._queue.get()]
+            while not self._queue.empty() and len(frames) < MAX_BATCH_FRAMES:
+                frames.append(self._queue.get_nowait())
+            await self._write(hosts_pb2.Batch(frames=frames))
+
+
+class Link:
+    """The calling side of the stream to one host."""
+
+    def __init__(
+        self,
+        address: str,
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
+        """Makes a link; it connects on first use.
+
+        Args:
+            address: The host's `ip:port`.
+            credentials: TLS credentials, or None for plain TCP.
+        """
+        self.address = address
+        self._credentials = credentials
+        self._channel: grpc.aio.Channel | None = None
+        self._writer: FrameWriter | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._calls: dict[int, asyncio.Queue[Any]] = {}
+        self._numbers = itertools.count(1)
+
+    async def __aenter__(self) -> Self:
+        """Returns the link."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the stream; calls under way fail."""
+        await self._close()
+
+    async def stream(self, message: Any) -> AsyncIterator[errors.Outcome[Any]]:
+        """Sends a message and yields its answers."""
+        writer = self._connect()
+        call_id = next(self._numbers)
+        answers: asyncio.Queue[Any] = asyncio.Queue()
+        self._calls[call_id] = answers
+        writer.put(call_id, hosts_pb2.Frame.REQUEST, message)
+        finished = False
+        try:
+            while True:
+                answer = await answers.get()
+                if answer is _END:
+                    finished = True
+                    return
+                yield answer
+        finally:
+            self._calls.pop(call_id, None)
+            if not finished:
+                writer.put(call_id, hosts_pb2.Frame.CANCEL)
+
+    def _connect(self) -> FrameWriter:
+        if self._writer is not None:
+            return self._writer
+        if self._credentials is None:
+            channel = grpc.aio.insecure_channel(self.address, OPTIONS)
+        else:
+            channel = grpc.aio.secure_channel(
+                self.address, self._credentials, OPTIONS
+            )
+        call = hosts_pb2_grpc.HostsStub(channel).Exchange()
+        self._channel = channel
+        self._writer = FrameWriter(call.write)
+        self._tasks = [
+            asyncio.create_task(self._guard(self._writer.run())),
+            asyncio.create_task(self._guard(self._read(call))),
+        ]
+        return self._writer
+
+    async def _read(self, call: Any) -> None:
+        async for batch in call:
+            for frame in batch.frames:
+                self._take(frame)
+
+    def _take(self, frame: Any) -> None:
+        answers = self._calls.get(frame.call_id)
+        if answers is None:
+            return
+        if frame.kind == hosts_pb2.Frame.END:
+            answers.put_nowait(_END)
+            return
+        answers.put_nowait(decode(frame))
+
+    async def _guard(self, work: Any) -> None:
+        with contextlib.suppress(grpc.aio.AioRpcError, asyncio.CancelledError):
+            await work
+        self._break()
+
+    def _break(self) -> None:
+        calls, self._calls = self._calls, {}
+        if self._writer is None:
+            return
+        self._writer = None
+        logger.info("link_closed", extra={"peer": self.address})
+        for answers in calls.values():
+            answers.put_nowait(
+                errors.failed(
+                    errors.Reason.UNAVAILABLE,
+                    "The connection to another host broke.",
+                    errors.Ran.MAY_HAVE_RUN,
+                )
+            )
+            answers.put_nowait(_END)
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        channel, self._channel = self._channel, None
+        if channel is not None:
+            closing = asyncio.ensure_future(channel.close())
+            self._tasks.append(closing)
+
+    async def _close(self) -> None:
+        self._break()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def decode(frame: Any) -> errors.Outcome[Any]:
+    """Returns the outcome that a frame carries."""
+    match messages.registry.decode(frame.type, frame.body):
+        case result.Success(message):
+            return router.to_outcome(message)
+        case result.Failure(reason):
+            return errors.failed(
+                errors.Reason.INTERNAL, reason, errors.Ran.MAY_HAVE_RUN
+            )
+    raise errors.InvariantError("unreachable")
+
+
+class Server(hosts_pb2_grpc.HostsServicer):
+    """The answering side of the streams from all other hosts."""
+
+    def __init__(
+        self,
+        handlers: router.Router,
+        address: str,
+        credentials: grpc.ServerCredentials | None = None,
+    ) -> None:
+        """Makes a server; it listens on entering it."""
+        self._router = handlers
+        self._address = address
+        self._credentials = credentials
+        self._server: grpc.aio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen."""
+        server = grpc.aio.server(options=OPTIONS)
+        hosts_pb2_grpc.add_HostsServicer_to_server(self, server)
+        if self._credentials is None:
+            server.add_insecure_port(self._address)
+        else:
+            server.add_secure_port(self._address, self._credentials)
+        await server.start()
+        self._server = server
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops to listen."""
+        if self._server is not None:
+            await self._server.stop(grace=None)
+
+    async def Exchange(  # noqa: N802
+        self, request_iterator: Any, context: Any
+    ) -> None:
+        """Serves one stream; the name is the protocol's."""
+        writer = FrameWriter(context.write)
+        writing = asyncio.create_task(writer.run())
+        tasks: dict[int, asyncio.Task[None]] = {}
+        try:
+            async for batch in request_iterator:
+                for frame in batch.frames:
+                    self._accept(frame, writer, tasks)
+        finally:
+            writing.cancel()
+            for task in list(tasks.values()):
+                task.cancel()
+
+    def _accept(
+        self,
+        frame: Any,
+        writer: FrameWriter,
+        tasks: dict[int, asyncio.Task[None]],
+    ) -> None:
+        call_id = frame.call_id
+        if frame.kind == hosts_pb2.Frame.CANCEL:
+            task = tasks.get(call_id)
+            if task is not None:
+                task.cancel()
+            return
+        task = asyncio.create_task(self._serve(frame, writer))
+        tasks[call_id] = task
+        task.add_done_callback(lambda _: tasks.pop(call_id, None))
+
+    async def _serve(self, frame: Any, writer: FrameWriter) -> None:
+        item = hosts_pb2.Frame.ITEM
+        match decode(frame):
+            case result.Success(message):
+                async for answer in self._router.handle(message):
+                    writer.put(frame.call_id, item, router.to_message(answer))
+            case failed:
+                writer.put(frame.call_id, item, failed.failure())
+        writer.put(frame.call_id, hosts_pb2.Frame.END)
+
+
+async def first(
+    answers: AsyncIterator[errors.Outcome[Any]], timeout_ms: float
+) -> errors.Outcome[Any]:
+    """Returns the first of some answers, or a failure after a time."""
+    try:
+        async with asyncio.timeout(clock_lib.to_seconds(timeout_ms)):
+            async for answer in answers:
+                return answer
+    except TimeoutError:
+        return errors.failed(
+            errors.Reason.UNAVAILABLE,
+            "Another host did not answer in time.",
+            errors.Ran.MAY_HAVE_RUN,
+        )
+    return errors.failed(
+        errors.Reason.UNAVAILABLE,
+        "Another host gave no answer.",
+        errors.Ran.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/mangotally/hosts/messages.py
@@ -0,0 +1,230 @@
+"""Messages between hosts."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from mangotally import errors, ids
+from mangotally.policy import pools, records
+from mangotally.util import codec
+
+registry = codec.Registry()
+registry.register(errors.Failure)
+registry.register(records.ProgramOpened)
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class Done:
+    """An empty answer."""
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TakeTokens:
+    """Asks an organisation's home to admit calls.
+
+    Attributes:
+        organisation: The organisation.
+        count: Calls to admit.
+    """
+
+    organisation: ids.OrganisationId
+    count: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class OpenProgram:
+    """Asks a program's home to open it."""
+
+    opened: records.ProgramOpened
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CloseProgram:
+    """Asks a program's home to end it."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class DescribeProgram:
+    """Asks a program's home for its state."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramDescription:
+    """State of a program.
+
+    Attributes:
+        program: Its id.
+        parent: Its parent, or None.
+        service: Its service.
+        turns: Turns that are done.
+        closed: Why it ended, or None.
+        used_tokens: Tokens charged and reserved.
+        used_calls: Calls charged.
+        budget: Its limits.
+        deadline_wall_ms: When its time is over, since the Unix epoch.
+    """
+
+    program: ids.ProgramId
+    parent: ids.ProgramId | None
+    service: ids.ServiceId
+    turns: int
+    closed: records.CloseReason | None
+    used_tokens: int
+    used_calls: int
+    budget: records.Budget
+    deadline_wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RunTurn:
+    """Asks a program's home to run a turn; answered by a stream.
+
+    Attributes:
+        organisation: The caller's organisation.
+        key_id: The key that the call came with.
+        program: The program, or None for a program of one call.
+        turn: Number of the turn.
+        service: The model service.
+        messages: The new messages.
+        max_tokens: Longest answer.
+        share: Weight of the organisation's plan.
+        timeout_ms: Longest time for the turn.
+    """
+
+    organisation: ids.OrganisationId
+    key_id: ids.KeyId
+    program: ids.ProgramId | None
+    turn: int
+    service: ids.ServiceId
+    messages: tuple[records.ChatMessage, ...]
+    max_tokens: int
+    share: float
+    timeout_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TurnText:
+    """A piece of an answer."""
+
+    text: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TurnEnd:
+    """The answer is whole and kept.
+
+    Attributes:
+        prompt_tokens: Length of the prompt.
+        cached_tokens: Prompt tokens found in the target's cache.
+        generated_tokens: Length of the answer.
+        target: The target that ran it.
+        replayed: Whether a kept answer was repeated.
+    """
+
+    prompt_tokens: int
+    cached_tokens: int
+    generated_tokens: int
+    target: ids.TargetId
+    replayed: bool
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class AcquireSlot:
+    """Asks a pool's home for a target; answered when there is one."""
+
+    service: ids.ServiceId
+    call: pools.PoolCall
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class SlotGranted:
+    """A call may be sent to a target.
+
+    Attributes:
+        target: The target.
+        address: Its base URL.
+    """
+
+    target: ids.TargetId
+    address: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ReleaseSlot:
+    """Reports the end of a granted call to the pool's home."""
+
+    service: ids.ServiceId
+    report: pools.CallReport
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class EndProgram:
+    """Tells a pool's home that a program is gone."""
+
+    service: ids.ServiceId
+    program: ids.ProgramId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RunCall:
+    """Asks the home of an idempotency key to run a non-idempotent call.
+
+    Attributes:
+        organisation: The caller's organisation.
+        key: Idempotency key.
+        program: The program that pays, or None.
+        service: The plain service.
+        method: HTTP method.
+        path: Path and query at the target.
+        headers: Headers that may reach the target.
+        body_base64: Request body.
+        timeout_ms: Longest time for the call.
+    """
+
+    organisation: ids.OrganisationId
+    key: str
+    program: ids.ProgramId | None
+    service: ids.ServiceId
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body_base64: str
+    timeout_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallAnswer:
+    """Answer of a plain service.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Content type.
+        body_base64: Body.
+        replayed: Whether a kept answer was repeated.
+    """
+
+    status: int
+    content_type: str
+    body_base64: str
+    replayed: bool
--- /dev/null
+++ b/mangotally/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's append-only log service."""
--- /dev/null
+++ b/mangotally/log/follower.py
@@ -0,0 +1,124 @@
+"""Reads a stream from its oldest record on, for as long as it lives."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any, Protocol, Self
+
+from returns import result
+
+from mangotally import ids
+from mangotally.policy import records
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.log import base
+
+logger = logging.getLogger(__name__)
+
+WAIT_MS = 1000
+RETRY_MS = 200
+
+
+class Consumer(Protocol):
+    """Takes the records of a stream in order."""
+
+    def consume(self, record: Any, offset: ids.Offset) -> None:
+        """Takes one record."""
+
+
+class Follower:
+    """Follows one stream of the log."""
+
+    def __init__(
+        self,
+        log: base.Log,
+        stream: str,
+        consumer: Consumer,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes a follower; reading begins on entering it."""
+        self._log = log
+        self._stream = stream
+        self._consumer = consumer
+        self._clock = clock
+        self._next_offset = ids.Offset(0)
+        self._read_ms: float | None = None
+        self._caught_up = asyncio.Event()
+        self._moved = asyncio.Condition()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def next_offset(self) -> ids.Offset:
+        """All records before this offset have been consumed."""
+        return self._next_offset
+
+    @property
+    def read_ms(self) -> float | None:
+        """When the stream was last read up to its end, or None."""
+        return self._read_ms
+
+    async def __aenter__(self) -> Self:
+        """Starts to read."""
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops to read."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def wait_caught_up(self) -> None:
+        """Waits until the stream has been read up to its end once."""
+        await self._caught_up.wait()
+
+    async def wait_for(self, offset: ids.Offset) -> None:
+        """Waits until the record at an offset has been consumed."""
+        async with self._moved:
+            await self._moved.wait_for(lambda: self._next_offset > offset)
+
+    async def _run(self) -> None:
+        while True:
+            wait_ms = WAIT_MS if self._caught_up.is_set() else 0
+            outcome = await self._log.read(
+                self._stream, self._next_offset, wait_ms
+            )
+            match outcome:
+                case result.Success(part):
+                    await self._take(part)
+                case _:
+                    await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+
+    async def _take(self, part: base.Slice) -> None:
+        for entry in part.entries:
+            if entry.offset < self._next_offset:
+                continue
+            for record in records.registry.decode_batch(entry.data):
+                self._consume(record, entry.offset)
+            self._next_offset = ids.Offset(entry.offset + 1)
+        self._next_offset = max(self._next_offset, part.oldest_offset)
+        if self._next_offset >= part.next_offset:
+            self._read_ms = self._clock.now_ms()
+            self._caught_up.set()
+        async with self._moved:
+            self._moved.notify_all()
+
+    def _consume(
+        self, record: result.Result[Any, str], offset: ids.Offset
+    ) -> None:
+        match record:
+            case result.Success(message):
+                self._consumer.consume(message, offset)
+            case result.Failure(reason):
+                logger.error(
+                    "record_refused",
+                    extra={
+                        "stream": self._stream,
+                        "offset": offset,
+                        "reason": reason,
+                    },
+                )
--- /dev/null
+++ b/mangotally/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a host."""
--- /dev/null
+++ b/mangotally/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/mangotally/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure code: no sockets, no loop and no clock reads."""
--- /dev/null
+++ b/mangotally/policy/homes.py
@@ -0,0 +1,61 @@
+"""Rendezvous hashing of keys to their home hosts."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from mangotally import ids
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_DIGEST_BYTES = 8
+
+
+def ranked(key: str, hosts: Iterable[ids.HostId]) -> list[ids.HostId]:
+    """Returns the hosts in rendezvous order of a key, the home first."""
+    return sorted(hosts, key=lambda host: _weight(key, host), reverse=True)
+
+
+def home(key: str, hosts: Iterable[ids.HostId]) -> ids.HostId | None:
+    """Returns the home of a key, or None if there are no hosts."""
+    return max(hosts, key=lambda host: _weight(key, host), default=None)
+
+
+def organisation_key(organisation: ids.OrganisationId) -> str:
+    """Returns the rendezvous key of an organisation."""
+    return f"organisation/{organisation}"
+
+
+def partition_key(partition: ids.PartitionId) -> str:
+    """Returns the rendezvous key of a history partition."""
+    return f"partition/{partition}"
+
+
+def pool_key(service: ids.ServiceId) -> str:
+    """Returns the rendezvous key of a service's pool of targets."""
+    return f"pool/{service}"
+
+
+def partition_of(
+    organisation: ids.OrganisationId, key: str, partitions: int
+) -> ids.PartitionId:
+    """Returns the history partition of a program tree or call key.
+
+    Args:
+        organisation: The owner; equal keys of two owners are unrelated.
+        key: Root program id or idempotency key.
+        partitions: Number of partitions.
+    """
+    digest = _hash(f"{organisation}\0{key}")
+    return ids.PartitionId(digest % partitions)
+
+
+def _weight(key: str, host: ids.HostId) -> tuple[int, ids.HostId]:
+    return _hash(f"{key}\0{host}"), host
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), "big")
--- /dev/null
+++ b/mangotally/policy/records.py
@@ -0,0 +1,252 @@
+"""Records of the platform's log."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from mangotally import ids
+from mangotally.settings import lists
+from mangotally.util import codec
+
+MEMBERS_STREAM = "members"
+CONFIGURATION_STREAM = "configuration"
+
+registry = codec.Registry()
+
+
+def history_stream(partition: ids.PartitionId) -> str:
+    """Returns the name of a partition's history stream."""
+    return f"history-{partition}"
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """A host is live; the first of an incarnation joins the fleet.
+
+    Attributes:
+        host: The host.
+        incarnation: A number that grows with each start of the host.
+        address: Where other hosts reach it, `ip:port`.
+        place: Its failure domain.
+    """
+
+    host: ids.HostId
+    incarnation: int
+    address: str
+    place: ids.PlaceId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """A host leaves the fleet."""
+
+    host: ids.HostId
+    incarnation: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class Evict:
+    """A host has not been heard of; void if it was heard of later.
+
+    Attributes:
+        host: The evicted host.
+        incarnation: Its incarnation.
+        heartbeat_offset: The last heartbeat that the writer has read.
+    """
+
+    host: ids.HostId
+    incarnation: int
+    heartbeat_offset: ids.Offset
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ConfigurationVersion:
+    """Both lists as one version; valid only after its predecessor.
+
+    Attributes:
+        version: Number of this version.
+        predecessor: Number of the version that it replaces.
+        lists: The content.
+    """
+
+    version: int
+    predecessor: int
+    lists: lists.Lists
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class KeyGiven:
+    """A key of an organisation, as a digest only."""
+
+    key_id: ids.KeyId
+    organisation: ids.OrganisationId
+    digest: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class KeyWithdrawn:
+    """A key stops working."""
+
+    key_id: ids.KeyId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ChatMessage:
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """What a tree of programs may use.
+
+    Attributes:
+        tokens: Prompt tokens computed plus tokens generated.
+        calls: Model turns and service calls.
+        wall_ms: Time since the root program was opened.
+    """
+
+    tokens: int
+    calls: int
+    wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramOpened:
+    """A program was opened.
+
+    Attributes:
+        organisation: Its organisation.
+        program: Its id.
+        parent: Its parent's id, or None.
+        service: The service that it calls.
+        budget: Its own limits.
+        deadline_wall_ms: When its time is over, since the Unix epoch.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    parent: ids.ProgramId | None
+    service: ids.ServiceId
+    budget: Budget
+    deadline_wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TurnBegun:
+    """A model turn is about to run; reserves its budget.
+
+    Attributes:
+        organisation: The program's organisation.
+        program: The program.
+        turn: Number of the turn, from 1.
+        attempt: The attempt that runs it.
+        digest: Digest of the request.
+        reserved_tokens: Tokens reserved until the turn ends.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    turn: int
+    attempt: ids.AttemptId
+    digest: str
+    reserved_tokens: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TurnDone:
+    """A model turn's request and answer; the first of a turn counts.
+
+    Attributes:
+        organisation: The program's organisation.
+        program: The program.
+        turn: Number of the turn.
+        attempt: The attempt that ran it.
+        digest: Digest of the request.
+        request: The new messages of the caller.
+        answer: The answer.
+        used_tokens: Tokens charged.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    turn: int
+    attempt: ids.AttemptId
+    digest: str
+    request: tuple[ChatMessage, ...]
+    answer: ChatMessage
+    used_tokens: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallIntent:
+    """A non-idempotent call is about to be sent; the first one counts.
+
+    Attributes:
+        organisation: The caller's organisation.
+        key: Idempotency key, unique within the organisation.
+        attempt: The attempt that may send it.
+        digest: Digest of the request.
+        program: The program that it belongs to, or None.
+    """
+
+    organisation: ids.OrganisationId
+    key: str
+    attempt: ids.AttemptId
+    digest: str
+    program: ids.ProgramId | None
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallResult:
+    """The answer to a non-idempotent call.
+
+    Attributes:
+        organisation: The caller's organisation.
+        key: Idempotency key.
+        attempt: The attempt that sent it.
+        status: HTTP status of the answer.
+        content_type: Content type of the answer.
+        body_base64: Body of the answer.
+    """
+
+    organisation: ids.OrganisationId
+    key: str
+    attempt: ids.AttemptId
+    status: int
+    content_type: str
+    body_base64: str
+
+
+class CloseReason(enum.Enum):
+    """Why a program ended."""
+
+    CALLER = "caller"
+    DEADLINE = "deadline"
+    BUDGET = "budget"
+    PARENT = "parent"
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramClosed:
+    """A program ended; it takes no more turns."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    reason: CloseReason
--- /dev/null
+++ b/mangotally/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces through the scheduling policy."""
--- /dev/null
+++ b/mangotally/roster/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of live and leaving hosts and targets."""
--- /dev/null
+++ b/mangotally/roster/http.py
@@ -0,0 +1,37 @@
+"""Adapter to a host list over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+from returns import result
+
+from mangotally import errors
+from mangotally.roster import base
+from mangotally.util import clock, codec
+
+TIMEOUT_MS = 2000
+
+
+class HttpRoster:
+    """Speaks to the host list; see `mangotally.standins.roster`."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        """Makes an adapter; the caller closes the session."""
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def list(self) -> errors.Outcome[tuple[base.RosterEntry, ...]]:
+        """Returns all entries."""
+        timeout = aiohttp.ClientTimeout(clock.to_seconds(TIMEOUT_MS))
+        adapter = codec.adapter_of(tuple[base.RosterEntry, ...])
+        try:
+            async with self._session.get(
+                f"{self._url}/entries", timeout=timeout
+            ) as response:
+                body = await response.read()
+                return result.Success(adapter.validate_json(body))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return errors.failed(
+                errors.Reason.UNAVAILABLE,
+                f"The host list is unavailable ({type(error).__name__}).",
+            )
--- /dev/null
+++ b/mangotally/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services."""
--- /dev/null
+++ b/mangotally/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and the operators' two lists, checked on load."""
--- /dev/null
+++ b/mangotally/settings/host.py
@@ -0,0 +1,88 @@
+"""Settings of one process."""
+
+from __future__ import annotations
+
+import ipaddress
+
+import pydantic
+
+RPC_PORT_STEP = 1000
+OPERATOR_PORT_STEP = 2000
+
+
+class LogSettings(pydantic.BaseModel):
+    """Where the platform's log is, and how it is used.
+
+    Attributes:
+        url: Base URL of the log service.
+        appends_per_s: Appends a second that the whole fleet may use.
+        partitions: Number of history streams; fixed for a fleet's life.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    url: str
+    appends_per_s: float = pydantic.Field(default=300.0, gt=0)
+    partitions: int = pydantic.Field(default=32, ge=1, le=4096)
+
+
+class HostSettings(pydantic.BaseModel):
+    """Settings of one host process.
+
+    Attributes:
+        host_id: Unique name of this host.
+        address: IP address that this host listens on.
+        port: Port for callers.
+        rpc_port: Port for other hosts; by default `port` + 1000.
+        operator_port: Port of the administration API; by default
+            `port` + 2000.
+        place: Failure domain of this host.
+        log: The platform's log.
+        roster_url: Base URL of the platform's host list.
+        weights_url: Base URL of the weight store.
+        operator_key_digests: SHA-256 digests of operators' keys.
+        open_services: Plain services that need no key.
+        heartbeat_ms: Interval between heartbeats.
+        lease_ms: Length of a host's lease.
+        roster_poll_ms: Interval between reads of the host list.
+        load_poll_ms: Interval between reads of a target's load.
+        shutdown_ms: Longest time for calls under way at shutdown.
+        max_body_bytes: Largest request body.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    host_id: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")
+    address: str = "127.0.0.1"
+    port: int = pydantic.Field(ge=1, le=65535)
+    rpc_port: int | None = None
+    operator_port: int | None = None
+    place: str
+    log: LogSettings
+    roster_url: str
+    weights_url: str
+    operator_key_digests: tuple[str, ...] = ()
+    open_services: tuple[str, ...] = ()
+    heartbeat_ms: int = pydantic.Field(default=1000, ge=10)
+    lease_ms: int = pydantic.Field(default=5000, ge=50)
+    roster_poll_ms: int = pydantic.Field(default=1000, ge=10)
+    load_poll_ms: int = pydantic.Field(default=500, ge=10)
+    shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
+    max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
+
+    @pydantic.field_validator("address")
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        ipaddress.ip_address(value)
+        return value
+
+    @property
+    def rpc_address(self) -> str:
+        """Address for other hosts as `ip:port`."""
+        port = self.rpc_port or self.port + RPC_PORT_STEP
+        return f"{self.address}:{port}"
+
+    @property
+    def operators_port(self) -> int:
+        """Port of the administration API."""
+        return self.operator_port or self.port + OPERATOR_PORT_STEP
--- /dev/null
+++ b/mangotally/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for local runs and tests."""
--- /dev/null
+++ b/mangotally/standins/platform.py
@@ -0,0 +1,138 @@
+"""A whole platform of stand-ins for one deployment."""
+
+from __future__ import annotations
+
+import contextlib
+import secrets
+import socket
+from typing import TYPE_CHECKING, Self
+
+from mangotally import ids
+from mangotally.policy import configuration, records
+from mangotally.roster import base as roster_base
+from mangotally.settings import host as host_settings
+from mangotally.settings import lists
+from mangotally.standins import engine, log, roster, service
+
+if TYPE_CHECKING:
+    from mangotally.standins import deployments
+
+_KEY_BYTES = 24
+
+
+class Platform:
+    """Log, host list, engines and services; entering it starts them."""
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        speed: engine.EngineSpeed | None = None,
+    ) -> None:
+        """Makes a platform.
+
+        Args:
+            deployment: What stands on it.
+            speed: How fast its engines are.
+        """
+        self.deployment = deployment
+        self._speed = speed
+        self.log = log.LogStandIn()
+        self.roster = roster.RosterStandIn()
+        self.engines: dict[ids.TargetId, engine.EngineStandIn] = {}
+        self.services: dict[ids.TargetId, service.ServiceStandIn] = {}
+        self.operator_key = f"op-{secrets.token_urlsafe(_KEY_BYTES)}"
+        self.keys: dict[ids.OrganisationId, tuple[ids.KeyId, str]] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts all stand-ins and publishes the first configuration."""
+        await self._stack.enter_async_context(self.log)
+        await self._stack.enter_async_context(self.roster)
+        for group in self.deployment.groups:
+            for number in range(group.workers):
+                await self._start_worker(group, number)
+        self._publish()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops all stand-ins."""
+        await self._stack.aclose()
+
+    def host_settings(self, number: int) -> host_settings.HostSettings:
+        """Returns settings of a host on free ports.
+
+        Args:
+            number: Number of the host, from 1.
+        """
+        ports = free_ports(3)
+        places = self.deployment.places
+        return host_settings.HostSettings(
+            host_id=f"h{number}",
+            port=ports[0],
+            rpc_port=ports[1],
+            operator_port=ports[2],
+            place=places[number % len(places)],
+            log=host_settings.LogSettings(url=self.log.url),
+            roster_url=self.roster.url,
+            weights_url=self.roster.url,
+            operator_key_digests=(configuration.digest_key(self.operator_key),),
+            load_poll_ms=100,
+            heartbeat_ms=200,
+            lease_ms=1500,
+        )
+
+    async def _start_worker(
+        self, group: deployments.WorkerGroup, number: int
+    ) -> None:
+        name = f"{group.service}-{number + 1}"
+        target = ids.TargetId(name)
+        if group.kind is lists.ServiceKind.MODEL:
+            worker = engine.EngineStandIn(name, self._speed)
+            self.engines[target] = worker
+            await self._stack.enter_async_context(worker)
+            url = worker.url
+        else:
+            plain = service.ServiceStandIn(name)
+            self.services[target] = plain
+            await self._stack.enter_async_context(plain)
+            url = plain.url
+        places = self.deployment.places
+        await self.roster.put(
+            roster_base.RosterEntry(
+                name,
+                roster_base.EntryKind.TARGET,
+                url,
+                ids.PlaceId(places[number % len(places)]),
+                ids.ServiceId(group.service),
+                roster_base.EntryState.LIVE,
+            )
+        )
+
+    def _publish(self) -> None:
+        first = records.ConfigurationVersion(
+            1,
+            0,
+            lists.Lists(plans=self.deployment.plans, uses=self.deployment.uses),
+        )
+        found: list[object] = [first]
+        for item in self.deployment.plans.organisations:
+            organisation = ids.OrganisationId(item.id)
+            key = f"mt-{secrets.token_urlsafe(_KEY_BYTES)}"
+            key_id = ids.KeyId(f"k-{item.id}")
+            self.keys[organisation] = (key_id, key)
+            found.append(
+                records.KeyGiven(
+                    key_id, organisation, configuration.digest_key(key)
+                )
+            )
+        stream = self.log.stream(records.CONFIGURATION_STREAM)
+        stream.records.append(records.registry.encode_batch(found))
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns free TCP ports of the loopback."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
--- /dev/null
+++ b/mangotally/standins/roster.py
@@ -0,0 +1,58 @@
+"""Stand-in for the platform's list of live and leaving hosts.
+
+GET /entries -> [{"id", "kind", "address", "place", "service", "state"}]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from aiohttp import web
+
+from mangotally.roster import base
+from mangotally.standins import server
+from mangotally.util import clock as clock_lib
+from mangotally.util import codec
+
+
+class RosterStandIn(server.StandIn):
+    """Serves the entries that it is given, after a lag."""
+
+    def __init__(self, lag_ms: float = 0.0) -> None:
+        """Makes an empty list.
+
+        Args:
+            lag_ms: How late a change shows.
+        """
+        super().__init__()
+        self.lag_ms = lag_ms
+        self._entries: dict[str, base.RosterEntry] = {}
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application()
+        app.router.add_get("/entries", self._list)
+        return app
+
+    async def put(self, entry: base.RosterEntry) -> None:
+        """Adds or replaces an entry."""
+        await asyncio.sleep(clock_lib.to_seconds(self.lag_ms))
+        self._entries[entry.id] = entry
+
+    async def remove(self, entry_id: str) -> None:
+        """Removes an entry."""
+        await asyncio.sleep(clock_lib.to_seconds(self.lag_ms))
+        self._entries.pop(entry_id, None)
+
+    async def set_state(self, entry_id: str, state: base.EntryState) -> None:
+        """Changes the state of an entry."""
+        entry = self._entries[entry_id]
+        await self.put(dataclasses.replace(entry, state=state))
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        entries = tuple(self._entries.values())
+        adapter = codec.adapter_of(tuple[base.RosterEntry, ...])
+        return web.Response(
+            body=adapter.dump_json(entries), content_type="application/json"
+        )
--- /dev/null
+++ b/mangotally/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all packages."""
--- /dev/null
+++ b/mangotally/util/codec.py
@@ -0,0 +1,78 @@
+"""Typed messages to and from JSON, checked on decoding."""
+
+from __future__ import annotations
+
+import functools
+import json
+from typing import Any, TypeVar, cast
+
+import pydantic
+from returns import result
+
+T = TypeVar("T")
+
+
+@functools.cache
+def adapter_of(kind: type[T]) -> pydantic.TypeAdapter[T]:
+    """Returns the cached pydantic adapter of a type."""
+    return pydantic.TypeAdapter(kind)
+
+
+class Registry:
+    """Message types by name."""
+
+    def __init__(self) -> None:
+        self._types: dict[str, type] = {}
+
+    def register(self, kind: type[T]) -> type[T]:
+        """Registers a frozen dataclass; usable as a decorator."""
+        self._types[kind.__name__] = kind
+        return kind
+
+    def encode(self, message: Any) -> tuple[str, bytes]:
+        """Returns the type name and the JSON body of a message."""
+        kind = type(message)
+        return kind.__name__, adapter_of(cast("Any", kind)).dump_json(message)
+
+    def decode(self, name: str, body: bytes) -> result.Result[Any, str]:
+        """Returns the message, or a sentence that says what is wrong."""
+        kind = self._types.get(name)
+        if kind is None:
+            return result.Failure(f"unknown message type {name[:64]!r}")
+        try:
+            return result.Success(adapter_of(kind).validate_json(body))
+        except ValueError as error:
+            return result.Failure(f"bad {name}: {_first_line(error)}")
+
+    def encode_batch(self, messages: list[Any]) -> bytes:
+        """Returns one JSON document that holds several messages."""
+        parts = []
+        for message in messages:
+            name, body = self.encode(message)
+            parts.append(f"[{json.dumps(name)},{body.decode()}]")
+        return f"[{','.join(parts)}]".encode()
+
+    def decode_batch(self, data: bytes) -> list[result.Result[Any, str]]:
+        """Returns the messages of a batch, each checked by itself."""
+        try:
+            items = json.loads(data)
+        except ValueError:
+            return [result.Failure("not JSON")]
+        if not isinstance(items, list):
+            return [result.Failure("not a list of records")]
+        return [self._decode_item(item) for item in items]
+
+    def _decode_item(self, item: Any) -> result.Result[Any, str]:
+        match item:
+            case [str(name), dict(body)]:
+                return self.decode(name, json.dumps(body).encode())
+            case _:
+                return result.Failure("a record is not [type, body]")
+
+
+def _first_line(error: ValueError) -> str:
+    if isinstance(error, pydantic.ValidationError):
+        first = error.errors(include_url=False, include_input=False)[0]
+        where = ".".join(str(part) for part in first["loc"])
+        return f"{where}: {first['msg']}"
+    return str(error).splitlines()[0]
--- /dev/null
+++ b/mangotally/weights/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's weight store."""
--- /dev/null
+++ b/mangotally/weights/client.py
@@ -0,0 +1,23 @@
+"""The platform's weight store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from mangotally import errors
+
+
+class WeightStore(Protocol):
+    """Loads weights onto targets; its rate is limited."""
+
+    async def fetch(self, name: str) -> errors.Outcome[int]:
+        """Asks for weights.
+
+        Args:
+            name: Name of a model, adapter or version.
+
+        Returns:
+            Size in bytes, or a failure with `retry_after_ms` when the
+            store's rate limit is reached.
+        """
--- /dev/null
+++ b/tests/test_application/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole hosts."""
