Test real processes: kill -9 of a home, SIGTERM, no children

Cause: nothing showed that a program outlives its home's process. Change: tests that run stand-ins and hosts as processes of their own. Conclusion: a killed home loses no acknowledged turn on this path.

--- /dev/null
+++ b/tests/test_application/test_processes.py
@@ -0,0 +1,97 @@
+"""Tests of the product's processes."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import time
+import unittest
+
+from tests import processes
+
+TRIES = 100
+TRY_PAUSE_S = 0.2
+
+
+class ProcessTest(unittest.TestCase):
+    """Hosts as processes of their own."""
+
+    def test_killed_home_loses_nothing(self) -> None:
+        """A program goes on after its home was killed between turns."""
+        with processes.ProcessFleet(hosts=3) as fleet:
+            program = _open(fleet, "h1")
+            status, _ = fleet.turn("h2", program, 1, "first")
+            self.assertEqual(status, 200)
+            home = _find_home(fleet)
+            fleet.kill(home)
+            entry = next(iter(fleet.ports))
+            answer = _turn_until_served(fleet, entry, program, 2, "second")
+            text = answer["choices"][0]["message"]["content"]
+            self.assertIn("turn 2 of 3 messages", text)
+
+    def test_processes_have_no_children_and_no_io_uring(self) -> None:
+        """A process starts no process and opens no io_uring."""
+        with processes.ProcessFleet(hosts=1) as fleet:
+            program = _open(fleet, "h1")
+            status, _ = fleet.turn("h1", program, 1, "first")
+            self.assertEqual(status, 200)
+            for name in ("standins", "h1"):
+                pid = fleet.pid(name)
+                self.assertEqual(_children(pid), "")
+                self.assertEqual(_io_urings(pid), [])
+
+    def test_stop_on_signal(self) -> None:
+        """SIGTERM ends a host with exit code 0, and it leaves the view."""
+        with processes.ProcessFleet(hosts=2) as fleet:
+            self.assertEqual(fleet.terminate("h1"), 0)
+            status, _ = fleet.request(
+                "h2", "POST", "/v1/programs", {"service": "assistente"}
+            )
+            self.assertEqual(status, 201)
+
+
+def _open(fleet: processes.ProcessFleet, name: str) -> str:
+    status, body = fleet.request(
+        name, "POST", "/v1/programs", {"service": "assistente"}
+    )
+    assert status == 201, body
+    return str(body["program_id"])
+
+
+def _find_home(fleet: processes.ProcessFleet) -> str:
+    for name in fleet.ports:
+        if fleet.dump(name)["programs"]["programs"]:
+            return name
+    raise AssertionError("no host is the program's home")
+
+
+def _turn_until_served(
+    fleet: processes.ProcessFleet,
+    entry: str,
+    program: str,
+    number: int,
+    text: str,
+) -> dict[str, list[dict[str, dict[str, str]]]]:
+    for _ in range(TRIES):
+        status, body = fleet.turn(entry, program, number, text)
+        if status == 200:
+            return dict(body)
+        time.sleep(TRY_PAUSE_S)
+    raise AssertionError(f"not served: {body}")
+
+
+def _children(pid: int) -> str:
+    tasks = pathlib.Path(f"/proc/{pid}/task")
+    return "".join((task / "children").read_text() for task in tasks.iterdir())
+
+
+def _io_urings(pid: int) -> list[str]:
+    found = []
+    for entry in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            link = os.readlink(entry)
+        except FileNotFoundError:
+            continue
+        if "io_uring" in link:
+            found.append(link)
+    return found
