Give a turn a permit and name the records of its ends

Cause: a turn waits for its reservation before it asks for a slot, and the log has no record for an attempt that has not run. No behaviour changes yet.

--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -14,7 +14,7 @@
 from mangotally.policy import homes, pools, programs, records
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable
 
     from mangotally.homes import membership
     from mangotally.hosts import peers as peers_lib
@@ -47,6 +47,7 @@
         program: ids.ProgramId,
         prompt: list[records.ChatMessage],
         attained_tokens: int,
+        permit: Awaitable[errors.Outcome[None]] | None = None,
     ) -> AsyncIterator[errors.Outcome[Any]]:
         """Runs a turn on a target of its pool.
 
@@ -55,6 +56,8 @@
             program: The program that the prompt belongs to.
             prompt: The whole conversation.
             attained_tokens: Service that the program has received so far.
+            permit: Awaited once there is a slot and before any byte goes
+                to the target; a failure ends the turn there.
 
         Yields:
             `TurnText` pieces and a `TurnEnd`, or a failure at the end.
@@ -90,6 +93,10 @@
             message.max_tokens,
         )
         try:
+            allowed = await permit if permit is not None else None
+            if isinstance(allowed, result.Failure):
+                yield allowed
+                return
             events = self._engine.chat(slot.address, request)
             async with contextlib.aclosing(events):  # type: ignore[type-var]
                 async for event in events:
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -179,6 +179,8 @@
         request: The new messages of the caller.
         answer: The answer.
         used_tokens: Tokens charged.
+        length_tokens: Length of the conversation with this turn, or 0 if
+            the target did not say.
     """
 
     organisation: ids.OrganisationId
@@ -189,6 +191,28 @@
     request: tuple[ChatMessage, ...]
     answer: ChatMessage
     used_tokens: int
+    length_tokens: int = 0
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TurnDropped:
+    """An attempt has not run and never will; gives its budget back."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    turn: int
+    attempt: ids.AttemptId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallCharged:
+    """A service call is charged to a program, once per charge id."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    charge: str
 
 
 @registry.register
@@ -202,6 +226,7 @@
         attempt: The attempt that may send it.
         digest: Digest of the request.
         program: The program that it belongs to, or None.
+        begun_wall_ms: When it was written, since the Unix epoch.
     """
 
     organisation: ids.OrganisationId
@@ -209,6 +234,17 @@
     attempt: ids.AttemptId
     digest: str
     program: ids.ProgramId | None
+    begun_wall_ms: int = 0
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallDropped:
+    """An attempt has sent nothing and never will; frees the key."""
+
+    organisation: ids.OrganisationId
+    key: str
+    attempt: ids.AttemptId
 
 
 @registry.register
@@ -222,7 +258,8 @@
         attempt: The attempt that sent it.
         status: HTTP status of the answer.
         content_type: Content type of the answer.
-        body_base64: Body of the answer.
+        body_base64: Body of the answer, empty if it is not kept.
+        whole: Whether the body is kept; a large one is not.
     """
 
     organisation: ids.OrganisationId
@@ -231,6 +268,7 @@
     status: int
     content_type: str
     body_base64: str
+    whole: bool = True
 
 
 class CloseReason(enum.Enum):
@@ -245,8 +283,64 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ProgramClosed:
-    """A program ended; it takes no more turns."""
+    """A program ended; it and its sub-agents' take no more turns.
+
+    Attributes:
+        organisation: The program's organisation.
+        program: The program.
+        reason: Why it ended.
+        wall_ms: When it ended, since the Unix epoch.
+    """
 
     organisation: ids.OrganisationId
     program: ids.ProgramId
     reason: CloseReason
+    wall_ms: int = 0
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramSnapshot:
+    """A whole program, appended again before its records age out.
+
+    Attributes:
+        as_of: The offset it has to land on; it is void elsewhere.
+        opened: The record that opened the program.
+        turns: Its turns that are done.
+        open_attempts: Reservations of attempts that have not ended.
+        closed: Why it ended, or None.
+        closed_wall_ms: When it ended, since the Unix epoch.
+        used_tokens: Tokens charged and reserved.
+        used_calls: Calls charged.
+        charges: Ids of the service calls charged.
+        wall_ms: When the snapshot was made, since the Unix epoch.
+    """
+
+    as_of: ids.Offset
+    opened: ProgramOpened
+    turns: tuple[TurnDone, ...]
+    open_attempts: tuple[TurnBegun, ...]
+    closed: CloseReason | None
+    closed_wall_ms: int
+    used_tokens: int
+    used_calls: int
+    charges: tuple[str, ...]
+    wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallSnapshot:
+    """A call's intent and result, appended again before they age out.
+
+    Attributes:
+        as_of: The offset it has to land on; it is void elsewhere.
+        intent: The intent that counts.
+        result: The result, or None.
+        wall_ms: When the snapshot was made, since the Unix epoch.
+    """
+
+    as_of: ids.Offset
+    intent: CallIntent
+    result: CallResult | None
+    wall_ms: int
