--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -4,13 +4,15 @@
 
 import contextlib
 import logging
+import random
 from typing import TYPE_CHECKING, Any, Self
 
 import aiohttp
 
 from mangotally.callers import chat, server, services
 from mangotally.callers import programs as program_routes
-from mangotally.engines import client as engine_client
+from mangotally.engines import channels as channels_lib
+from mangotally.engines import http as http_engine
 from mangotally.homes import (
     calls,
     configuration,
@@ -18,16 +20,18 @@
     organisations,
     pools,
     programs,
+    slots,
     turns,
 )
 from mangotally.hosts import link, peers, router
 from mangotally.log import follower
 from mangotally.log import http as http_log
 from mangotally.operators import server as operator_server
+from mangotally.policy import faults, records
 from mangotally.policy import pools as pool_policy
-from mangotally.policy import records
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
+from mangotally.services import runner as service_runner
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -105,7 +109,11 @@
         self.members = membership.Membership(self.settings, log, self.clock)
         self.peers = peers.Peers(self.members, handlers)
         await stack.enter_async_context(self.peers)
-        self._make_homes(session, log)
+        channels = channels_lib.Channels()
+        await stack.enter_async_context(channels)
+        self.slots = slots.SlotClient(self.members, self.peers, self.clock)
+        await stack.enter_async_context(self.slots)
+        self._make_homes(session, log, channels)
         for home in (
             self.organisations,
             self.pools,
@@ -119,10 +127,20 @@
         await stack.enter_async_context(self._caller_server())
 
     def _make_homes(
-        self, session: aiohttp.ClientSession, log: http_log.HttpLog
+        self,
+        session: aiohttp.ClientSession,
+        log: http_log.HttpLog,
+        channels: channels_lib.Channels,
     ) -> None:
         settings = self.settings
-        engine = engine_client.HttpEngineClient(session)
+        targets = settings.targets
+        limits = faults.Limits(
+            targets.connect_ms,
+            targets.first_token_ms,
+            targets.first_token_ms_per_token,
+            targets.between_tokens_ms,
+        )
+        engine = http_engine.HttpEngineClient(channels, limits)
         roster = http_roster.HttpRoster(session, settings.roster_url)
         self.organisations = organisations.OrganisationHome(
             self.members, self.live, self.clock
@@ -140,15 +158,27 @@
             settings.log.partitions,
             log,
             self.members,
-            turns.TurnRunner(self.members, self.peers, engine),
+            turns.TurnRunner(
+                self.slots,
+                engine,
+                targets.retry_share,
+                self.clock,
+                random.random,
+            ),
             self.clock,
         )
         self.calls = calls.CallHome(
             settings.log.partitions,
             log,
             self.members,
-            self.pools,
-            service_client.ServiceClient(session),
+            service_runner.ServiceRunner(
+                self.slots,
+                self.live,
+                service_client.ServiceClient(channels, targets.connect_ms),
+                targets.retry_share,
+                self.clock,
+                random.random,
+            ),
         )
 
     def _caller_server(self) -> server.HttpServer:
--- /dev/null
+++ b/mangotally/engines/http.py
@@ -0,0 +1,283 @@
+"""Model engines over HTTP with server-sent events."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.engines import client, events
+from mangotally.policy import faults, pools
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+    from mangotally.engines import channels as channels_lib
+
+CONTROL_TIMEOUT_MS = 2000
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
+_DECLINED = frozenset({429, 503})
+
+
+class HttpEngineClient:
+    """Speaks to engines; each call has a connection of its own.
+
+    A connection that went silent thus never delays another call, and a
+    probe never finds out about an old connection instead of the target.
+    """
+
+    def __init__(
+        self, channels: channels_lib.Channels, limits: faults.Limits
+    ) -> None:
+        """Makes a client; the caller closes the channels."""
+        self._channels = channels
+        self._limits = limits
+
+    async def chat(
+        self, address: str, request: client.ChatRequest
+    ) -> AsyncIterator[client.ChatEvent]:
+        """Yields pieces and then the end, or a fault as the last item."""
+        answer = self._stream(
+            "POST",
+            f"{address}/v1/chat/completions",
+            _request_body(request),
+            request,
+            after=0,
+        )
+        async for event in answer:
+            yield event
+
+    async def resume(
+        self, address: str, request: client.ChatRequest, after: int
+    ) -> AsyncIterator[client.ChatEvent]:
+        """Yields the rest of an answer over a new connection."""
+        url = f"{address}/v1/streams/{request.call}?after={after}"
+        async for event in self._stream("GET", url, None, request, after):
+            yield event
+
+    async def cancel(
+        self, address: str, call: ids.CallId
+    ) -> errors.Outcome[None]:
+        """Has the engine end a call; succeeds if it runs it no longer."""
+        body = {"call": call}
+        outcome = await self._control("POST", f"{address}/cancel", body)
+        return outcome.map(lambda _: None)
+
+    async def load(self, address: str) -> errors.Outcome[pools.LoadReport]:
+        """Returns the engine's load."""
+        outcome = await self._control("GET", f"{address}/load", None)
+        return outcome.bind(_parse_load)
+
+    async def release(
+        self, address: str, program: ids.ProgramId
+    ) -> errors.Outcome[None]:
+        """Has the engine drop a program's cached prefix."""
+        outcome = await self._control(
+            "POST", f"{address}/release", {"cache_key": program}
+        )
+        return outcome.map(lambda _: None)
+
+    async def holdings(self, address: str) -> errors.Outcome[client.Holdings]:
+        """Returns what the engine holds for programs."""
+        outcome = await self._control("GET", f"{address}/cache", None)
+        return outcome.bind(_parse_holdings)
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> errors.Outcome[tuple[pools.CacheEvent, ...]]:
+        """Returns cache events after a sequence number."""
+        url = f"{address}/cache/events?after={after}"
+        outcome = await self._control("GET", url, None)
+        return outcome.bind(_parse_cache_events)
+
+    async def _stream(
+        self,
+        method: str,
+        url: str,
+        body: dict[str, Any] | None,
+        request: client.ChatRequest,
+        after: int,
+    ) -> AsyncIterator[client.ChatEvent]:
+        try:
+            response = await self._open(method, url, body, request)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            yield result.Failure(fault_of(error))
+            return
+        async with response:
+            fault = _check_status(response)
+            if fault is not None:
+                yield result.Failure(fault)
+                return
+            reader = events.EventReader(request, self._limits, after)
+            try:
+                async for event in reader.read(response.content):
+                    yield event
+            except (aiohttp.ClientError, OSError) as error:
+                yield result.Failure(fault_of(error))
+
+    async def _open(
+        self,
+        method: str,
+        url: str,
+        body: dict[str, Any] | None,
+        request: client.ChatRequest,
+    ) -> aiohttp.ClientResponse:
+        limits = self._limits
+        headers_ms = limits.first_ms(request.prompt_tokens)
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=clock_lib.to_seconds(limits.connect_ms),
+        )
+        async with asyncio.timeout(clock_lib.to_seconds(headers_ms)):
+            return await self._channels.fresh.request(
+                method,
+                url,
+                json=body,
+                headers={"X-Request-Id": request.call},
+                timeout=timeout,
+                allow_redirects=False,
+            )
+
+    async def _control(
+        self, method: str, url: str, body: Any
+    ) -> errors.Outcome[Any]:
+        timeout = aiohttp.ClientTimeout(
+            clock_lib.to_seconds(CONTROL_TIMEOUT_MS)
+        )
+        try:
+            async with self._channels.fresh.request(
+                method, url, json=body, timeout=timeout, allow_redirects=False
+            ) as response:
+                if response.status != 200:
+                    return _failed(f"status {response.status}")
+                return await _read_json(response)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return _failed(type(error).__name__)
+
+
+async def _read_json(
+    response: aiohttp.ClientResponse,
+) -> errors.Outcome[Any]:
+    data = bytearray()
+    async for part in response.content.iter_any():
+        data += part
+        if len(data) > MAX_CONTROL_BYTES:
+            return _failed("an oversize answer")
+    return result.Success(json.loads(bytes(data)))
+
+
+def fault_of(error: Exception) -> faults.Fault:
+    """Returns the fault that an exception of the HTTP library means."""
+    kinds = faults.FaultKind
+    name = type(error).__name__
+    match error:
+        case aiohttp.ConnectionTimeoutError():
+            return faults.Fault(kinds.UNREACHABLE, "no connection in time")
+        case aiohttp.ClientConnectorError():
+            if isinstance(error.os_error, ConnectionRefusedError):
+                return faults.Fault(kinds.CONNECTION_REFUSED, "not listening")
+            return faults.Fault(kinds.UNREACHABLE, "no connection")
+        case TimeoutError():
+            return faults.Fault(kinds.STALLED, "no answer in time")
+        case aiohttp.ClientResponseError() | ValueError():
+            return faults.Fault(kinds.MALFORMED, name)
+        case _:
+            return faults.Fault(kinds.BROKEN, name)
+
+
+def _check_status(response: aiohttp.ClientResponse) -> faults.Fault | None:
+    kinds = faults.FaultKind
+    status, headers = response.status, response.headers
+    detail = f"status {status}"
+    if status == 200:
+        return None
+    if status in _DECLINED:
+        return faults.Fault(kinds.REFUSED, detail, parse_retry_after(headers))
+    if status == 404 and response.method == "GET":
+        return faults.Fault(kinds.LOST, detail)
+    if 400 <= status < 500:
+        return faults.Fault(kinds.REJECTED, detail)
+    return faults.Fault(kinds.ERROR, detail)
+
+
+def parse_retry_after(headers: Mapping[str, str]) -> int | None:
+    """Returns a `Retry-After` header's seconds in milliseconds, if any."""
+    text = headers.get("Retry-After", "")
+    if text.isascii() and text.isdigit() and len(text) <= 6:
+        return int(text) * clock_lib.MS_PER_S
+    return None
+
+
+def _request_body(request: client.ChatRequest) -> dict[str, Any]:
+    return {
+        "model": request.model,
+        "messages": [
+            {"role": item.role, "content": item.content}
+            for item in request.messages
+        ],
+        "max_tokens": request.max_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+        "cache_key": request.program,
+    }
+
+
+def _parse_load(body: Any) -> errors.Outcome[pools.LoadReport]:
+    try:
+        return result.Success(
+            pools.LoadReport(
+                int(body["running"]),
+                int(body["waiting"]),
+                int(body["cached_tokens"]),
+                int(body["cache_capacity_tokens"]),
+                float(body["age_ms"]),
+            )
+        )
+    except (KeyError, TypeError, ValueError):
+        return _failed("a bad load report")
+
+
+def _parse_holdings(body: Any) -> errors.Outcome[client.Holdings]:
+    try:
+        prefixes = tuple(
+            client.CachedPrefix(
+                ids.ProgramId(str(item["cache_key"])), int(item["tokens"])
+            )
+            for item in body["prefixes"]
+        )
+        calls = tuple(ids.CallId(str(item)) for item in body["calls"])
+        return result.Success(client.Holdings(prefixes, calls))
+    except (KeyError, TypeError, ValueError):
+        return _failed("a bad cache list")
+
+
+def _parse_cache_events(
+    body: Any,
+) -> errors.Outcome[tuple[pools.CacheEvent, ...]]:
+    try:
+        return result.Success(
+            tuple(
+                pools.CacheEvent(
+                    int(item["sequence"]),
+                    pools.CacheEventKind(item["kind"]),
+                    ids.ProgramId(str(item["cache_key"])),
+                    int(item["tokens"]),
+                )
+                for item in body["events"]
+            )
+        )
+    except (KeyError, TypeError, ValueError):
+        return _failed("bad cache events")
+
+
+def _failed(detail: str) -> errors.Outcome[Any]:
+    return errors.failed(
+        errors.Reason.TARGET_FAILED,
+        f"The target failed ({detail}).",
+        errors.Ran.MAY_HAVE_RUN,
+    )
--- a/mangotally/homes/calls.py
+++ b/mangotally/homes/calls.py
@@ -14,10 +14,9 @@
 
 if TYPE_CHECKING:
     from mangotally.homes import membership
-    from mangotally.homes import pools as pool_home
     from mangotally.hosts import router
     from mangotally.log import base
-    from mangotally.services import client as service_client
+    from mangotally.services import runner as service_runner
 
 
 class CallHome:
@@ -28,15 +27,13 @@
         partitions: int,
         log: base.Log,
         members: membership.Membership,
-        targets: pool_home.PoolHome,
-        client: service_client.ServiceClient,
+        runner: service_runner.ServiceRunner,
     ) -> None:
         """Makes the home; `attach` puts it to work."""
         self._count = partitions
         self._log = log
         self._members = members
-        self._targets = targets
-        self._client = client
+        self._runner = runner
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this home's handlers."""
@@ -92,17 +89,8 @@
     async def send(
         self, message: messages.RunCall
     ) -> errors.Outcome[messages.CallAnswer]:
-        """Sends a call to a target of its service, once."""
-        targets = self._targets.targets_of(message.service)
-        if not targets:
-            return errors.failed(
-                errors.Reason.UNAVAILABLE, "The service has no live target."
-            )
-        chosen = homes.home(
-            ids.random_suffix(), [ids.HostId(item.id) for item in targets]
-        )
-        entry = next(item for item in targets if item.id == chosen)
-        return await self._client.call(entry.address, message)
+        """Sends a call to a target of its service."""
+        return await self._runner.run(message)
 
 
 def _known_answer(
--- a/mangotally/homes/pools.py
+++ b/mangotally/homes/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 from typing import TYPE_CHECKING, Self
 
@@ -12,6 +13,7 @@
 from mangotally.hosts import messages
 from mangotally.policy import homes, pools
 from mangotally.roster import base as roster_base
+from mangotally.settings import lists as list_settings
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -65,6 +67,18 @@
             self.advance()
             raise
 
+    def finish(self, report: pools.CallReport) -> None:
+        """Takes the report of a call that ended or was given up."""
+        now_ms = self._clock.now_ms()
+        future = self._waiting.pop(report.call, None)
+        if future is not None:
+            future.cancel()
+        if report.end is pools.CallEnd.CANCELLED:
+            self.scheduler.cancel(report.call, now_ms)
+        else:
+            self.scheduler.finish(report, now_ms)
+        self.advance()
+
 
 class PoolHome:
     """The pools that this host is home of."""
@@ -118,7 +132,9 @@
         """Answers when there is a target for the call."""
         if not self._members.is_home(homes.pool_key(message.service)):
             return errors.failed(errors.Reason.MOVED, "The home has moved.")
-        action = await self._pool(message.service).acquire(message.call)
+        due_ms = self._clock.now_ms() + message.call.deadline_ms
+        call = dataclasses.replace(message.call, deadline_ms=due_ms)
+        action = await self._pool(message.service).acquire(call)
         match action:
             case pools.Dispatch():
                 return result.Success(
@@ -133,15 +149,18 @@
         self, message: messages.ReleaseSlot
     ) -> errors.Outcome[messages.Done]:
         """Takes the report of a call that ended."""
+        if not self._members.is_home(homes.pool_key(message.service)):
+            return errors.failed(errors.Reason.MOVED, "The home has moved.")
         pool = self._pool(message.service)
-        pool.scheduler.finish(message.report, self._clock.now_ms())
-        pool.advance()
+        pool.finish(message.report)
         return result.Success(messages.Done())
 
     async def end_program(
         self, message: messages.EndProgram
     ) -> errors.Outcome[messages.Done]:
         """Has a gone program's prefixes released."""
+        if not self._members.is_home(homes.pool_key(message.service)):
+            return errors.failed(errors.Reason.MOVED, "The home has moved.")
         pool = self._pool(message.service)
         pool.scheduler.end_program(message.program, self._clock.now_ms())
         pool.advance()
@@ -222,9 +241,18 @@
                 clock_lib.to_seconds(self._settings.load_poll_ms)
             )
             for service, pool in list(self._pools.items()):
-                if self._members.is_home(homes.pool_key(service)):
+                if not self._members.is_home(homes.pool_key(service)):
+                    continue
+                if self._is_model(service):
                     await self._poll_pool(pool)
 
+    def _is_model(self, service: ids.ServiceId) -> bool:
+        lists = self._live.current.lists
+        found = lists.service(service) if lists else None
+        return (
+            found is not None and found.kind is list_settings.ServiceKind.MODEL
+        )
+
     async def _poll_pool(self, pool: Pool) -> None:
         await asyncio.gather(
             *(self._poll_target(pool, info) for info in pool.targets.values())
--- /dev/null
+++ b/mangotally/homes/slots.py
@@ -0,0 +1,177 @@
+"""Slots at targets: asked of the pool's home, and given back to it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+from typing import TYPE_CHECKING, Any, Self
+
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.hosts import messages
+from mangotally.policy import faults, homes, pools
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Coroutine
+
+    from mangotally.hosts import peers as peers_lib
+
+logger = logging.getLogger(__name__)
+
+HOLD_MS = 10_000
+RETRY_MS = 100
+REPORT_TRIES = 50
+_MOVING = frozenset({errors.Reason.MOVED, errors.Reason.UNAVAILABLE})
+
+
+class Slot:
+    """A granted place at a target, or why there is none.
+
+    Attributes:
+        granted: The target, or a refusal.
+    """
+
+    def __init__(
+        self,
+        call: pools.PoolCall,
+        granted: errors.Outcome[messages.SlotGranted],
+        granted_ms: float,
+    ) -> None:
+        """Makes a slot whose call has not ended yet."""
+        self.granted = granted
+        self.report = pools.CallReport(call.call, pools.CallEnd.CANCELLED)
+        self.fault: faults.Fault | None = None
+        self._granted_ms = granted_ms
+        self._first_token_ms: float | None = None
+
+    def note_text(self, now_ms: float) -> None:
+        """Takes the time of the first piece of the answer."""
+        if self._first_token_ms is None:
+            self._first_token_ms = now_ms - self._granted_ms
+
+    def done(self, cached_tokens: int = 0, generated_tokens: int = 0) -> None:
+        """The call ended with a whole answer."""
+        self.report = dataclasses.replace(
+            self.report,
+            end=pools.CallEnd.DONE,
+            cached_tokens=cached_tokens,
+            generated_tokens=generated_tokens,
+            first_token_ms=self._first_token_ms,
+        )
+
+    def failed(self, fault: faults.Fault) -> None:
+        """The call ended with a fault."""
+        self.fault = fault
+        self.report = dataclasses.replace(
+            self.report, end=fault.end, first_token_ms=self._first_token_ms
+        )
+
+
+class SlotClient:
+    """Asks pools' homes for slots, through changes of home."""
+
+    def __init__(
+        self,
+        directory: peers_lib.Directory,
+        peers: peers_lib.Peers,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes a client; leaving it delivers the last reports."""
+        self._directory = directory
+        self._peers = peers
+        self._clock = clock
+        self._running: dict[ids.CallId, messages.RunningCall] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Waits until the reports under way are delivered or given up."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @contextlib.asynccontextmanager
+    async def slot(
+        self, service: ids.ServiceId, call: pools.PoolCall, left_ms: float
+    ) -> AsyncIterator[Slot]:
+        """Holds a place at a target for a call.
+
+        Args:
+            service: The service.
+            call: The call; its `deadline_ms` is the time left.
+            left_ms: Longest time to wait.
+        """
+        target: ids.TargetId | None = None
+        slot: Slot | None = None
+        try:
+            granted = await self._acquire(service, call, left_ms)
+            slot = Slot(call, granted, self._clock.now_ms())
+            if isinstance(granted, result.Success):
+                target = granted.unwrap().target
+                self._running[call.call] = messages.RunningCall(
+                    service, call.call, call.program, target
+                )
+            yield slot
+        finally:
+            self._running.pop(call.call, None)
+            report = (
+                slot.report
+                if slot is not None
+                else pools.CallReport(call.call, pools.CallEnd.CANCELLED)
+            )
+            fault = slot.fault if slot is not None else None
+            message = messages.ReleaseSlot(
+                service, report, target, call.digest, fault
+            )
+            self._spawn(self._deliver(service, message))
+
+    def end_program(
+        self, service: ids.ServiceId, program: ids.ProgramId
+    ) -> None:
+        """Tells a pool's home that a program is gone, until it knows."""
+        message = messages.EndProgram(service, program)
+        self._spawn(self._deliver(service, message))
+
+    def running(self) -> tuple[messages.RunningCall, ...]:
+        """Returns the calls that this host has under way at targets."""
+        return tuple(self._running.values())
+
+    async def _acquire(
+        self, service: ids.ServiceId, call: pools.PoolCall, left_ms: float
+    ) -> errors.Outcome[messages.SlotGranted]:
+        start_ms = self._clock.now_ms()
+        hold_ms = min(left_ms, HOLD_MS)
+        message = messages.AcquireSlot(service, call, self._directory.host)
+        while True:
+            spent_ms = self._clock.now_ms() - start_ms
+            home = self._directory.home_of(homes.pool_key(service))
+            granted = await self._peers.call(
+                home, message, max(1.0, left_ms - spent_ms)
+            )
+            if isinstance(granted, result.Success):
+                return granted
+            failure = granted.failure()
+            if failure.reason not in _MOVING or spent_ms >= hold_ms:
+                return result.Failure(
+                    dataclasses.replace(failure, ran=errors.Ran.NOT_RUN)
+                )
+            await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+
+    async def _deliver(self, service: ids.ServiceId, message: Any) -> None:
+        for _ in range(REPORT_TRIES):
+            home = self._directory.home_of(homes.pool_key(service))
+            outcome = await self._peers.call(home, message)
+            if isinstance(outcome, result.Success):
+                return
+            await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+        logger.warning("report_lost", extra={"service": service})
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -4,6 +4,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import logging
+from collections.abc import (
+    Awaitable,
+)
 from typing import TYPE_CHECKING, Any
 
 from returns import result
@@ -11,15 +16,22 @@
 from mangotally import errors, ids
 from mangotally.engines import client as engine_client
 from mangotally.hosts import messages
-from mangotally.policy import homes, pools, programs, records
+from mangotally.policy import faults, pools, programs, records, retries
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import (
+        AsyncGenerator,
+        AsyncIterator,
+        Callable,
+    )
 
-    from mangotally.homes import membership
-    from mangotally.hosts import peers as peers_lib
+    from mangotally.homes import slots as slot_client
+
+logger = logging.getLogger(__name__)
 
 CHARS_PER_TOKEN = 4
+MAX_RESUMES = 8
 
 
 def estimate_tokens(prompt: list[records.ChatMessage]) -> int:
@@ -27,19 +39,57 @@
     return sum(1 + len(item.content) // CHARS_PER_TOKEN for item in prompt)
 
 
+@dataclasses.dataclass
+class _Turn:
+    """A turn and what has become of it so far.
+
+    Attributes:
+        message: The turn.
+        call: Its call; each attempt has an id of its own.
+        prompt: The whole conversation.
+        due_ms: When its time is over.
+        permit: Awaited before the first byte goes to a target, or None.
+        attempt: Number of the attempt under way.
+        crashes: Targets whose process ended under it.
+        sent_text: Whether a piece of the answer has reached the caller.
+    """
+
+    message: messages.RunTurn
+    call: pools.PoolCall
+    prompt: tuple[records.ChatMessage, ...]
+    due_ms: float
+    permit: Awaitable[errors.Outcome[None]] | None = None
+    attempt: int = 0
+    crashes: int = 0
+    sent_text: bool = False
+
+
 class TurnRunner:
     """Runs turns on targets; knows nothing of their history."""
 
     def __init__(
         self,
-        members: membership.Membership,
-        peers: peers_lib.Peers,
+        slots: slot_client.SlotClient,
         engine: engine_client.EngineClient,
+        retry_share: float,
+        clock: clock_lib.Clock,
+        random: Callable[[], float],
     ) -> None:
-        """Makes a runner."""
-        self._members = members
-        self._peers = peers
+        """Makes a runner.
+
+        Args:
+            slots: Gets targets from the pools' homes.
+            engine: Speaks to engines.
+            retry_share: Retries per turn, as a share of the turns.
+            clock: The host's clock.
+            random: Returns numbers from 0 to 1.
+        """
+        self._slots = slots
         self._engine = engine
+        self._share = retry_share
+        self._clock = clock
+        self._random = random
+        self._budgets: dict[ids.ServiceId, retries.RetryBudget] = {}
 
     async def generate(
         self,
@@ -47,14 +97,22 @@
         program: ids.ProgramId,
         prompt: list[records.ChatMessage],
         attained_tokens: int,
+        permit: Awaitable[errors.Outcome[None]] | None = None,
     ) -> AsyncIterator[errors.Outcome[Any]]:
         """Runs a turn on a target of its pool.
 
+        A target that fails is left for another one as long as no piece of
+        the answer has been yielded, the service's retry budget lasts and
+        the turn's time is not over. Later faults are met by resuming the
+        same answer at the same target.
+
         Args:
             message: The turn.
             program: The program that the prompt belongs to.
             prompt: The whole conversation.
             attained_tokens: Service that the program has received so far.
+            permit: Awaited once there is a slot and before any byte goes
+                to a target; a failure ends the turn there.
 
         Yields:
             `TurnText` pieces and a `TurnEnd`, or a failure at the end.
@@ -71,59 +129,199 @@
             deadline_ms=float(message.timeout_ms),
             digest=programs.digest_messages(message.service, prompt),
         )
-        home = self._members.home_of(homes.pool_key(message.service))
-        granted = await self._peers.call(
-            home,
-            messages.AcquireSlot(message.service, call),
-            message.timeout_ms,
+        due_ms = self._clock.now_ms() + message.timeout_ms
+        turn = _Turn(message, call, tuple(prompt), due_ms, permit)
+        budget = self._budget(message.service)
+        budget.earn()
+        while True:
+            turn.attempt += 1
+            attempt = self._attempt(turn)
+            fault: faults.Fault | None = None
+            async with contextlib.aclosing(attempt) as events:
+                async for event in events:
+                    if isinstance(event, faults.Fault):
+                        fault = event
+                    else:
+                        yield event
+            if fault is None:
+                return
+            again = self._decide(turn, fault, budget)
+            if isinstance(again, retries.GiveUp):
+                yield result.Failure(_failure_of(turn, fault))
+                return
+            await asyncio.sleep(clock_lib.to_seconds(again.delay_ms))
+
+    async def end_program(
+        self, service: ids.ServiceId, program: ids.ProgramId
+    ) -> None:
+        """Has a gone program's calls cancelled and its prefixes released."""
+        self._slots.end_program(service, program)
+
+    def dump(self) -> dict[str, object]:
+        """Returns the retry budgets, for the state dump."""
+        return {
+            service: budget.dump()
+            for service, budget in sorted(self._budgets.items())
+        }
+
+    def _budget(self, service: ids.ServiceId) -> retries.RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = retries.RetryBudget(self._share)
+            self._budgets[service] = found
+        return found
+
+    def _decide(
+        self,
+        turn: _Turn,
+        fault: faults.Fault,
+        budget: retries.RetryBudget,
+    ) -> retries.Again | retries.GiveUp:
+        attempt = retries.Attempt(
+            number=turn.attempt,
+            is_repeatable=not turn.sent_text,
+            left_ms=turn.due_ms - self._clock.now_ms(),
         )
-        if isinstance(granted, result.Failure):
-            yield granted
-            return
-        slot = granted.unwrap()
-        report = pools.CallReport(call.call, pools.CallEnd.FAILED)
-        request = engine_client.ChatRequest(
-            call.call,
-            program,
-            message.service,
-            tuple(prompt),
-            message.max_tokens,
+        return retries.decide(fault, attempt, budget, self._random())
+
+    async def _attempt(
+        self, turn: _Turn
+    ) -> AsyncGenerator[errors.Outcome[Any] | faults.Fault, None]:
+        left_ms = turn.due_ms - self._clock.now_ms()
+        turn.call = dataclasses.replace(
+            turn.call, call=ids.new_call_id(), deadline_ms=left_ms
         )
-        try:
-            events = self._engine.chat(slot.address, request)
-            async with contextlib.aclosing(events):  # type: ignore[type-var]
+        service = turn.message.service
+        async with self._slots.slot(service, turn.call, left_ms) as slot:
+            if isinstance(slot.granted, result.Failure):
+                yield _refusal_of(turn, slot.granted.failure())
+                return
+            permit, turn.permit = turn.permit, None
+            allowed = await permit if permit is not None else None
+            if isinstance(allowed, result.Failure):
+                yield allowed
+                return
+            grant = slot.granted.unwrap()
+            events = self._stream(turn, grant)
+            async with contextlib.aclosing(events):
                 async for event in events:
                     match event:
                         case result.Success(engine_client.ChatText(text)):
+                            slot.note_text(self._clock.now_ms())
+                            turn.sent_text = True
                             yield result.Success(messages.TurnText(text))
                         case result.Success(engine_client.ChatEnd() as end):
-                            report = pools.CallReport(
-                                call.call,
-                                pools.CallEnd.DONE,
-                                end.cached_tokens,
-                                end.generated_tokens,
-                            )
-                            yield result.Success(
-                                messages.TurnEnd(
-                                    end.prompt_tokens,
-                                    end.cached_tokens,
-                                    end.generated_tokens,
-                                    slot.target,
-                                    replayed=False,
-                                )
-                            )
+                            slot.done(end.cached_tokens, end.generated_tokens)
+                            yield _end_of(end, grant.target)
                         case _:
+                            fault = event.failure()
+                            slot.failed(fault)
+                            self._note(turn, grant.target, fault)
+                            yield fault
+
+    async def _stream(
+        self, turn: _Turn, grant: messages.SlotGranted
+    ) -> AsyncGenerator[engine_client.ChatEvent, None]:
+        """Yields an answer, resumed at the same target when it breaks off."""
+        request = engine_client.ChatRequest(
+            turn.call.call,
+            turn.call.program,
+            turn.message.service,
+            turn.prompt,
+            turn.message.max_tokens,
+            turn.call.prompt_tokens,
+        )
+        events = self._engine.chat(grant.address, request)
+        first: faults.Fault | None = None
+        last = 0
+        for _ in range(MAX_RESUMES + 1):
+            fault: faults.Fault | None = None
+            async with contextlib.aclosing(events):  # type: ignore[type-var]
+                async for event in events:
+                    match event:
+                        case result.Success(engine_client.ChatText() as text):
+                            last = text.number
+                            first = None
                             yield event
-        finally:
-            await asyncio.shield(
-                self._peers.call(
-                    home, messages.ReleaseSlot(message.service, report)
-                )
-            )
+                        case result.Success(_):
+                            yield event
+                            return
+                        case _:
+                            fault = event.failure()
+            if fault is None:
+                fault = faults.Fault(faults.FaultKind.BROKEN, "no end")
+            if first is not None:
+                yield result.Failure(faults.after_resume(first, fault))
+                return
+            if not fault.is_resumable:
+                yield result.Failure(fault)
+                return
+            first = fault
+            events = self._engine.resume(grant.address, request, last)
+        assert first is not None
+        yield result.Failure(first)
 
-    async def end_program(
-        self, service: ids.ServiceId, program: ids.ProgramId
+    def _note(
+        self, turn: _Turn, target: ids.TargetId, fault: faults.Fault
     ) -> None:
-        """Has a gone program's cached prefixes released."""
-        home = self._members.home_of(homes.pool_key(service))
-        await self._peers.call(home, messages.EndProgram(service, program))
+        if fault.kind is faults.FaultKind.CRASHED:
+            turn.crashes += 1
+        excluded = turn.call.excluded
+        if target not in excluded:
+            turn.call = dataclasses.replace(
+                turn.call, excluded=(*excluded, target)
+            )
+        logger.warning(
+            "target_failed",
+            extra={
+                "target": target,
+                "fault": fault.kind.value,
+                "organisation": turn.call.organisation,
+                "program": turn.call.program,
+                "turn": turn.call.turn,
+                "attempt": turn.attempt,
+            },
+        )
+
+
+def _end_of(
+    end: engine_client.ChatEnd, target: ids.TargetId
+) -> errors.Outcome[messages.TurnEnd]:
+    return result.Success(
+        messages.TurnEnd(
+            end.prompt_tokens,
+            end.cached_tokens,
+            end.generated_tokens,
+            target,
+            replayed=False,
+        )
+    )
+
+
+def _refusal_of(turn: _Turn, failure: errors.Failure) -> errors.Outcome[Any]:
+    """Returns why no target was found, after earlier attempts or none."""
+    if turn.attempt == 1:
+        return result.Failure(failure)
+    return result.Failure(
+        dataclasses.replace(failure, ran=errors.Ran.MAY_HAVE_RUN)
+    )
+
+
+def _failure_of(turn: _Turn, fault: faults.Fault) -> errors.Failure:
+    ran = fault.ran
+    if turn.attempt > 1:
+        ran = errors.Ran.MAY_HAVE_RUN
+    if turn.sent_text:
+        return errors.Failure(
+            errors.Reason.TARGET_FAILED,
+            f"The answer broke off ({fault.detail}) and could not be "
+            "resumed; send the turn again.",
+            ran,
+            retry_after_ms=fault.retry_after_ms or 1000,
+        )
+    return errors.Failure(
+        errors.Reason.TARGET_FAILED,
+        f"The target failed ({fault.detail}).",
+        ran,
+        retry_after_ms=fault.retry_after_ms or 1000,
+    )
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mangotally import errors, ids
-from mangotally.policy import pools, records
+from mangotally.policy import faults, pools, records
 from mangotally.util import codec
 
 registry = codec.Registry()
@@ -146,10 +146,17 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class AcquireSlot:
-    """Asks a pool's home for a target; answered when there is one."""
+    """Asks a pool's home for a target; answered when there is one.
+
+    Attributes:
+        service: The service.
+        call: The call; its `deadline_ms` is the time left when it was sent.
+        host: The host that asks, or None if it is not known.
+    """
 
     service: ids.ServiceId
     call: pools.PoolCall
+    host: ids.HostId | None = None
 
 
 @registry.register
@@ -169,10 +176,55 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ReleaseSlot:
-    """Reports the end of a granted call to the pool's home."""
+    """Reports the end of a call to the pool's home, or that it gave up.
+
+    Attributes:
+        service: The service.
+        report: How the call ended.
+        target: The target that was granted, or None.
+        digest: Digest of the request.
+        fault: What went wrong at the target, or None.
+    """
 
     service: ids.ServiceId
     report: pools.CallReport
+    target: ids.TargetId | None = None
+    digest: str = ""
+    fault: faults.Fault | None = None
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RunningCall:
+    """A call under way at a target.
+
+    Attributes:
+        service: The service.
+        call: The call.
+        program: The program that it belongs to.
+        target: The target.
+    """
+
+    service: ids.ServiceId
+    call: ids.CallId
+    program: ids.ProgramId
+    target: ids.TargetId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class DescribeCalls:
+    """Asks a host for the calls that it has under way in a pool."""
+
+    service: ids.ServiceId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CallsDescribed:
+    """The calls that a host has under way in a pool."""
+
+    calls: tuple[RunningCall, ...]
 
 
 @registry.register
--- a/mangotally/services/client.py
+++ b/mangotally/services/client.py
@@ -3,64 +3,117 @@
 from __future__ import annotations
 
 import base64
+import contextlib
+from typing import TYPE_CHECKING
 
 import aiohttp
 from returns import result
 
-from mangotally import errors
+from mangotally.engines import http as http_engine
 from mangotally.hosts import messages
+from mangotally.policy import faults
 from mangotally.util import clock as clock_lib
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from mangotally.engines import channels as channels_lib
+
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_REFUSALS = frozenset({429, 503})
 
 
 class ServiceClient:
     """Sends calls to targets of plain services."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        """Makes a client; the caller closes the session."""
-        self._session = session
+    def __init__(
+        self,
+        channels: channels_lib.Channels,
+        connect_ms: float = 1000,
+    ) -> None:
+        """Makes a client; the caller closes the channels."""
+        self._channels = channels
+        self._connect_ms = connect_ms
 
     async def call(
-        self, address: str, message: messages.RunCall
-    ) -> errors.Outcome[messages.CallAnswer]:
+        self,
+        address: str,
+        message: messages.RunCall,
+        is_repeatable: bool,
+        timeout_ms: float,
+    ) -> result.Result[messages.CallAnswer, faults.Fault]:
         """Sends one call and returns its answer.
 
+        A call that may not be repeated gets a connection of its own: on a
+        reused one, a close by the target and the request can cross, and
+        nobody could tell whether the call has run. The library never
+        sends a request twice here.
+
         Args:
             address: Base URL of the target.
             message: The call.
+            is_repeatable: Whether running the call twice does no harm.
+            timeout_ms: Longest time for the answer.
 
         Returns:
-            The answer. A failure says `not-run` only if no byte of the
-            call was written.
+            The answer, or a fault. Its `ran` is `not-run` only if no
+            byte of the call was written to the target.
         """
         timeout = aiohttp.ClientTimeout(
-            clock_lib.to_seconds(message.timeout_ms)
+            clock_lib.to_seconds(timeout_ms),
+            sock_connect=clock_lib.to_seconds(self._connect_ms),
         )
         try:
-            async with self._session.request(
-                message.method,
-                f"{address}{message.path}",
-                headers=dict(message.headers),
-                data=base64.b64decode(message.body_base64),
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                body = await _read_limited(response)
-                if body is None:
-                    return _failed("the answer is too large", errors.Ran.RAN)
-                return result.Success(
-                    messages.CallAnswer(
-                        response.status,
-                        response.content_type,
-                        base64.b64encode(body).decode(),
-                        replayed=False,
-                    )
-                )
-        except aiohttp.ClientConnectorError:
-            return _failed("no connection", errors.Ran.NOT_RUN)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return _failed(type(error).__name__, errors.Ran.MAY_HAVE_RUN)
+            async with (
+                self._session(address, is_repeatable) as session,
+                session.request(
+                    message.method,
+                    f"{address}{message.path}",
+                    headers=dict(message.headers),
+                    data=base64.b64decode(message.body_base64),
+                    timeout=timeout,
+                    allow_redirects=False,
+                ) as response,
+            ):
+                return await _read_answer(response, is_repeatable)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return result.Failure(http_engine.fault_of(error))
+
+    @contextlib.asynccontextmanager
+    async def _session(
+        self, address: str, is_repeatable: bool
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        if not is_repeatable:
+            yield self._channels.fresh
+            return
+        async with self._channels.pooled(address) as session:
+            yield session
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse, is_repeatable: bool
+) -> result.Result[messages.CallAnswer, faults.Fault]:
+    if is_repeatable and response.status in _REFUSALS:
+        return result.Failure(
+            faults.Fault(
+                faults.FaultKind.REFUSED,
+                f"status {response.status}",
+                http_engine.parse_retry_after(response.headers),
+            )
+        )
+    body = await _read_limited(response)
+    if body is None:
+        return result.Failure(
+            faults.Fault(faults.FaultKind.OVERSIZE, "the answer is too large")
+        )
+    return result.Success(
+        messages.CallAnswer(
+            response.status,
+            response.content_type,
+            base64.b64encode(body).decode(),
+            replayed=False,
+        )
+    )
 
 
 async def _read_limited(response: aiohttp.ClientResponse) -> bytes | None:
@@ -72,11 +125,3 @@
             return None
         parts.append(part)
     return b"".join(parts)
-
-
-def _failed(
-    detail: str, ran: errors.Ran
-) -> errors.Outcome[messages.CallAnswer]:
-    return errors.failed(
-        errors.Reason.TARGET_FAILED, f"The target failed ({detail}).", ran
-    )
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -26,6 +26,29 @@
     partitions: int = pydantic.Field(default=32, ge=1, le=4096)
 
 
+class TargetSettings(pydantic.BaseModel):
+    """How long targets may take, and what follows if they take longer.
+
+    Attributes:
+        connect_ms: Time to make a connection.
+        first_token_ms: Time to the first token of an empty prompt.
+        first_token_ms_per_token: Added to that for each prompt token.
+        between_tokens_ms: Time between tokens.
+        retry_share: Retries per request, as a share of a service's traffic.
+        quarantine_ms: How long a request that crashed two targets is
+            refused.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    connect_ms: int = pydantic.Field(default=1000, ge=1)
+    first_token_ms: int = pydantic.Field(default=5000, ge=1)
+    first_token_ms_per_token: float = pydantic.Field(default=0.5, ge=0)
+    between_tokens_ms: int = pydantic.Field(default=3000, ge=1)
+    retry_share: float = pydantic.Field(default=0.2, ge=0, le=1)
+    quarantine_ms: int = pydantic.Field(default=600_000, ge=1000)
+
+
 class HostSettings(pydantic.BaseModel):
     """Settings of one host process.
 
@@ -48,6 +71,7 @@
         load_poll_ms: Interval between reads of a target's load.
         shutdown_ms: Longest time for calls under way at shutdown.
         max_body_bytes: Largest request body.
+        targets: Limits of targets.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -69,6 +93,7 @@
     load_poll_ms: int = pydantic.Field(default=500, ge=10)
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
+    targets: TargetSettings = TargetSettings()
 
     @pydantic.field_validator("address")
     @classmethod
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,7 @@
 """Tests."""
+
+from __future__ import annotations
+
+import logging
+
+logging.getLogger("mangotally").addHandler(logging.NullHandler())
--- /dev/null
+++ b/tests/test_engines/test_http.py
@@ -0,0 +1,216 @@
+"""Tests of mangotally.engines.http."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from returns import result
+
+from mangotally import ids
+from mangotally.engines import channels as channels_lib
+from mangotally.engines import client, http
+from mangotally.policy import faults, records
+from tests import raw_server
+
+_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+_LIMITS = faults.Limits(200, 100, 0, 100)
+_CALL = ids.CallId("c1")
+
+
+def _request(max_tokens: int = 8) -> client.ChatRequest:
+    return client.ChatRequest(
+        _CALL,
+        ids.ProgramId("p1"),
+        ids.ServiceId("assistente"),
+        (records.ChatMessage("user", "hi"),),
+        max_tokens,
+    )
+
+
+def _event(text: str | None, number: int | None = None, **other: Any) -> bytes:
+    choices = [{"index": 0, "delta": {"content": text}}] if text else []
+    data = json.dumps({"id": _CALL, "choices": choices, **other})
+    prefix = f"id: {number}\n" if number else ""
+    return f"{prefix}data: {data}\n\n".encode()
+
+
+_USAGE = _event(None, usage={"prompt_tokens": 1, "completion_tokens": 2})
+_DONE = b"data: [DONE]\n\n"
+
+
+class HttpEngineClientTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of an engine that misbehaves."""
+
+    async def asyncSetUp(self) -> None:
+        self.channels = channels_lib.Channels()
+        await self.enterAsyncContext(self.channels)
+        self.engine = http.HttpEngineClient(self.channels, _LIMITS)
+
+    async def _chat(
+        self, *parts: bytes, hang: bool = False, max_tokens: int = 8
+    ) -> tuple[str, faults.FaultKind | None]:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            for part in parts:
+                writer.write(part)
+            await writer.drain()
+            if hang:
+                await asyncio.Event().wait()
+
+        server = raw_server.RawServer(act)
+        async with server:
+            events = self.engine.chat(server.url, _request(max_tokens))
+            return await _collect(events)
+
+    async def test_whole_answer(self) -> None:
+        """Pieces, then the end."""
+        found = await self._chat(
+            _HEAD, _event("a", 1), _event("b", 2), _USAGE, _DONE
+        )
+        self.assertEqual(found, ("ab.", None))
+
+    async def test_no_first_token(self) -> None:
+        """An answer that does not begin stalls."""
+        found = await self._chat(_HEAD, hang=True)
+        self.assertEqual(found, ("", faults.FaultKind.STALLED))
+
+    async def test_no_headers(self) -> None:
+        """A target that accepts and stays silent stalls."""
+        found = await self._chat(hang=True)
+        self.assertEqual(found, ("", faults.FaultKind.STALLED))
+
+    async def test_comments_are_no_progress(self) -> None:
+        """Comments and empty chunks do not keep a stalled answer alive."""
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(_HEAD + _event("a", 1))
+            while True:
+                writer.write(b": ping\n\n" + _event(None))
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+        server = raw_server.RawServer(act)
+        async with server:
+            events = self.engine.chat(server.url, _request())
+            found = await _collect(events)
+        self.assertEqual(found, ("a", faults.FaultKind.STALLED))
+
+    async def test_broken_off(self) -> None:
+        """A connection that ends early breaks the answer."""
+        found = await self._chat(_HEAD, _event("a", 1))
+        self.assertEqual(found, ("a", faults.FaultKind.BROKEN))
+
+    async def test_crossed(self) -> None:
+        """A chunk of another request never gets through."""
+        other = _event("secret", 2).replace(b'"c1"', b'"c2"')
+        found = await self._chat(_HEAD, _event("a", 1), other)
+        self.assertEqual(found, ("a", faults.FaultKind.CROSSED))
+
+    async def test_malformed(self) -> None:
+        """Chunks that cannot be read end the answer with a fault."""
+        for bad in (
+            b"data: {\n\n",
+            b"data: []\n\n",
+            b"data: 7\n\n",
+            b'data: {"id": "c1"}\n\n',
+            b'data: {"id": "c1", "choices": [{"delta": 3}]}\n\n',
+            b'data: {"id": "c1", "choices": [{"delta": {"content": 3}}]}\n\n',
+            b"data: " + b"x" * 1_000_000 + b"\n\n",
+            _event("late", 9),
+            _DONE,
+        ):
+            with self.subTest(bad[:40]):
+                found = await self._chat(_HEAD, _event("a", 1), bad)
+                self.assertEqual(found, ("a", faults.FaultKind.MALFORMED))
+
+    async def test_duplicate_pieces(self) -> None:
+        """A piece that came before is not passed on again."""
+        found = await self._chat(
+            _HEAD, _event("a", 1), _event("a", 1), _USAGE, _DONE
+        )
+        self.assertEqual(found, ("a.", None))
+
+    async def test_endless(self) -> None:
+        """An answer longer than asked for ends with a fault."""
+        pieces = b"".join(_event("x") for _ in range(20))
+        found = await self._chat(_HEAD, pieces, max_tokens=3)
+        self.assertEqual(found, ("xxx", faults.FaultKind.OVERSIZE))
+
+    async def test_statuses(self) -> None:
+        """Each status is the fault it stands for."""
+        for status, kind in (
+            (503, faults.FaultKind.REFUSED),
+            (429, faults.FaultKind.REFUSED),
+            (500, faults.FaultKind.ERROR),
+            (400, faults.FaultKind.REJECTED),
+            (302, faults.FaultKind.ERROR),
+        ):
+            with self.subTest(status):
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"
+                found = await self._chat(head.encode())
+                self.assertEqual(found, ("", kind))
+
+    async def test_oversize_control_answer(self) -> None:
+        """A control answer without end fails."""
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(_HEAD)
+            while True:
+                writer.write(b" " * 65536)
+                await writer.drain()
+
+        server = raw_server.RawServer(act)
+        async with server:
+            outcome = await self.engine.load(server.url)
+        self.assertIsInstance(outcome, result.Failure)
+        self.assertIn("oversize", outcome.failure().detail)
+
+    async def test_bad_load_reports(self) -> None:
+        """A load report that is none fails."""
+        for body in (b"[]", b"{}", b'{"running": "x"}', b"nonsense", b"7"):
+            with self.subTest(body):
+
+                async def act(
+                    server: raw_server.RawServer,
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    body: bytes = body,
+                ) -> None:
+                    await server.read_request(reader)
+                    writer.write(_HEAD + body)
+                    await writer.drain()
+
+                server = raw_server.RawServer(act)
+                async with server:
+                    outcome = await self.engine.load(server.url)
+                self.assertIsInstance(outcome, result.Failure)
+
+
+async def _collect(events: Any) -> tuple[str, faults.FaultKind | None]:
+    text = ""
+    async for event in events:
+        match event:
+            case result.Success(client.ChatText(piece)):
+                text += piece
+            case result.Success(client.ChatEnd()):
+                text += "."
+            case _:
+                return text, event.failure().kind
+    return text, None
--- /dev/null
+++ b/tests/test_homes/fakes.py
@@ -0,0 +1,145 @@
+"""Fakes at the interfaces of the homes."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING, Any
+
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.engines import client
+from mangotally.hosts import messages
+from mangotally.policy import faults, pools
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+Script = list[Any]
+
+
+class FakeDirectory:
+    """A fleet of one host."""
+
+    host = ids.HostId("h1")
+
+    def address_of(self, host: ids.HostId) -> str | None:
+        """Returns a host's address."""
+        return None
+
+    def home_of(self, key: str) -> ids.HostId | None:
+        """Returns the home of a key."""
+        return self.host
+
+
+class FakePeers:
+    """Grants the targets in turn that are not excluded."""
+
+    def __init__(self, targets: Sequence[str]) -> None:
+        self.targets = [ids.TargetId(item) for item in targets]
+        self.refusals: list[errors.Failure] = []
+        self.sent: list[Any] = []
+        self.asked = asyncio.Event()
+
+    async def call(
+        self, host: ids.HostId | None, message: Any, timeout_ms: float = 0
+    ) -> errors.Outcome[Any]:
+        """Answers a message."""
+        self.sent.append(message)
+        self.asked.set()
+        if not isinstance(message, messages.AcquireSlot):
+            return result.Success(messages.Done())
+        if self.refusals:
+            return result.Failure(self.refusals.pop(0))
+        free = [t for t in self.targets if t not in message.call.excluded]
+        if not free:
+            return errors.failed(errors.Reason.UNAVAILABLE, "No target.")
+        return result.Success(
+            messages.SlotGranted(free[0], f"http://{free[0]}")
+        )
+
+    def reports(self) -> list[messages.ReleaseSlot]:
+        """Returns the reports that were sent."""
+        return [m for m in self.sent if isinstance(m, messages.ReleaseSlot)]
+
+
+class FakeEngine:
+    """Plays a script for each chat and resume at an address.
+
+    A script's items are texts, faults, and True for a whole end.
+    """
+
+    def __init__(self, **scripts: list[Script]) -> None:
+        self._scripts = collections.defaultdict(list, scripts)
+        self.asked: list[tuple[str, str, int]] = []
+        self.released: list[tuple[str, ids.ProgramId]] = []
+        self.cancelled: list[tuple[str, ids.CallId]] = []
+        self.held: dict[str, client.Holdings] = {}
+        self.down: set[str] = set()
+
+    async def chat(
+        self, address: str, request: client.ChatRequest
+    ) -> AsyncIterator[client.ChatEvent]:
+        """Plays the next script."""
+        async for event in self._play("chat", address, 0):
+            yield event
+
+    async def resume(
+        self, address: str, request: client.ChatRequest, after: int
+    ) -> AsyncIterator[client.ChatEvent]:
+        """Plays the next script."""
+        async for event in self._play("resume", address, after):
+            yield event
+
+    async def _play(
+        self, what: str, address: str, after: int
+    ) -> AsyncIterator[client.ChatEvent]:
+        target = address.removeprefix("http://")
+        self.asked.append((what, target, after))
+        number = after
+        for item in self._scripts[target].pop(0):
+            if isinstance(item, faults.FaultKind):
+                yield result.Failure(faults.Fault(item, item.value))
+            elif item is True:
+                yield result.Success(client.ChatEnd(5, 2, number))
+            else:
+                number += 1
+                yield result.Success(client.ChatText(item, number))
+
+    async def cancel(
+        self, address: str, call: ids.CallId
+    ) -> errors.Outcome[None]:
+        """Notes a cancel."""
+        return self._control(address, self.cancelled, call)
+
+    async def release(
+        self, address: str, program: ids.ProgramId
+    ) -> errors.Outcome[None]:
+        """Notes a release."""
+        return self._control(address, self.released, program)
+
+    async def load(self, address: str) -> errors.Outcome[pools.LoadReport]:
+        """Returns an idle engine's load."""
+        outcome: errors.Outcome[None] = self._control(address, [], None)
+        return outcome.map(lambda _: pools.LoadReport(0, 0, 0, 1000, 0))
+
+    async def holdings(self, address: str) -> errors.Outcome[client.Holdings]:
+        """Returns what a test put into `held`."""
+        outcome: errors.Outcome[None] = self._control(address, [], None)
+        found = self.held.get(address, client.Holdings((), ()))
+        return outcome.map(lambda _: found)
+
+    async def cache_events(
+        self, address: str, after: int
+    ) -> errors.Outcome[tuple[pools.CacheEvent, ...]]:
+        """Returns no events."""
+        return result.Success(())
+
+    def _control(
+        self, address: str, notes: list[Any], item: Any
+    ) -> errors.Outcome[None]:
+        if address in self.down:
+            return errors.failed(errors.Reason.TARGET_FAILED, "down")
+        notes.append((address, item))
+        return result.Success(None)
