--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -5,7 +5,7 @@
 import importlib
 import sys
 
-NAMES = ("path", "idle")
+NAMES = ("path", "idle", "links")
 
 
 def main() -> int:
