--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -18,13 +18,15 @@
     configuration,
     membership,
     organisations,
+    partitions,
     pools,
     programs,
     slots,
+    sweeper,
     turns,
 )
 from mangotally.hosts import link, peers, router
-from mangotally.log import follower
+from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
 from mangotally.operators import server as operator_server
 from mangotally.policy import faults, records
@@ -39,6 +41,8 @@
 
 logger = logging.getLogger(__name__)
 
+HISTORY_APPEND_SHARE = 0.8
+
 
 class Application:
     """One host of the fleet."""
@@ -123,6 +127,12 @@
             home.attach(handlers)
         await stack.enter_async_context(self.pools)
         await stack.enter_async_context(self.members)
+        await stack.enter_async_context(self.partitions)
+        await stack.enter_async_context(
+            sweeper.Sweeper(
+                self.settings, self.partitions, self.programs, self.clock
+            )
+        )
         await stack.enter_async_context(self._operator_server(log))
         await stack.enter_async_context(self._caller_server())
 
@@ -154,10 +164,9 @@
             pool_policy.FirstComeScheduler,
             self.clock,
         )
+        self.partitions = self._make_partitions(log)
         self.programs = programs.ProgramHome(
-            settings.log.partitions,
-            log,
-            self.members,
+            self.partitions,
             turns.TurnRunner(
                 self.slots,
                 engine,
@@ -168,9 +177,8 @@
             self.clock,
         )
         self.calls = calls.CallHome(
-            settings.log.partitions,
-            log,
-            self.members,
+            self.partitions,
+            self.peers,
             service_runner.ServiceRunner(
                 self.slots,
                 self.live,
@@ -179,6 +187,24 @@
                 self.clock,
                 random.random,
             ),
+            self.clock,
+            settings.lease_ms,
+        )
+
+    def _make_partitions(self, log: http_log.HttpLog) -> partitions.Partitions:
+        settings = self.settings.log
+        limiter = pacer.Pacer(
+            settings.appends_per_s * HISTORY_APPEND_SHARE,
+            lambda: len(self.members.view.members),
+            self.clock,
+        )
+        return partitions.Partitions(
+            settings.partitions,
+            log,
+            self.members,
+            self.clock,
+            limiter,
+            settings.call_lifetime_ms,
         )
 
     def _caller_server(self) -> server.HttpServer:
--- a/mangotally/callers/chat.py
+++ b/mangotally/callers/chat.py
@@ -70,11 +70,11 @@
         )
         if isinstance(admitted, result.Failure):
             return problems.response_of(admitted.failure())
-        home = self._members.host
-        if message.program is not None:
-            found = self._home.home_of(message.organisation, message.program)
-            home = found or home
-        events = self._peers.stream(home, message)
+        if message.program is None:
+            events = self._peers.stream(self._members.host, message)
+        else:
+            key = self._home.key_of(message.organisation, message.program)
+            events = self._peers.stream_home(key, message)
         async with contextlib.aclosing(events):  # type: ignore[type-var]
             if streamed:
                 return await _answer_stream(request, message, events)
--- a/mangotally/callers/programs.py
+++ b/mangotally/callers/programs.py
@@ -58,8 +58,8 @@
         if isinstance(allowed, result.Failure):
             return problems.response_of(allowed.failure())
         opened = self._opened(caller.unwrap(), wanted)
-        home = self._home.home_of(opened.organisation, opened.program)
-        answer = await self._peers.call(home, messages.OpenProgram(opened))
+        key = self._home.key_of(opened.organisation, opened.program)
+        answer = await self._peers.call_home(key, messages.OpenProgram(opened))
         return _respond(answer, status=201)
 
     def _opened(
@@ -94,8 +94,8 @@
             return problems.response_of(caller.failure())
         organisation = caller.unwrap().organisation
         program = ids.ProgramId(request.match_info["program"])
-        answer = await self._peers.call(
-            self._home.home_of(organisation, program),
+        answer = await self._peers.call_home(
+            self._home.key_of(organisation, program),
             messages.DescribeProgram(organisation, program),
         )
         return _respond(answer, status=200)
@@ -106,8 +106,8 @@
             return problems.response_of(caller.failure())
         organisation = caller.unwrap().organisation
         program = ids.ProgramId(request.match_info["program"])
-        answer = await self._peers.call(
-            self._home.home_of(organisation, program),
+        answer = await self._peers.call_home(
+            self._home.key_of(organisation, program),
             messages.CloseProgram(organisation, program),
         )
         return _respond(answer, status=200)
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -115,8 +115,8 @@
         )
         if key is None or found.may_repeat(request.method, path):
             return await self._home.send(message)
-        home = self._home.home_of(organisation, key)
-        return await self._peers.call(home, message, CALL_TIMEOUT_MS)
+        home_key = self._home.key_of(organisation, key)
+        return await self._peers.call_home(home_key, message, CALL_TIMEOUT_MS)
 
 
 def _call_key(request: web.Request) -> str | None:
--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -4,153 +4,173 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import logging
 from typing import TYPE_CHECKING, Any
 
 from returns import result
 
 from mangotally import errors, ids
+from mangotally.homes import attempts
+from mangotally.homes import running as running_lib
 from mangotally.hosts import messages
-from mangotally.log import partition as partition_log
-from mangotally.policy import homes, programs, records
+from mangotally.policy import budget, programs, records
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
 
-    from mangotally.homes import membership
+    from mangotally.homes import partitions as partitions_lib
     from mangotally.homes import turns as turn_runner
     from mangotally.hosts import router
-    from mangotally.log import base
+    from mangotally.log import partition as partition_log
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
 
-
-@dataclasses.dataclass
-class _Running:
-    """A turn under way, which repeated requests may join."""
-
-    digest: str
-    events: list[errors.Outcome[Any]]
-    changed: asyncio.Condition
-    finished: bool = False
-
-    async def put(self, event: errors.Outcome[Any], last: bool) -> None:
-        async with self.changed:
-            self.events.append(event)
-            self.finished = last
-            self.changed.notify_all()
-
-    async def follow(self) -> AsyncIterator[errors.Outcome[Any]]:
-        position = 0
-        while True:
-            async with self.changed:
-                while not self.finished and len(self.events) <= position:
-                    await self.changed.wait()
-            while position < len(self.events):
-                yield self.events[position]
-                position += 1
-            if self.finished:
-                return
+ENDED_REPEAT_MS = 600_000
+GAP_RETRY_MS = 1000
+_STALE_REASONS = (errors.Reason.NOT_FOUND, errors.Reason.TURN_GAP)
 
 
 class ProgramHome:
-    """The history partitions that this host is home of."""
+    """The programs that this host is home of."""
 
     def __init__(
         self,
-        partitions: int,
-        log: base.Log,
-        members: membership.Membership,
+        partitions: partitions_lib.Partitions,
         turns: turn_runner.TurnRunner,
         clock: clock_lib.Clock,
     ) -> None:
         """Makes the home; `attach` puts it to work."""
-        self._count = partitions
-        self._log = log
-        self._members = members
+        self._partitions = partitions
         self._turns = turns
         self._clock = clock
-        self._partitions: dict[ids.PartitionId, partition_log.Partition] = {}
-        self._loading: dict[ids.PartitionId, asyncio.Lock] = {}
-        self._running: dict[programs.ProgramKey, dict[int, _Running]] = {}
+        self._running: dict[
+            programs.ProgramKey, dict[int, running_lib.Running]
+        ] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        members.on_change(self._forget_moved)
+        partitions.on_load(self._repeat_ends)
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this home's handlers."""
         handlers.add_unary(messages.OpenProgram, self.open)
         handlers.add_unary(messages.CloseProgram, self.close)
         handlers.add_unary(messages.DescribeProgram, self.describe)
+        handlers.add_unary(messages.ChargeCall, self.charge)
         handlers.add_streaming(messages.RunTurn, self.run_turn)
 
-    def home_of(
+    def key_of(
         self, organisation: ids.OrganisationId, program: ids.ProgramId
-    ) -> ids.HostId | None:
-        """Returns the home of a program."""
-        partition = self._partition_of(organisation, program)
-        return self._members.home_of(homes.partition_key(partition))
+    ) -> str:
+        """Returns the rendezvous key of a program."""
+        return self._partitions.key_of(organisation, ids.root_of(program))
 
     async def open(
         self, message: messages.OpenProgram
     ) -> errors.Outcome[messages.ProgramDescription]:
-        """Opens a program."""
+        """Opens a program, once."""
         opened = message.opened
         outcome = await self._load(opened.organisation, opened.program)
         if isinstance(outcome, result.Failure):
             return outcome
         partition = outcome.unwrap()
-        if opened.parent is not None and not partition.ledger.find(
-            opened.organisation, opened.parent
-        ):
-            return errors.failed(
-                errors.Reason.NOT_FOUND, "There is no such parent program."
+        if opened.parent is not None:
+            allowed = await self._check_open(
+                partition, opened.organisation, opened.parent
             )
+            if isinstance(allowed, result.Failure):
+                return allowed
         appended = await partition.append(opened)
-        return appended.bind(
-            lambda _: _describe(
-                partition.ledger, opened.organisation, opened.program
+        if isinstance(appended, result.Failure):
+            return appended
+        if opened.parent is not None and not appended.unwrap():
+            allowed = await self._check_open(
+                partition, opened.organisation, opened.parent
             )
-        )
+            if isinstance(allowed, result.Failure):
+                return allowed
+        return _describe(partition, opened.organisation, opened.program)
 
     async def close(
         self, message: messages.CloseProgram
     ) -> errors.Outcome[messages.ProgramDescription]:
-        """Ends a program."""
-        outcome = await self._load(message.organisation, message.program)
+        """Ends a program and its sub-agents."""
+        organisation, program = message.organisation, message.program
+        outcome = await self._load(organisation, program)
         if isinstance(outcome, result.Failure):
             return outcome
         partition = outcome.unwrap()
-        found = partition.ledger.find(message.organisation, message.program)
+        found = partition.ledger.find(organisation, program)
         if found is None:
-            return _describe(
-                partition.ledger, message.organisation, message.program
-            )
-        appended = await partition.append(
-            records.ProgramClosed(
-                message.organisation,
-                message.program,
-                records.CloseReason.CALLER,
-            )
-        )
-        await self._turns.end_program(found.opened.service, message.program)
-        return appended.bind(
-            lambda _: _describe(
-                partition.ledger, message.organisation, message.program
-            )
+            await partition.catch_up()
+        if partition.ledger.find(organisation, program) is None:
+            return _describe(partition, organisation, program)
+        ended = await self.end(
+            partition, organisation, program, records.CloseReason.CALLER
         )
+        return ended.bind(lambda _: _describe(partition, organisation, program))
 
     async def describe(
         self, message: messages.DescribeProgram
     ) -> errors.Outcome[messages.ProgramDescription]:
         """Returns a program's state."""
         outcome = await self._load(message.organisation, message.program)
-        return outcome.bind(
-            lambda partition: _describe(
-                partition.ledger, message.organisation, message.program
+        if isinstance(outcome, result.Failure):
+            return outcome
+        partition = outcome.unwrap()
+        if not partition.ledger.find(message.organisation, message.program):
+            read = await partition.catch_up()
+            if isinstance(read, result.Failure):
+                return result.Failure(read.failure())
+        return _describe(partition, message.organisation, message.program)
+
+    async def charge(
+        self, message: messages.ChargeCall
+    ) -> errors.Outcome[messages.Done]:
+        """Charges a service call to a program, once per charge."""
+        organisation, program = message.organisation, message.program
+        outcome = await self._load(organisation, program)
+        if isinstance(outcome, result.Failure):
+            return outcome
+        partition = outcome.unwrap()
+        allowed = await self._check_open(partition, organisation, program)
+        if isinstance(allowed, result.Failure):
+            return allowed
+        appended = await partition.append(
+            records.CallCharged(organisation, program, message.charge)
+        )
+        if isinstance(appended, result.Failure):
+            return appended
+        found = partition.ledger.find(organisation, program)
+        if found is not None and message.charge in found.charges:
+            return result.Success(messages.Done())
+        if found is None or found.closed is not None:
+            return errors.failed(
+                errors.Reason.CONFLICT, "The program has ended."
+            )
+        fits = budget.check(partition.ledger.chain(found), 0)
+        return fits.map(lambda _: messages.Done())
+
+    async def end(
+        self,
+        partition: partition_log.Partition,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
+        reason: records.CloseReason,
+    ) -> errors.Outcome[bool]:
+        """Ends a program with its sub-agents, their turns and prefixes."""
+        appended = await partition.append(
+            records.ProgramClosed(
+                organisation, program, reason, self._clock.wall_ms()
             )
         )
+        if isinstance(appended, result.Failure):
+            return appended
+        for item in partition.ledger.tree(organisation, program):
+            self._cancel(item)
+            await self._turns.end_program(
+                item.opened.service, item.opened.program
+            )
+        return appended
 
     async def run_turn(
         self, message: messages.RunTurn
@@ -164,163 +184,158 @@
         if isinstance(outcome, result.Failure):
             yield outcome
             return
-        running = self._join(message, outcome.unwrap())
-        async with contextlib.aclosing(running) as events:
+        wanted = programs.Turn(
+            message.organisation,
+            message.program,
+            message.turn,
+            message.messages,
+            message.max_tokens,
+            programs.digest_messages(message.service, message.messages),
+        )
+        events = self._join(message, wanted, outcome.unwrap())
+        async with contextlib.aclosing(events):
             async for event in events:
                 yield event
 
+    def is_running(
+        self, organisation: ids.OrganisationId, program: ids.ProgramId
+    ) -> bool:
+        """Returns whether a turn of a program is under way here."""
+        return (organisation, program) in self._running
+
     def dump(self) -> dict[str, object]:
         """Returns the partitions' state, for the state dump."""
+        loaded = self._partitions.loaded()
         return {
-            "partitions": sorted(self._partitions),
-            "programs": sum(
-                len(item.ledger.programs) for item in self._partitions.values()
-            ),
+            "partitions": len(loaded),
+            "programs": sum(len(item.ledger.programs) for item in loaded),
+            "calls": sum(len(item.ledger.calls.calls) for item in loaded),
+            "unwritten_bytes": sum(item.pending_bytes for item in loaded),
             "turns_running": sum(
                 len(turns) for turns in self._running.values()
             ),
         }
 
     async def _join(
-        self, message: messages.RunTurn, partition: partition_log.Partition
+        self,
+        message: messages.RunTurn,
+        wanted: programs.Turn,
+        partition: partition_log.Partition,
     ) -> AsyncGenerator[errors.Outcome[Any], None]:
-        assert message.program is not None
-        digest = programs.digest_messages(message.service, message.messages)
-        key = (message.organisation, message.program)
-        found = self._running.get(key, {}).get(message.turn)
-        if found is not None:
-            if found.digest != digest:
-                yield errors.failed(
-                    errors.Reason.CONFLICT,
-                    f"Turn {message.turn} runs with another content.",
-                )
-                return
-            async for event in found.follow():
-                yield event
+        key = (wanted.organisation, wanted.program)
+        decision = await self._decide(partition, wanted)
+        found = self._running.get(key, {}).get(wanted.turn)
+        if found is not None and found.digest != wanted.digest:
+            yield errors.failed(
+                errors.Reason.CONFLICT,
+                f"Turn {wanted.turn} runs with another content.",
+            )
             return
-        decision = partition.ledger.check_turn(
-            message.organisation,
-            message.program,
-            message.turn,
-            digest,
-            self._clock.wall_ms(),
-        )
         match decision:
             case result.Success(programs.Replay(done)):
-                for event in _replay(done):
+                for event in attempts.replay(done):
                     yield event
             case result.Success():
-                running = self._start(message, partition, digest)
+                running = found or self._start(message, wanted, partition)
                 async for event in running.follow():
                     yield event
             case _:
                 yield decision
 
+    async def _decide(
+        self, partition: partition_log.Partition, wanted: programs.Turn
+    ) -> errors.Outcome[programs.Run | programs.Replay]:
+        """Decides on a turn; a refusal that may be stale is checked again."""
+        decision = partition.ledger.check_turn(wanted, self._clock.wall_ms())
+        if isinstance(decision, result.Success):
+            return decision
+        if decision.failure().reason not in _STALE_REASONS:
+            return decision
+        read = await partition.catch_up()
+        if isinstance(read, result.Failure):
+            return result.Failure(read.failure())
+        return partition.ledger.check_turn(wanted, self._clock.wall_ms())
+
+    async def _check_open(
+        self,
+        partition: partition_log.Partition,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
+    ) -> errors.Outcome[Any]:
+        if partition.ledger.find(organisation, program) is None:
+            read = await partition.catch_up()
+            if isinstance(read, result.Failure):
+                return result.Failure(read.failure())
+        return partition.ledger.check_open(
+            organisation, program, self._clock.wall_ms()
+        )
+
     def _start(
         self,
         message: messages.RunTurn,
+        wanted: programs.Turn,
         partition: partition_log.Partition,
-        digest: str,
-    ) -> _Running:
-        assert message.program is not None
-        running = _Running(digest, [], asyncio.Condition())
-        key = (message.organisation, message.program)
-        self._running.setdefault(key, {})[message.turn] = running
-        task = asyncio.create_task(
-            self._run_kept(message, message.program, partition, running)
+    ) -> running_lib.Running:
+        running = running_lib.Running(wanted.digest)
+        key = (wanted.organisation, wanted.program)
+        self._running.setdefault(key, {})[wanted.turn] = running
+        run = attempts.TurnRun(
+            wanted, message, partition, self._turns, self._clock, running
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        running.task = self._spawn(self._run_kept(key, wanted, run, running))
         return running
 
     async def _run_kept(
         self,
-        message: messages.RunTurn,
-        program: ids.ProgramId,
-        partition: partition_log.Partition,
-        running: _Running,
+        key: programs.ProgramKey,
+        wanted: programs.Turn,
+        run: attempts.TurnRun,
+        running: running_lib.Running,
     ) -> None:
-        key = (message.organisation, program)
+        event: errors.Outcome[Any] = errors.failed(
+            errors.Reason.INTERNAL,
+            "The turn broke off.",
+            errors.Ran.MAY_HAVE_RUN,
+        )
         try:
-            event = await self._run_and_keep(
-                message, program, partition, running
-            )
-            await running.put(event, last=True)
+            event = await run.run()
         finally:
-            self._running[key].pop(message.turn, None)
+            running.put(event, last=True)
+            self._running[key].pop(wanted.turn, None)
             if not self._running[key]:
                 del self._running[key]
 
-    async def _run_and_keep(
-        self,
-        message: messages.RunTurn,
-        program: ids.ProgramId,
-        partition: partition_log.Partition,
-        running: _Running,
-    ) -> errors.Outcome[Any]:
-        found = partition.ledger.find(message.organisation, program)
-        assert found is not None
-        attempt = ids.new_attempt_id()
-        prompt = found.messages() + list(message.messages)
-        begun = await partition.append(
-            records.TurnBegun(
-                message.organisation,
-                program,
-                message.turn,
-                attempt,
-                running.digest,
-                message.max_tokens,
-            )
-        )
-        if isinstance(begun, result.Failure):
-            return begun
-        text: list[str] = []
-        end: messages.TurnEnd | None = None
-        events = self._turns.generate(
-            message, program, prompt, found.used_tokens
-        )
-        async for event in events:
-            match event:
-                case result.Success(messages.TurnText(piece)):
-                    text.append(piece)
-                    await running.put(event, last=False)
-                case result.Success(messages.TurnEnd()):
-                    end = event.unwrap()
-                case _:
-                    return event
-        if end is None:
-            return errors.failed(
-                errors.Reason.TARGET_FAILED,
-                "The answer broke off.",
-                errors.Ran.MAY_HAVE_RUN,
-            )
-        kept = await partition.append(
-            records.TurnDone(
-                message.organisation,
-                program,
-                message.turn,
-                attempt,
-                running.digest,
-                message.messages,
-                records.ChatMessage("assistant", "".join(text)),
-                end.prompt_tokens - end.cached_tokens + end.generated_tokens,
-            )
-        )
-        match kept:
-            case result.Success(True):
-                return result.Success(end)
-            case result.Success(_):
-                return errors.failed(
-                    errors.Reason.CONFLICT,
-                    "Another host has run this turn; ask for it again.",
-                    errors.Ran.RAN,
-                )
-            case _:
-                return errors.failed(
-                    errors.Reason.LOG_UNAVAILABLE,
-                    "The answer could not be kept; send the turn again.",
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _cancel(self, program: programs.Program) -> None:
+        key = (program.opened.organisation, program.opened.program)
+        for running in list(self._running.get(key, {}).values()):
+            running.cancel(
+                errors.failed(
+                    errors.Reason.CANCELLED,
+                    "The program has ended.",
                     errors.Ran.MAY_HAVE_RUN,
                 )
+            )
+
+    def _repeat_ends(self, partition: partition_log.Partition) -> None:
+        """Has prefixes released that an earlier home may have left."""
+        now_ms = self._clock.wall_ms()
+        ended = [
+            item.opened
+            for item in partition.ledger.programs.values()
+            if item.closed and now_ms - item.closed_wall_ms < ENDED_REPEAT_MS
+        ]
+        if ended:
+            self._spawn(self._end_all(ended))
+
+    async def _end_all(self, ended: list[records.ProgramOpened]) -> None:
+        for opened in ended:
+            await self._turns.end_program(opened.service, opened.program)
 
     async def _run_alone(
         self, message: messages.RunTurn
@@ -338,44 +353,18 @@
                 self._turns.end_program(message.service, program)
             )
 
-    def _partition_of(
-        self, organisation: ids.OrganisationId, program: ids.ProgramId
-    ) -> ids.PartitionId:
-        root = ids.root_of(program)
-        return homes.partition_of(organisation, root, self._count)
-
     async def _load(
         self, organisation: ids.OrganisationId, program: ids.ProgramId
-    ) -> errors.Outcome[partition_log.Partition]:
-        number = self._partition_of(organisation, program)
-        if not self._members.is_home(homes.partition_key(number)):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
-        lock = self._loading.setdefault(number, asyncio.Lock())
-        async with lock:
-            found = self._partitions.get(number)
-            if found is not None:
-                return result.Success(found)
-            partition = partition_log.Partition(
-                self._log, records.history_stream(number)
-            )
-            loaded = await partition.load()
-            if isinstance(loaded, result.Failure):
-                return loaded
-            self._partitions[number] = partition
-            return result.Success(partition)
-
-    def _forget_moved(self) -> None:
-        for number in list(self._partitions):
-            if not self._members.is_home(homes.partition_key(number)):
-                del self._partitions[number]
+    ) -> errors.Outcome[Any]:
+        return await self._partitions.of(organisation, ids.root_of(program))
 
 
 def _describe(
-    ledger: programs.Ledger,
+    partition: partition_log.Partition,
     organisation: ids.OrganisationId,
     program: ids.ProgramId,
 ) -> errors.Outcome[messages.ProgramDescription]:
-    found = ledger.find(organisation, program)
+    found = partition.ledger.find(organisation, program)
     if found is None:
         return errors.failed(
             errors.Reason.NOT_FOUND, "There is no such program."
@@ -388,17 +377,9 @@
             service=opened.service,
             turns=len(found.turns),
             closed=found.closed,
-            used_tokens=found.used_tokens,
-            used_calls=found.used_calls,
+            used_tokens=found.account.tokens,
+            used_calls=found.account.calls,
             budget=opened.budget,
-            deadline_wall_ms=opened.deadline_wall_ms,
+            deadline_wall_ms=found.deadline_wall_ms,
         )
     )
-
-
-def _replay(done: records.TurnDone) -> list[errors.Outcome[Any]]:
-    end = messages.TurnEnd(0, 0, 0, ids.TargetId(""), replayed=True)
-    return [
-        result.Success(messages.TurnText(done.answer.content)),
-        result.Success(end),
-    ]
--- /dev/null
+++ b/mangotally/homes/sweeper.py
@@ -0,0 +1,132 @@
+"""Closes programs whose time is over, and keeps live ones in the log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any, Self
+
+from returns import result
+
+from mangotally import ids
+from mangotally.policy import programs, records, snapshots
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.homes import partitions as partitions_lib
+    from mangotally.homes import programs as program_home
+    from mangotally.log import partition as partition_log
+    from mangotally.settings import host as host_settings
+
+logger = logging.getLogger(__name__)
+
+SWEEP_MS = 1000
+SNAPSHOT_AGE_SHARE = 0.5
+MAX_CLOSES = 256
+
+
+class Sweeper:
+    """Sweeps over the partitions of this host at an interval."""
+
+    def __init__(
+        self,
+        settings: host_settings.HostSettings,
+        partitions: partitions_lib.Partitions,
+        home: program_home.ProgramHome,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes a sweeper; entering it starts the sweeps."""
+        self._settings = settings
+        self._partitions = partitions
+        self._home = home
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Starts the sweeps."""
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops the sweeps."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def sweep(self, partition: partition_log.Partition) -> None:
+        """Sweeps over one partition."""
+        if partition.settled_ms <= 2 * self._settings.lease_ms:
+            await partition.catch_up()
+        await asyncio.gather(
+            *(
+                self._close(partition, key, reason)
+                for key, reason in self._due(partition.ledger)
+            )
+        )
+        await self._take_snapshots(partition)
+        partition.ledger.forget(
+            self._clock.wall_ms(), self._settings.log.program_keep_ms
+        )
+
+    async def _close(
+        self,
+        partition: partition_log.Partition,
+        key: programs.ProgramKey,
+        reason: records.CloseReason,
+    ) -> None:
+        ended = await self._home.end(partition, *key, reason)
+        if isinstance(ended, result.Success):
+            logger.info(
+                "program_closed",
+                extra={"program": key[1], "reason": reason.value},
+            )
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(clock_lib.to_seconds(SWEEP_MS))
+            for partition in self._partitions.loaded():
+                await self.sweep(partition)
+
+    def _due(
+        self, ledger: programs.Ledger
+    ) -> list[tuple[programs.ProgramKey, records.CloseReason]]:
+        now_ms = self._clock.wall_ms()
+        due = []
+        for key, program in ledger.programs.items():
+            if program.closed is not None:
+                continue
+            if now_ms >= program.deadline_wall_ms:
+                due.append((key, records.CloseReason.DEADLINE))
+            elif program.account.exhausted and not self._home.is_running(*key):
+                due.append((key, records.CloseReason.BUDGET))
+        return due[:MAX_CLOSES]
+
+    async def _take_snapshots(self, partition: partition_log.Partition) -> None:
+        age_ms = int(self._settings.log.retention_ms * SNAPSHOT_AGE_SHARE)
+        now_ms = self._clock.wall_ms()
+        for root in snapshots.aging_roots(partition.ledger, now_ms, age_ms):
+            await self._append(
+                partition,
+                lambda as_of, root=root: snapshots.make(
+                    partition.ledger, root, as_of, now_ms
+                ),
+            )
+        for key in partition.ledger.calls.aging(now_ms, age_ms):
+            await self._append(
+                partition,
+                lambda as_of, key=key: partition.ledger.calls.snapshot(
+                    key, as_of, now_ms
+                ),
+            )
+
+    async def _append(
+        self, partition: partition_log.Partition, make: Any
+    ) -> None:
+        made = make(ids.Offset(0))
+        if made is None:
+            return
+        outcome = await partition.append_snapshot(make)
+        if isinstance(outcome, result.Failure):
+            logger.warning("snapshot_failed")
--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -6,9 +6,7 @@
 import contextlib
 import dataclasses
 import logging
-from collections.abc import (
-    Awaitable,
-)
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 from returns import result
@@ -20,11 +18,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import (
-        AsyncGenerator,
-        AsyncIterator,
-        Callable,
-    )
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from mangotally.homes import slots as slot_client
 
@@ -48,7 +42,8 @@
         call: Its call; each attempt has an id of its own.
         prompt: The whole conversation.
         due_ms: When its time is over.
-        permit: Awaited before the first byte goes to a target, or None.
+        permit: Called before a byte goes to a target, or None.
+        permitted: Whether the last permit still covers the next attempt.
         attempt: Number of the attempt under way.
         crashes: Targets whose process ended under it.
         sent_text: Whether a piece of the answer has reached the caller.
@@ -58,7 +53,8 @@
     call: pools.PoolCall
     prompt: tuple[records.ChatMessage, ...]
     due_ms: float
-    permit: Awaitable[errors.Outcome[None]] | None = None
+    permit: Callable[[], Awaitable[errors.Outcome[Any]]] | None = None
+    permitted: bool = False
     attempt: int = 0
     crashes: int = 0
     sent_text: bool = False
@@ -97,7 +93,7 @@
         program: ids.ProgramId,
         prompt: list[records.ChatMessage],
         attained_tokens: int,
-        permit: Awaitable[errors.Outcome[None]] | None = None,
+        permit: Callable[[], Awaitable[errors.Outcome[Any]]] | None = None,
     ) -> AsyncIterator[errors.Outcome[Any]]:
         """Runs a turn on a target of its pool.
 
@@ -111,8 +107,9 @@
             program: The program that the prompt belongs to.
             prompt: The whole conversation.
             attained_tokens: Service that the program has received so far.
-            permit: Awaited once there is a slot and before any byte goes
-                to a target; a failure ends the turn there.
+            permit: Called once there is a slot and before any byte goes
+                to a target, and again after an attempt that may have run;
+                a failure ends the turn there.
 
         Yields:
             `TurnText` pieces and a `TurnEnd`, or a failure at the end.
@@ -196,11 +193,12 @@
             if isinstance(slot.granted, result.Failure):
                 yield _refusal_of(turn, slot.granted.failure())
                 return
-            permit, turn.permit = turn.permit, None
-            allowed = await permit if permit is not None else None
-            if isinstance(allowed, result.Failure):
-                yield allowed
-                return
+            if turn.permit is not None and not turn.permitted:
+                allowed = await turn.permit()
+                if isinstance(allowed, result.Failure):
+                    yield allowed
+                    return
+                turn.permitted = True
             grant = slot.granted.unwrap()
             events = self._stream(turn, grant)
             async with contextlib.aclosing(events):
@@ -266,6 +264,8 @@
     ) -> None:
         if fault.kind is faults.FaultKind.CRASHED:
             turn.crashes += 1
+        if fault.ran is not errors.Ran.NOT_RUN:
+            turn.permitted = False
         excluded = turn.call.excluded
         if target not in excluded:
             turn.call = dataclasses.replace(
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -280,3 +280,19 @@
     content_type: str
     body_base64: str
     replayed: bool
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ChargeCall:
+    """Asks a program's home to charge a service call, once per charge.
+
+    Attributes:
+        organisation: The caller's organisation.
+        program: The program that pays.
+        charge: Id of the charge.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    charge: str
--- a/mangotally/hosts/peers.py
+++ b/mangotally/hosts/peers.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import dataclasses
 from typing import TYPE_CHECKING, Any, Protocol, Self
 
+from returns import result
+
 from mangotally import errors, ids
 from mangotally.hosts import link, router
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     import grpc
 
 CALL_TIMEOUT_MS = 5000
+HOME_HOLD_MS = 15_000
+HOME_RETRY_MS = 100
 
 
 class Directory(Protocol):
@@ -83,6 +90,63 @@
             async for answer in answers:
                 yield answer
 
+    async def call_home(
+        self, key: str, message: Any, timeout_ms: float = CALL_TIMEOUT_MS
+    ) -> errors.Outcome[Any]:
+        """Sends a message to the home of a key, wherever it moves.
+
+        Only for messages that a home may be asked twice.
+
+        Args:
+            key: The rendezvous key.
+            message: The message.
+            timeout_ms: Longest time for one answer.
+        """
+        answers = self.stream_home(key, message, timeout_ms)
+        async with contextlib.aclosing(answers):  # type: ignore[type-var]
+            async for answer in answers:
+                return answer
+        return errors.failed(
+            errors.Reason.UNAVAILABLE,
+            "Another host gave no answer.",
+            errors.Ran.MAY_HAVE_RUN,
+        )
+
+    async def stream_home(
+        self, key: str, message: Any, first_ms: float | None = None
+    ) -> AsyncIterator[errors.Outcome[Any]]:
+        """Like `call_home`, for many answers; tries until the first one.
+
+        Args:
+            key: The rendezvous key.
+            message: The message.
+            first_ms: Longest time for the first answer, or None.
+        """
+        limit_s = _now_s() + clock_lib.to_seconds(HOME_HOLD_MS)
+        in_doubt = False
+        while True:
+            answers = self._stream_known(key, message)
+            async with contextlib.aclosing(answers):
+                first = await _next(answers, first_ms)
+                if not _is_misrouted(first) or _now_s() >= limit_s:
+                    yield _with_doubt(first, in_doubt)
+                    async for answer in answers:
+                        yield answer
+                    return
+                in_doubt = in_doubt or _is_lost(first)
+            await asyncio.sleep(clock_lib.to_seconds(HOME_RETRY_MS))
+
+    async def _stream_known(
+        self, key: str, message: Any
+    ) -> AsyncGenerator[errors.Outcome[Any], None]:
+        host = self._directory.home_of(key)
+        is_here = host == self._directory.host
+        if host is None or not (is_here or self._directory.address_of(host)):
+            yield errors.failed(errors.Reason.MOVED, "The home is not known.")
+            return
+        async for answer in self.stream(host, message):
+            yield answer
+
     async def _link(self, address: str) -> link.Link:
         found = self._links.get(address)
         if found is None:
@@ -90,3 +154,58 @@
             self._links[address] = found
             await self._stack.enter_async_context(found)
         return found
+
+
+async def _next(
+    answers: AsyncGenerator[errors.Outcome[Any], None],
+    timeout_ms: float | None,
+) -> errors.Outcome[Any]:
+    timeout_s = None if timeout_ms is None else clock_lib.to_seconds(timeout_ms)
+    try:
+        async with asyncio.timeout(timeout_s):
+            async for answer in answers:
+                return answer
+    except TimeoutError:
+        pass
+    return errors.failed(
+        errors.Reason.UNAVAILABLE,
+        "Another host gave no answer.",
+        errors.Ran.MAY_HAVE_RUN,
+    )
+
+
+def _is_misrouted(outcome: errors.Outcome[Any]) -> bool:
+    """Returns whether a home was not reached, or has just moved."""
+    if isinstance(outcome, result.Success):
+        return False
+    failure = outcome.failure()
+    if failure.reason is errors.Reason.MOVED:
+        return True
+    return _is_lost(outcome)
+
+
+def _is_lost(outcome: errors.Outcome[Any]) -> bool:
+    """Returns whether the way to a host broke with the message on it."""
+    failure = outcome.failure()
+    return (
+        failure.reason is errors.Reason.UNAVAILABLE
+        and failure.ran is errors.Ran.MAY_HAVE_RUN
+    )
+
+
+def _with_doubt(
+    outcome: errors.Outcome[Any], in_doubt: bool
+) -> errors.Outcome[Any]:
+    """Returns the last answer; an earlier try may have run the message."""
+    if isinstance(outcome, result.Success) or not in_doubt:
+        return outcome
+    failure = outcome.failure()
+    if failure.ran is errors.Ran.RAN:
+        return outcome
+    return result.Failure(
+        dataclasses.replace(failure, ran=errors.Ran.MAY_HAVE_RUN)
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -3,15 +3,66 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+import contextlib
+import dataclasses
+import logging
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Self
 
 from returns import result
 
 from mangotally import errors, ids
 from mangotally.policy import programs, records
+from mangotally.util import clock as clock_lib
+from mangotally.util import codec
 
 if TYPE_CHECKING:
-    from mangotally.log import base
+    from mangotally.log import base, pacer
+
+logger = logging.getLogger(__name__)
+
+WAIT_MS = 4000
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 2000
+DOWN_FAILURES = 6
+RETRY_AFTER_MS = 5000
+MAX_BATCH_BYTES = 4 * 1024 * 1024
+MAX_PENDING_BYTES = 16 * 1024 * 1024
+_YIELD_ENTRIES = 32
+
+
+@dataclasses.dataclass(eq=False)
+class _Write:
+    """A record on its way to the log.
+
+    Attributes:
+        make: Returns the record for the offset that it should land on.
+        alone: Whether it needs a batch of its own.
+        kept: Whether it is written even if nobody waits for it any more.
+        future: Whether the record took effect.
+        record: The record as last sent.
+        data: The encoded record.
+        applied: Whether a copy of it has taken effect.
+    """
+
+    make: Callable[[ids.Offset], Any]
+    alone: bool
+    kept: bool
+    future: asyncio.Future[bool]
+    record: Any
+    data: bytes
+    applied: bool = False
+    abandoned: bool = False
+
+    def prepare(self, offset: ids.Offset) -> None:
+        """Makes the record again if it depends on its offset."""
+        if not self.alone:
+            return
+        made = self.make(offset)
+        if made is not None:
+            self.record = made
+            self.data = records.registry.encode_item(made)
 
 
 class Partition:
@@ -20,91 +71,275 @@
     Only one append is under way at a time; records that arrive meanwhile
     go with the next. An append that lands right after the last record read
     shows that no other host has written, so nothing has to be read back.
+    After an append without an answer the same records are appended again:
+    the ledger counts the first copy, and the gap shows where it is.
     """
 
-    def __init__(self, log: base.Log, stream: str) -> None:
-        """Makes an empty partition; `load` fills it."""
+    def __init__(
+        self,
+        log: base.Log,
+        stream: str,
+        clock: clock_lib.Clock,
+        limiter: pacer.Pacer | None = None,
+        call_lifetime_ms: int = programs.DAY_MS,
+    ) -> None:
+        """Makes an empty partition; `catch_up` fills it.
+
+        Args:
+            log: The platform's log.
+            stream: Name of the stream.
+            clock: The clock.
+            limiter: Paces the appends, or None.
+            call_lifetime_ms: How long an idempotency key names one call.
+        """
         self._log = log
         self._stream = stream
+        self._clock = clock
+        self._limiter = limiter
+        self._call_lifetime_ms = call_lifetime_ms
+        self._random = random.Random(stream)
         self._next_offset = ids.Offset(0)
-        self._pending: list[tuple[Any, asyncio.Future[errors.Outcome[bool]]]]
-        self._pending = []
+        self._pending: list[_Write] = []
+        self._pending_bytes = 0
+        self._sent: list[_Write] = []
+        self._failures = 0
+        self._reading = asyncio.Lock()
         self._writer: asyncio.Task[None] | None = None
-        self.ledger = programs.Ledger()
+        self._begun_ms: float | None = None
+        self._current_ms = 0.0
+        self.ledger = programs.Ledger(call_lifetime_ms)
+
+    async def __aenter__(self) -> Self:
+        """Returns the partition."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops the writer; records that wait are not written."""
+        if self._writer is not None:
+            self._writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._writer
+        for write in [*self._sent, *self._pending]:
+            write.future.cancel()
 
-    async def load(self) -> errors.Outcome[None]:
+    @property
+    def settled_ms(self) -> float:
+        """Time from the first read of the stream's end to the last one."""
+        if self._begun_ms is None:
+            return 0.0
+        return self._current_ms - self._begun_ms
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of records that the log has not confirmed."""
+        return self._pending_bytes
+
+    async def catch_up(self) -> errors.Outcome[None]:
         """Reads the stream up to its end."""
-        while True:
-            outcome = await self._log.read(self._stream, self._next_offset)
-            match outcome:
-                case result.Success(part):
-                    self._take(part)
-                    if self._next_offset >= part.next_offset:
-                        return result.Success(None)
-                case result.Failure(failure):
-                    return result.Failure(failure)
-
-    async def append(self, record: Any) -> errors.Outcome[bool]:
+        async with self._reading:
+            while True:
+                read_ms = self._clock.now_ms()
+                outcome = await self._log.read(self._stream, self._next_offset)
+                if isinstance(outcome, result.Failure):
+                    return result.Failure(outcome.failure())
+                part = outcome.unwrap()
+                await self._take(part, part.next_offset)
+                if self._next_offset >= part.next_offset:
+                    self._mark_current(read_ms)
+                    return result.Success(None)
+
+    async def append(
+        self, record: Any, wait_ms: float = WAIT_MS, kept: bool = False
+    ) -> errors.Outcome[bool]:
         """Appends a record and applies it to the ledger.
 
+        Args:
+            record: The record.
+            wait_ms: Longest time to wait for the log.
+            kept: Whether the record is written later if the log does not
+                answer in time, for as long as this process lives.
+
         Returns:
             Whether the record took effect: False if another record of the
             log came first. A failure means that it may yet take effect.
         """
-        future: asyncio.Future[errors.Outcome[bool]]
+        return await self._submit(lambda _: record, record, kept, wait_ms)
+
+    async def append_snapshot(
+        self, make: Callable[[ids.Offset], Any]
+    ) -> errors.Outcome[bool]:
+        """Appends a record that is void unless it lands where it should.
+
+        Args:
+            make: Returns the record for the offset that it should land on.
+        """
+        record = make(self._next_offset)
+        return await self._submit(make, record, False, WAIT_MS, alone=True)
+
+    async def _submit(
+        self,
+        make: Callable[[ids.Offset], Any],
+        record: Any,
+        kept: bool,
+        wait_ms: float,
+        alone: bool = False,
+    ) -> errors.Outcome[bool]:
+        data = records.registry.encode_item(record)
+        if not self._may_queue(len(data), kept):
+            return _unavailable()
         future = asyncio.get_running_loop().create_future()
-        self._pending.append((record, future))
+        write = _Write(make, alone, kept, future, record, data)
+        self._pending.append(write)
+        self._pending_bytes += len(data)
         if self._writer is None or self._writer.done():
             self._writer = asyncio.create_task(self._write())
-        return await asyncio.shield(future)
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(wait_ms)):
+                return result.Success(await asyncio.shield(future))
+        except TimeoutError:
+            write.abandoned = not kept
+            return _unavailable()
+
+    def _mark_current(self, read_ms: float) -> None:
+        self._current_ms = max(self._current_ms, read_ms)
+        if self._begun_ms is None:
+            self._begun_ms = read_ms
+
+    def _may_queue(self, size_bytes: int, kept: bool) -> bool:
+        if self._pending_bytes + size_bytes > MAX_PENDING_BYTES:
+            return False
+        waiting = bool(self._sent or self._pending)
+        return kept or not (waiting and self._is_down())
+
+    def _is_down(self) -> bool:
+        return self._failures >= DOWN_FAILURES
 
     async def _write(self) -> None:
         while self._pending:
-            batch, self._pending = self._pending, []
-            data = records.registry.encode_batch([item for item, _ in batch])
-            outcome = await self._log.append(self._stream, data)
-            match outcome:
-                case result.Success(offset):
-                    await self._settle(batch, offset)
-                case result.Failure(failure):
-                    for _, future in batch:
-                        future.set_result(result.Failure(failure))
-
-    async def _settle(
-        self,
-        batch: list[tuple[Any, asyncio.Future[errors.Outcome[bool]]]],
-        offset: ids.Offset,
-    ) -> None:
-        if offset != self._next_offset:
-            missed = await self._read_until(offset)
-            if isinstance(missed, result.Failure):
-                for _, future in batch:
-                    future.set_result(result.Failure(missed.failure()))
-                return
-        for record, future in batch:
-            future.set_result(result.Success(self.ledger.apply(record)))
-        self._next_offset = ids.Offset(offset + 1)
-
-    async def _read_until(self, offset: ids.Offset) -> errors.Outcome[None]:
-        while self._next_offset < offset:
-            outcome = await self._log.read(self._stream, self._next_offset)
-            match outcome:
-                case result.Success(part):
-                    self._take(part, offset)
-                case result.Failure(failure):
-                    return result.Failure(failure)
-        return result.Success(None)
-
-    def _take(
-        self, part: base.Slice, end_offset: ids.Offset | None = None
-    ) -> None:
-        for entry in part.entries:
-            if end_offset is not None and entry.offset >= end_offset:
+            if self._limiter is not None:
+                await self._limiter.acquire()
+            self._next_batch()
+            while self._sent:
+                await self._commit()
+
+    def _next_batch(self) -> None:
+        size_bytes = 0
+        while self._pending and size_bytes < MAX_BATCH_BYTES:
+            if self._sent and (self._pending[0].alone or self._sent[0].alone):
                 return
+            write = self._pending.pop(0)
+            self._sent.append(write)
+            size_bytes += len(write.data)
+
+    async def _commit(self) -> None:
+        self._drop_abandoned()
+        if not self._sent:
+            return
+        for write in self._sent:
+            write.prepare(self._next_offset)
+        data = codec.join_items([write.data for write in self._sent])
+        outcome = await self._log.append(self._stream, data)
+        match outcome:
+            case result.Success(offset):
+                await self._settle(offset)
+            case _:
+                await self._pause("append")
+
+    def _drop_abandoned(self) -> None:
+        for write in [item for item in self._sent if item.abandoned]:
+            self._sent.remove(write)
+            self._pending_bytes -= len(write.data)
+
+    async def _pause(self, step: str) -> None:
+        if self._failures == 0:
+            logger.warning(
+                "log_failed", extra={"stream": self._stream, "step": step}
+            )
+        self._failures = min(self._failures + 1, 16)
+        longest_ms = min(RETRY_MAX_MS, RETRY_MIN_MS * 2**self._failures)
+        wait_ms = self._random.uniform(longest_ms / 2, longest_ms)
+        await asyncio.sleep(clock_lib.to_seconds(wait_ms))
+
+    async def _settle(self, offset: ids.Offset) -> None:
+        while not await self._read_until(offset):
+            await self._pause("read")
+        self._failures = 0
+        sent, self._sent = self._sent, []
+        for write in sent:
+            self._pending_bytes -= len(write.data)
+            if not write.future.done():
+                write.future.set_result(write.applied)
+
+    async def _read_until(self, offset: ids.Offset) -> bool:
+        async with self._reading:
+            while self._next_offset < offset:
+                outcome = await self._log.read(self._stream, self._next_offset)
+                if isinstance(outcome, result.Failure):
+                    return False
+                before = self._next_offset
+                await self._take(outcome.unwrap(), offset)
+                if self._next_offset == before:
+                    return False
+            if self._next_offset == offset:
+                for write in self._sent:
+                    applied = self.ledger.apply(write.record, offset)
+                    write.applied = write.applied or applied
+                self._next_offset = ids.Offset(offset + 1)
+            return True
+
+    async def _take(self, part: base.Slice, end: ids.Offset) -> None:
+        if part.oldest_offset > self._next_offset:
+            self._skip_to(part.oldest_offset)
+        for number, entry in enumerate(part.entries):
+            if entry.offset >= end:
+                break
             if entry.offset < self._next_offset:
                 continue
-            for record in records.registry.decode_batch(entry.data):
-                if isinstance(record, result.Success):
-                    self.ledger.apply(record.unwrap())
-            self._next_offset = ids.Offset(entry.offset + 1)
-        self._next_offset = max(self._next_offset, part.oldest_offset)
+            self._apply_entry(entry)
+            if number % _YIELD_ENTRIES == _YIELD_ENTRIES - 1:
+                await asyncio.sleep(0)
+        if part.entries and part.entries[-1].offset >= end:
+            self._next_offset = max(self._next_offset, end)
+        elif not part.entries:
+            last = min(part.next_offset, end)
+            self._next_offset = max(self._next_offset, last)
+
+    def _skip_to(self, offset: ids.Offset) -> None:
+        """Starts again: records that were not read have aged out."""
+        if self._next_offset > 0:
+            logger.warning(
+                "history_aged_out",
+                extra={"stream": self._stream, "offset": self._next_offset},
+            )
+        self.ledger = programs.Ledger(self._call_lifetime_ms)
+        self._next_offset = offset
+
+    def _apply_entry(self, entry: base.Entry) -> None:
+        for outcome in records.registry.decode_batch(entry.data):
+            if isinstance(outcome, result.Failure):
+                logger.error(
+                    "record_refused",
+                    extra={
+                        "stream": self._stream,
+                        "offset": entry.offset,
+                        "reason": outcome.failure(),
+                    },
+                )
+                continue
+            record = outcome.unwrap()
+            if self.ledger.apply(record, entry.offset):
+                self._note_applied(record)
+        self._next_offset = ids.Offset(entry.offset + 1)
+
+    def _note_applied(self, record: Any) -> None:
+        for write in self._sent:
+            if write.record == record:
+                write.applied = True
+
+
+def _unavailable() -> errors.Outcome[Any]:
+    return errors.failed(
+        errors.Reason.LOG_UNAVAILABLE,
+        "The log does not answer.",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/mangotally/policy/programs.py
+++ b/mangotally/policy/programs.py
@@ -4,14 +4,19 @@
 
 import dataclasses
 import hashlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from returns import result
 
 from mangotally import errors, ids
-from mangotally.policy import records
+from mangotally.policy import budget, calls, records
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+DAY_MS = 86_400_000
+_CHARGE_CHARS = 16
+
 
 def digest_messages(
     service: ids.ServiceId, messages: Sequence[records.ChatMessage]
@@ -26,27 +31,48 @@
     return digest.hexdigest()
 
 
+def charge_id(key: str) -> str:
+    """Returns the id under which a service call is charged."""
+    return hashlib.sha256(key.encode()).hexdigest()[:_CHARGE_CHARS]
+
+
 @dataclasses.dataclass
 class Program:
     """A program as of a prefix of its partition's history.
 
     Attributes:
         opened: The record that opened it.
+        account: Its budget and what is used of it.
+        deadline_wall_ms: When its time or an ancestor's is over.
+        anchored_wall_ms: When the oldest record that it rests on was
+            written, since the Unix epoch.
         turns: Its turns that are done, in order.
         closed: Why it ended, or None.
-        used_tokens: Tokens charged to it and reserved by it.
-        used_calls: Calls charged to it.
-        begun: Reservations of turns that are not done, by attempt.
+        closed_wall_ms: When it ended, since the Unix epoch.
+        attempts: Reservations of attempts that have not ended.
+        seen: Attempts of the next turn that have begun or were dropped.
+        charges: Ids of the service calls charged to it.
+        children: Its sub-agents' programs.
     """
 
     opened: records.ProgramOpened
+    account: budget.Account
+    deadline_wall_ms: int
+    anchored_wall_ms: int
     turns: list[records.TurnDone] = dataclasses.field(default_factory=list)
     closed: records.CloseReason | None = None
-    used_tokens: int = 0
-    used_calls: int = 0
-    begun: dict[ids.AttemptId, records.TurnBegun] = dataclasses.field(
+    closed_wall_ms: int = 0
+    attempts: dict[ids.AttemptId, records.TurnBegun] = dataclasses.field(
         default_factory=dict
     )
+    seen: set[ids.AttemptId] = dataclasses.field(default_factory=set)
+    charges: set[str] = dataclasses.field(default_factory=set)
+    children: list[ids.ProgramId] = dataclasses.field(default_factory=list)
+
+    @property
+    def next_turn(self) -> int:
+        """Number of the turn that may run next."""
+        return len(self.turns) + 1
 
     def messages(self) -> list[records.ChatMessage]:
         """Returns the whole conversation."""
@@ -56,10 +82,31 @@
             found.append(turn.answer)
         return found
 
+    def prompt_bound_tokens(
+        self, messages: Sequence[records.ChatMessage]
+    ) -> int:
+        """Returns a bound on the length of the next turn's prompt."""
+        counted = 0
+        uncounted = list(messages)
+        for turn in reversed(self.turns):
+            if turn.length_tokens:
+                counted = turn.length_tokens
+                break
+            uncounted += [*turn.request, turn.answer]
+        return budget.prompt_bound_tokens(counted, uncounted)
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
-    """The turn is next and may run."""
+    """The turn is next and may run.
+
+    Attributes:
+        prompt_tokens: Bound on the length of its prompt.
+        max_tokens: Longest answer that the budget allows.
+    """
+
+    prompt_tokens: int
+    max_tokens: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,19 +116,47 @@
     done: records.TurnDone
 
 
+@dataclasses.dataclass(frozen=True)
+class Turn:
+    """A turn that a caller wants.
+
+    Attributes:
+        organisation: The caller's organisation.
+        program: The program.
+        turn: Number of the turn, from 1.
+        messages: The new messages.
+        max_tokens: Longest answer.
+        digest: Digest of the request.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    turn: int
+    messages: tuple[records.ChatMessage, ...]
+    max_tokens: int
+    digest: str
+
+
 ProgramKey = tuple[ids.OrganisationId, ids.ProgramId]
-CallKey = tuple[ids.OrganisationId, str]
 
 
 class Ledger:
-    """Programs and calls of a partition, from its history records."""
+    """Programs and calls of a partition, from its history records.
+
+    A pure function of the records before an offset: all hosts that have
+    read the same records agree on which of them took effect.
+    """
+
+    def __init__(self, call_lifetime_ms: int = DAY_MS) -> None:
+        """Makes an empty ledger.
 
-    def __init__(self) -> None:
+        Args:
+            call_lifetime_ms: How long an idempotency key names one call.
+        """
         self.programs: dict[ProgramKey, Program] = {}
-        self.intents: dict[CallKey, records.CallIntent] = {}
-        self.results: dict[CallKey, records.CallResult] = {}
+        self.calls = calls.CallLedger(call_lifetime_ms)
 
-    def apply(self, record: object) -> bool:
+    def apply(self, record: object, offset: ids.Offset) -> bool:
         """Applies one record; returns whether it took effect."""
         match record:
             case records.ProgramOpened():
@@ -90,14 +165,16 @@
                 return self._begin(record)
             case records.TurnDone():
                 return self._finish(record)
+            case records.TurnDropped():
+                return self._drop(record)
+            case records.CallCharged():
+                return self._charge(record)
             case records.ProgramClosed():
                 return self._close(record)
-            case records.CallIntent():
-                return self._intend(record)
-            case records.CallResult():
-                return self._keep_result(record)
+            case records.TreeSnapshot():
+                return self._restore(record, offset)
             case _:
-                return False
+                return self.calls.apply(record, offset)
 
     def find(
         self, organisation: ids.OrganisationId, program: ids.ProgramId
@@ -105,123 +182,263 @@
         """Returns an organisation's program, or None."""
         return self.programs.get((organisation, program))
 
+    def tree(
+        self, organisation: ids.OrganisationId, program: ids.ProgramId
+    ) -> list[Program]:
+        """Returns a program and all programs below it."""
+        found = self.find(organisation, program)
+        if found is None:
+            return []
+        below = [found]
+        for item in below:
+            children = (
+                self.find(organisation, child) for child in item.children
+            )
+            below += [child for child in children if child is not None]
+        return below
+
+    def chain(self, program: Program) -> list[budget.Account]:
+        """Returns a program's account and those of all its ancestors."""
+        return [item.account for item in self._ancestry(program)]
+
+    def exhausted(self, program: Program) -> bool:
+        """Returns whether a program can never run a call again."""
+        return any(account.exhausted for account in self.chain(program))
+
     def check_turn(
-        self,
-        organisation: ids.OrganisationId,
-        program: ids.ProgramId,
-        turn: int,
-        digest: str,
-        now_wall_ms: int,
+        self, wanted: Turn, now_wall_ms: int
     ) -> errors.Outcome[Run | Replay]:
         """Decides what becomes of a turn.
 
         Args:
-            organisation: The caller's organisation.
-            program: The program.
-            turn: Number of the turn, from 1.
-            digest: Digest of the request.
+            wanted: The turn.
             now_wall_ms: Time since the Unix epoch.
 
         Returns:
             `Run`, `Replay`, or why the turn is refused.
         """
-        found = self.find(organisation, program)
+        found = self.find(wanted.organisation, wanted.program)
         if found is None:
-            return errors.failed(
-                errors.Reason.NOT_FOUND, "There is no such program."
-            )
-        if turn <= len(found.turns):
-            return _check_repeat(found.turns[turn - 1], digest)
-        if turn > len(found.turns) + 1:
+            return _unknown()
+        if wanted.turn < found.next_turn:
+            return _check_repeat(found.turns[wanted.turn - 1], wanted.digest)
+        refusal = self.check_open(
+            wanted.organisation, wanted.program, now_wall_ms
+        )
+        if isinstance(refusal, result.Failure):
+            return refusal
+        if wanted.turn > found.next_turn:
             return errors.failed(
                 errors.Reason.TURN_GAP,
-                f"The next turn is {len(found.turns) + 1}, not {turn}.",
+                f"The next turn is {found.next_turn}, not {wanted.turn}.",
             )
-        return self._check_limits(found, now_wall_ms)
-
-    def _check_limits(
-        self, program: Program, now_wall_ms: int
-    ) -> errors.Outcome[Run | Replay]:
-        if program.closed is not None:
-            return errors.failed(
-                errors.Reason.CONFLICT, "The program has ended."
+        prompt_tokens = found.prompt_bound_tokens(wanted.messages)
+        left = budget.check(self.chain(found), prompt_tokens + 1)
+        return left.map(
+            lambda tokens: Run(
+                prompt_tokens, min(wanted.max_tokens, tokens - prompt_tokens)
             )
-        if now_wall_ms >= program.opened.deadline_wall_ms:
+        )
+
+    def check_open(
+        self,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
+        now_wall_ms: int,
+    ) -> errors.Outcome[None]:
+        """Returns whether a program is known, open and inside its time."""
+        found = self.find(organisation, program)
+        if found is None:
+            return _unknown()
+        over_time = found.closed is records.CloseReason.DEADLINE
+        if over_time or now_wall_ms >= found.deadline_wall_ms:
             return errors.failed(
                 errors.Reason.DEADLINE, "The program's time is over."
             )
-        budget = program.opened.budget
-        if program.used_calls >= budget.calls:
+        if found.closed is records.CloseReason.BUDGET:
             return errors.failed(
-                errors.Reason.OVER_BUDGET, "The program has no calls left."
+                errors.Reason.OVER_BUDGET, "The program's budget is used up."
             )
-        if program.used_tokens >= budget.tokens:
+        if found.closed is not None:
             return errors.failed(
-                errors.Reason.OVER_BUDGET, "The program has no tokens left."
+                errors.Reason.CONFLICT, "The program has ended."
             )
-        return errors.result.Success(Run())
+        return result.Success(None)
+
+    def forget(self, now_wall_ms: int, keep_ms: int) -> None:
+        """Drops trees of programs that ended long ago, and old calls."""
+        ends: dict[ProgramKey, int] = {}
+        for (organisation, name), program in self.programs.items():
+            root = (organisation, ids.root_of(name))
+            end_ms = program.closed_wall_ms or program.deadline_wall_ms
+            ends[root] = max(ends.get(root, 0), end_ms)
+        old = {
+            root for root, end in ends.items() if now_wall_ms > end + keep_ms
+        }
+        for key in list(self.programs):
+            if (key[0], ids.root_of(key[1])) in old:
+                del self.programs[key]
+        self.calls.forget(now_wall_ms)
+
+    def _ancestry(self, program: Program) -> list[Program]:
+        found = [program]
+        while found[-1].opened.parent is not None:
+            opened = found[-1].opened
+            assert opened.parent is not None
+            parent = self.find(opened.organisation, opened.parent)
+            if parent is None:
+                break
+            found.append(parent)
+        return found
 
     def _open(self, record: records.ProgramOpened) -> bool:
         key = (record.organisation, record.program)
         if key in self.programs:
             return False
-        self.programs[key] = Program(record)
+        deadline_wall_ms = record.deadline_wall_ms
+        if record.parent is not None:
+            parent = self.find(record.organisation, record.parent)
+            if parent is None or parent.closed is not None:
+                return False
+            deadline_wall_ms = min(deadline_wall_ms, parent.deadline_wall_ms)
+            parent.children.append(record.program)
+        self.programs[key] = Program(
+            record,
+            budget.Account(record.budget.tokens, record.budget.calls),
+            deadline_wall_ms,
+            record.deadline_wall_ms - record.budget.wall_ms,
+        )
         return True
 
     def _begin(self, record: records.TurnBegun) -> bool:
         program = self.find(record.organisation, record.program)
-        if program is None or record.turn != len(program.turns) + 1:
+        if program is None or program.closed is not None:
             return False
-        if record.attempt in program.begun:
+        if record.turn != program.next_turn or record.attempt in program.seen:
             return False
-        program.begun[record.attempt] = record
-        program.used_calls += 1
-        program.used_tokens += record.reserved_tokens
+        program.seen.add(record.attempt)
+        chain = self.chain(program)
+        fits = budget.check(chain, record.reserved_tokens)
+        if isinstance(fits, result.Failure):
+            return False
+        program.attempts[record.attempt] = record
+        budget.reserve(chain, record.reserved_tokens)
         return True
 
     def _finish(self, record: records.TurnDone) -> bool:
         program = self.find(record.organisation, record.program)
-        if program is None or record.turn != len(program.turns) + 1:
+        if program is None:
+            return False
+        begun = program.attempts.pop(record.attempt, None)
+        if begun is None:
+            return False
+        budget.settle(
+            self.chain(program), begun.reserved_tokens, record.used_tokens
+        )
+        if record.turn != program.next_turn:
             return False
         program.turns.append(record)
-        begun = program.begun.pop(record.attempt, None)
-        if begun is not None:
-            program.used_tokens -= begun.reserved_tokens
-        program.used_tokens += record.used_tokens
+        program.seen.clear()
         return True
 
-    def _close(self, record: records.ProgramClosed) -> bool:
+    def _drop(self, record: records.TurnDropped) -> bool:
         program = self.find(record.organisation, record.program)
-        if program is None or program.closed is not None:
+        if program is None:
             return False
-        program.closed = record.reason
+        if record.turn == program.next_turn:
+            program.seen.add(record.attempt)
+        begun = program.attempts.pop(record.attempt, None)
+        if begun is None:
+            return False
+        budget.settle(self.chain(program), begun.reserved_tokens, None)
         return True
 
-    def _intend(self, record: records.CallIntent) -> bool:
-        key = (record.organisation, record.key)
-        if key in self.intents:
+    def _charge(self, record: records.CallCharged) -> bool:
+        program = self.find(record.organisation, record.program)
+        if program is None or program.closed is not None:
+            return False
+        if record.charge in program.charges:
+            return False
+        chain = self.chain(program)
+        if isinstance(budget.check(chain, 0), result.Failure):
             return False
-        self.intents[key] = record
+        program.charges.add(record.charge)
+        budget.charge_call(chain)
         return True
 
-    def _keep_result(self, record: records.CallResult) -> bool:
-        key = (record.organisation, record.key)
-        intent = self.intents.get(key)
-        if intent is None or intent.attempt != record.attempt:
+    def _close(self, record: records.ProgramClosed) -> bool:
+        program = self.find(record.organisation, record.program)
+        if program is None or program.closed is not None:
             return False
-        if key in self.results:
+        program.closed = record.reason
+        for item in self.tree(record.organisation, record.program):
+            if item.closed is None:
+                item.closed = records.CloseReason.PARENT
+            item.closed_wall_ms = item.closed_wall_ms or record.wall_ms
+        return True
+
+    def _restore(
+        self, record: records.TreeSnapshot, offset: ids.Offset
+    ) -> bool:
+        if record.as_of != offset:
             return False
-        self.results[key] = record
+        for state in record.programs:
+            key = (state.opened.organisation, state.opened.program)
+            if key not in self.programs:
+                self._restore_program(key, state)
+            self.programs[key].anchored_wall_ms = record.wall_ms
         return True
 
+    def _restore_program(
+        self, key: ProgramKey, state: records.ProgramState
+    ) -> None:
+        program = _restored(state)
+        self.programs[key] = program
+        opened = state.opened
+        if opened.parent is None:
+            return
+        parent = self.find(opened.organisation, opened.parent)
+        if parent is not None:
+            parent.children.append(opened.program)
+            program.deadline_wall_ms = min(
+                program.deadline_wall_ms, parent.deadline_wall_ms
+            )
+
+
+def _restored(state: records.ProgramState) -> Program:
+    limits = state.opened.budget
+    account = budget.Account(
+        limits.tokens,
+        limits.calls,
+        state.tokens,
+        state.calls,
+        state.reserved_tokens,
+        state.reserved_calls,
+    )
+    return Program(
+        state.opened,
+        account,
+        state.opened.deadline_wall_ms,
+        anchored_wall_ms=0,
+        turns=list(state.turns),
+        closed=state.closed,
+        closed_wall_ms=state.closed_wall_ms,
+        attempts={item.attempt: item for item in state.attempts},
+        seen=set(state.seen),
+        charges=set(state.charges),
+    )
+
+
+def _unknown() -> errors.Outcome[Any]:
+    return errors.failed(errors.Reason.NOT_FOUND, "There is no such program.")
+
 
 def _check_repeat(
     done: records.TurnDone, digest: str
 ) -> errors.Outcome[Run | Replay]:
     if done.digest == digest:
-        return errors.result.Success(Replay(done))
+        return result.Success(Replay(done))
     return errors.failed(
         errors.Reason.CONFLICT,
         f"Turn {done.turn} is done with another content.",
-        errors.Ran.NOT_RUN,
     )
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -240,11 +240,19 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class CallDropped:
-    """An attempt has sent nothing and never will; frees the key."""
+    """An attempt has sent nothing and never will; frees the key.
+
+    Attributes:
+        organisation: The caller's organisation.
+        key: Idempotency key.
+        attempt: The attempt.
+        wall_ms: When it was written, since the Unix epoch.
+    """
 
     organisation: ids.OrganisationId
     key: str
     attempt: ids.AttemptId
+    wall_ms: int = 0
 
 
 @registry.register
@@ -298,33 +306,50 @@
     wall_ms: int = 0
 
 
-@registry.register
 @dataclasses.dataclass(frozen=True)
-class ProgramSnapshot:
-    """A whole program, appended again before its records age out.
+class ProgramState:
+    """One program of a snapshot.
 
     Attributes:
-        as_of: The offset it has to land on; it is void elsewhere.
-        opened: The record that opened the program.
+        opened: The record that opened it.
         turns: Its turns that are done.
-        open_attempts: Reservations of attempts that have not ended.
+        attempts: Reservations of attempts that have not ended.
+        seen: Attempts of the next turn that have begun or were dropped.
+        charges: Ids of the service calls charged.
         closed: Why it ended, or None.
         closed_wall_ms: When it ended, since the Unix epoch.
-        used_tokens: Tokens charged and reserved.
-        used_calls: Calls charged.
-        charges: Ids of the service calls charged.
-        wall_ms: When the snapshot was made, since the Unix epoch.
+        tokens: Tokens charged and reserved.
+        calls: Calls charged and reserved.
+        reserved_tokens: The reserved part of the tokens.
+        reserved_calls: The reserved part of the calls.
     """
 
-    as_of: ids.Offset
     opened: ProgramOpened
     turns: tuple[TurnDone, ...]
-    open_attempts: tuple[TurnBegun, ...]
+    attempts: tuple[TurnBegun, ...]
+    seen: tuple[ids.AttemptId, ...]
+    charges: tuple[str, ...]
     closed: CloseReason | None
     closed_wall_ms: int
-    used_tokens: int
-    used_calls: int
-    charges: tuple[str, ...]
+    tokens: int
+    calls: int
+    reserved_tokens: int
+    reserved_calls: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TreeSnapshot:
+    """A whole tree of programs, appended before its records age out.
+
+    Attributes:
+        as_of: The offset it has to land on; it is void elsewhere.
+        programs: The programs, each after its parent.
+        wall_ms: When the snapshot was made, since the Unix epoch.
+    """
+
+    as_of: ids.Offset
+    programs: tuple[ProgramState, ...]
     wall_ms: int
 
 
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -17,6 +17,9 @@
         url: Base URL of the log service.
         appends_per_s: Appends a second that the whole fleet may use.
         partitions: Number of history streams; fixed for a fleet's life.
+        retention_ms: How long the log keeps a record at least.
+        call_lifetime_ms: How long an idempotency key names one call.
+        program_keep_ms: How long answers of a program that ended are kept.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -24,6 +27,9 @@
     url: str
     appends_per_s: float = pydantic.Field(default=300.0, gt=0)
     partitions: int = pydantic.Field(default=32, ge=1, le=4096)
+    retention_ms: int = pydantic.Field(default=86_400_000, ge=1000)
+    call_lifetime_ms: int = pydantic.Field(default=86_400_000, ge=1000)
+    program_keep_ms: int = pydantic.Field(default=600_000, ge=0)
 
 
 class TargetSettings(pydantic.BaseModel):
--- a/mangotally/util/codec.py
+++ b/mangotally/util/codec.py
@@ -46,11 +46,12 @@
 
     def encode_batch(self, messages: list[Any]) -> bytes:
         """Returns one JSON document that holds several messages."""
-        parts = []
-        for message in messages:
-            name, body = self.encode(message)
-            parts.append(f"[{json.dumps(name)},{body.decode()}]")
-        return f"[{','.join(parts)}]".encode()
+        return join_items([self.encode_item(message) for message in messages])
+
+    def encode_item(self, message: Any) -> bytes:
+        """Returns one message as an item of a batch."""
+        name, body = self.encode(message)
+        return b"[%s,%s]" % (json.dumps(name).encode(), body)
 
     def decode_batch(self, data: bytes) -> list[result.Result[Any, str]]:
         """Returns the messages of a batch, each checked by itself."""
@@ -70,6 +71,11 @@
                 return result.Failure("a record is not [type, body]")
 
 
+def join_items(items: list[bytes]) -> bytes:
+    """Returns the batch that holds some encoded items."""
+    return b"[%s]" % b",".join(items)
+
+
 def _first_line(error: ValueError) -> str:
     if isinstance(error, pydantic.ValidationError):
         first = error.errors(include_url=False, include_input=False)[0]
--- /dev/null
+++ b/tests/history_fakes.py
@@ -0,0 +1,231 @@
+"""Fakes for tests of histories: virtual time, a log in memory, targets."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from typing import TYPE_CHECKING, Any
+
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.hosts import messages
+from mangotally.log import base
+from mangotally.policy import homes, lease
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+STEP_MS = 1.0
+
+
+class _Selector(selectors.SelectSelector):
+    """Instead of waiting for a time-out, moves the loop's time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise AssertionError("nothing is left to wait for")
+        self.now_s += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time moves only when everything waits."""
+
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Returns virtual time."""
+        return self._virtual.now_s
+
+
+class LoopClock:
+    """The virtual loop's time as a clock."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now_ms(self) -> float:
+        """Returns virtual time in milliseconds."""
+        return self._loop.time() * clock_lib.MS_PER_S
+
+    def wall_ms(self) -> int:
+        """Returns virtual time in whole milliseconds."""
+        return int(self.now_ms())
+
+
+class FakeLog:
+    """A log in memory that fails on demand."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = {}
+        self.oldest: dict[str, int] = {}
+        self.down = False
+        self.lost_answers = 0
+        self.delay_ms = STEP_MS
+        self.appends = 0
+
+    async def append(
+        self, stream: str, data: bytes
+    ) -> errors.Outcome[ids.Offset]:
+        """Appends one record; see `base.Log.append`."""
+        await asyncio.sleep(self.delay_ms / clock_lib.MS_PER_S)
+        if self.down:
+            return _down()
+        entries = self.streams.setdefault(stream, [])
+        entries.append(data)
+        self.appends += 1
+        await asyncio.sleep(self.delay_ms / clock_lib.MS_PER_S)
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return _down()
+        oldest = self.oldest.get(stream, 0)
+        return result.Success(ids.Offset(oldest + len(entries) - 1))
+
+    async def read(
+        self, stream: str, offset: ids.Offset, wait_ms: int = 0
+    ) -> errors.Outcome[base.Slice]:
+        """Reads two entries at a time; see `base.Log.read`."""
+        await asyncio.sleep(self.delay_ms / clock_lib.MS_PER_S)
+        if self.down:
+            return _down()
+        entries = self.streams.setdefault(stream, [])
+        oldest = self.oldest.get(stream, 0)
+        start = max(offset, oldest)
+        part = entries[start - oldest : start - oldest + 2]
+        return result.Success(
+            base.Slice(
+                tuple(
+                    base.Entry(ids.Offset(start + number), data)
+                    for number, data in enumerate(part)
+                ),
+                ids.Offset(oldest),
+                ids.Offset(oldest + len(entries)),
+            )
+        )
+
+    def age_out(self, stream: str, count: int) -> None:
+        """Drops the oldest entries of a stream."""
+        entries = self.streams.setdefault(stream, [])
+        count = min(count, len(entries))
+        del entries[:count]
+        self.oldest[stream] = self.oldest.get(stream, 0) + count
+
+
+class FakeMembers:
+    """The view of one host, set by the test."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        hosts: list[ids.HostId],
+        clock: clock_lib.Clock,
+    ) -> None:
+        self.host = host
+        self.hosts = hosts
+        self.lease = lease.Lease(5000)
+        self.lease.renew(1e12)
+        self._clock = clock
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Adds a listener."""
+        self._listeners.append(listener)
+
+    def set_hosts(self, hosts: list[ids.HostId]) -> None:
+        """Changes the view."""
+        self.hosts = hosts
+        for listener in self._listeners:
+            listener()
+
+    def home_of(self, key: str) -> ids.HostId | None:
+        """Returns the home of a key."""
+        return homes.home(key, self.hosts)
+
+    def is_home(self, key: str) -> bool:
+        """Returns whether this host is home."""
+        return self.home_of(key) == self.host
+
+    def may_act(self) -> bool:
+        """Returns whether the lease is valid."""
+        return self.lease.is_valid(self._clock.now_ms())
+
+
+class FakeTurns:
+    """Model engines: counts what they run and for whom."""
+
+    def __init__(self) -> None:
+        self.runs: list[tuple[ids.ProgramId, int, int]] = []
+        self.spent_tokens = 0
+        self.ended: list[ids.ProgramId] = []
+        self.delay_ms = 5.0
+        self.failure: errors.Failure | None = None
+        self.slot_failure: errors.Failure | None = None
+
+    async def generate(
+        self,
+        message: messages.RunTurn,
+        program: ids.ProgramId,
+        prompt: list[Any],
+        _attained_tokens: int,
+        permit: Callable[[], Awaitable[errors.Outcome[Any]]] | None = None,
+    ) -> AsyncIterator[errors.Outcome[Any]]:
+        """Answers with the number of messages seen."""
+        await asyncio.sleep(self.delay_ms / clock_lib.MS_PER_S)
+        if self.slot_failure is not None:
+            yield result.Failure(self.slot_failure)
+            return
+        allowed = await permit() if permit is not None else None
+        if isinstance(allowed, result.Failure):
+            yield allowed
+            return
+        length = sum(len(item.content.encode()) for item in prompt)
+        self.runs.append((program, message.turn, length))
+        generated = min(8, message.max_tokens)
+        self.spent_tokens += length + generated
+        yield result.Success(messages.TurnText(f"{len(prompt)}"))
+        await asyncio.sleep(self.delay_ms / clock_lib.MS_PER_S)
+        if self.failure is not None:
+            yield result.Failure(self.failure)
+            return
+        yield result.Success(
+            messages.TurnEnd(
+                length, 0, generated, ids.TargetId("t1"), replayed=False
+            )
+        )
+
+    async def end_program(
+        self, _service: ids.ServiceId, program: ids.ProgramId
+    ) -> None:
+        """Notes that a program is gone."""
+        self.ended.append(program)
+
+
+def run(work: Callable[[], Awaitable[Any]]) -> Any:
+    """Runs a coroutine function to its end on a virtual loop."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(_call(work))
+    finally:
+        loop.close()
+
+
+async def _call(work: Callable[[], Awaitable[Any]]) -> Any:
+    try:
+        return await work()
+    finally:
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+
+
+def _down() -> errors.Outcome[Any]:
+    return errors.failed(errors.Reason.LOG_UNAVAILABLE, "down")
--- a/tests/test_homes/test_turns.py
+++ b/tests/test_homes/test_turns.py
@@ -167,11 +167,27 @@
             return errors.failed(errors.Reason.OVER_BUDGET, "none left")
 
         self._make(fakes.FakeEngine(t1=[["ok", True]]))
-        _, failure = await self._run(refuse())
+        _, failure = await self._run(refuse)
         assert failure is not None
         self.assertIs(failure.reason, errors.Reason.OVER_BUDGET)
         self.assertEqual(self.engine.asked, [])
 
+    async def test_permit_per_attempt_that_may_have_run(self) -> None:
+        """A target that saw nothing costs no second permit."""
+        for kind, permits in ((K.UNREACHABLE, 1), (K.ERROR, 2)):
+            with self.subTest(kind):
+                given: list[int] = []
+
+                async def permit(
+                    given: list[int] = given,
+                ) -> errors.Outcome[None]:
+                    given.append(1)
+                    return result.Success(None)
+
+                self._make(fakes.FakeEngine(t1=[[kind]], t2=[["ok", True]]))
+                self.assertEqual(await self._run(permit), ("ok.", None))
+                self.assertEqual(len(given), permits)
+
     async def test_abandoned_wait_is_reported(self) -> None:
         """A caller that goes away while it waits gives the call back."""
         self._make(fakes.FakeEngine())
