Make configuration versions durable, raced safely and truncation-proof

Cause: operators published against whatever version was in force, bad bodies crashed key routes, a truncated stream started hosts with nothing, and a withdrawn key cut open streams without a reason.

Plan lookup is a dict lookup.

Tests: a stateful machine of three hosts against the plainest rules; racing operators; lost answers; truncation; streams on three hosts ended through another host.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -21,13 +21,15 @@
     pools,
     programs,
     slots,
+    snapshots,
     turns,
 )
 from mangotally.hosts import link, peers, router
 from mangotally.log import follower
 from mangotally.log import http as http_log
+from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
-from mangotally.policy import faults, records
+from mangotally.policy import faults
 from mangotally.policy import pools as pool_policy
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
@@ -69,7 +71,6 @@
     def dump(self) -> dict[str, Any]:
         """Returns the state of this process."""
         now_ms = self.clock.now_ms()
-        read_ms = self.configuration_reader.read_ms
         return {
             "host": self.settings.host_id,
             "place": self.settings.place,
@@ -82,11 +83,7 @@
                 for member in self.members.view.members.values()
             },
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
-            "configuration": {
-                "version": self.live.current.version,
-                "age_ms": None if read_ms is None else int(now_ms - read_ms),
-                "keys": len(self.live.current.working_keys()),
-            },
+            "configuration": self.live.dump(),
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
@@ -96,13 +93,7 @@
         session = await stack.enter_async_context(_client_session())
         log = http_log.HttpLog(session, self.settings.log.url)
         handlers = router.Router()
-        self.live = configuration.LiveConfiguration()
-        self.configuration_reader = await stack.enter_async_context(
-            follower.Follower(
-                log, records.CONFIGURATION_STREAM, self.live, self.clock
-            )
-        )
-        await self.configuration_reader.wait_caught_up()
+        await self._start_configuration(stack, log)
         await stack.enter_async_context(
             link.Server(handlers, self.settings.rpc_address)
         )
@@ -126,6 +117,38 @@
         await stack.enter_async_context(self._operator_server(log))
         await stack.enter_async_context(self._caller_server())
 
+    async def _start_configuration(
+        self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
+    ) -> None:
+        settings = self.settings
+        stream = settings.log.configuration_stream
+        self.live = configuration.LiveConfiguration()
+        self.configuration_reader = follower.Follower(
+            log, stream, self.live, self.clock, self.live.lose
+        )
+        self.live.watch_age(
+            self._configuration_age_ms,
+            settings.configuration_max_age_ms,
+            configuration.OnStale(settings.on_stale),
+        )
+        await stack.enter_async_context(self.configuration_reader)
+        await self.configuration_reader.wait_caught_up()
+        await stack.enter_async_context(
+            snapshots.SnapshotWriter(
+                log,
+                stream,
+                self.live,
+                self.configuration_reader,
+                self.clock,
+                settings.configuration_snapshot_ms,
+                settings.host_id,
+            )
+        )
+
+    def _configuration_age_ms(self) -> float | None:
+        read_ms = self.configuration_reader.read_ms
+        return None if read_ms is None else self.clock.now_ms() - read_ms
+
     def _make_homes(
         self,
         session: aiohttp.ClientSession,
@@ -218,8 +241,12 @@
                 operator_server.OperatorRoutes(
                     settings.operator_key_digests,
                     self.live,
-                    log,
-                    self.configuration_reader,
+                    publisher.Publisher(
+                        log,
+                        settings.log.configuration_stream,
+                        self.live,
+                        self.configuration_reader,
+                    ),
                     self.dump,
                 )
             ],
--- a/mangotally/callers/access.py
+++ b/mangotally/callers/access.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from returns import result
 
@@ -12,11 +13,14 @@
 from mangotally.settings import lists
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine
+
     from aiohttp import web
 
     from mangotally.homes import configuration as live_configuration
 
-_SCHEME = "Bearer "
+_SCHEME = "bearer"
+R = TypeVar("R")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,12 +42,17 @@
     request: web.Request, live: live_configuration.LiveConfiguration
 ) -> errors.Outcome[Caller]:
     """Returns who calls, from the request's key."""
-    header = request.headers.get("Authorization", "")
-    if not header.startswith(_SCHEME):
+    unknown = live.refusal()
+    if unknown is not None:
+        return result.Failure(unknown)
+    headers = request.headers.getall("Authorization", [])
+    scheme, _, presented = (headers or [""])[0].partition(" ")
+    if len(headers) != 1 or scheme.lower() != _SCHEME or not presented:
         return errors.failed(
-            errors.Reason.UNAUTHORISED, "The request carries no key."
+            errors.Reason.UNAUTHORISED,
+            "The request must carry one key, as `Authorization: Bearer KEY`.",
         )
-    digest = configuration.digest_key(header[len(_SCHEME) :])
+    digest = configuration.digest_key(presented.strip())
     key = live.current.authenticate(digest)
     if key is None:
         return errors.failed(
@@ -76,3 +85,37 @@
             errors.Reason.FORBIDDEN, "The plan does not include the service."
         )
     return result.Success(found)
+
+
+async def run_guarded(
+    live: live_configuration.LiveConfiguration,
+    key_id: ids.KeyId,
+    work: Coroutine[Any, Any, R],
+    on_withdrawn: Callable[[errors.Failure], Awaitable[R]],
+) -> R:
+    """Runs a call; ends it when its caller's key is withdrawn.
+
+    Args:
+        live: The configuration in force.
+        key_id: The caller's key.
+        work: The call.
+        on_withdrawn: Tells the caller, and returns in place of the call.
+
+    Returns:
+        What the call or `on_withdrawn` returned.
+    """
+    with live.guard(key_id) as guard:
+        try:
+            return await work
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            assert task is not None
+            if not guard.withdrawn or task.uncancel() > 0:
+                raise
+    return await on_withdrawn(
+        errors.Failure(
+            errors.Reason.UNAUTHORISED,
+            "The key was withdrawn.",
+            errors.Ran.MAY_HAVE_RUN,
+        )
+    )
--- /dev/null
+++ b/mangotally/callers/answers.py
@@ -0,0 +1,167 @@
+"""Answers to chat completions, whole or as a stream of events."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING, Any, Protocol
+
+from aiohttp import web
+from returns import result
+
+from mangotally import errors
+from mangotally.callers import problems
+from mangotally.hosts import messages
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_DONE = b"data: [DONE]\n\n"
+
+
+class Answer(Protocol):
+    """Writes the answer to one chat completion."""
+
+    async def write(
+        self, events: AsyncIterator[errors.Outcome[Any]]
+    ) -> web.StreamResponse:
+        """Writes a turn's events; returns the finished response."""
+
+    async def fail(self, failure: errors.Failure) -> web.StreamResponse:
+        """Ends the answer with a failure, wherever it stands."""
+
+
+def answer_of(
+    request: web.Request, message: messages.RunTurn, streamed: bool
+) -> Answer:
+    """Returns the writer of an answer in the form that the caller wants."""
+    if streamed:
+        return StreamAnswer(request, message)
+    return WholeAnswer(message)
+
+
+class WholeAnswer:
+    """An answer as one JSON document."""
+
+    def __init__(self, message: messages.RunTurn) -> None:
+        """Makes an answer to a turn."""
+        self._message = message
+
+    async def write(
+        self, events: AsyncIterator[errors.Outcome[Any]]
+    ) -> web.StreamResponse:
+        """Collects a turn's events; returns the response."""
+        text: list[str] = []
+        async for event in events:
+            match event:
+                case result.Success(messages.TurnText(piece)):
+                    text.append(piece)
+                case result.Success(messages.TurnEnd() as end):
+                    return web.json_response(self._body("".join(text), end))
+                case _:
+                    return problems.response_of(event.failure())
+        return problems.response_of(_broken_off())
+
+    async def fail(self, failure: errors.Failure) -> web.StreamResponse:
+        """Returns the response for a failure."""
+        return problems.response_of(failure)
+
+    def _body(self, text: str, end: messages.TurnEnd) -> dict[str, Any]:
+        return {
+            "id": _answer_id(self._message),
+            "object": "chat.completion",
+            "model": self._message.service,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": _usage(end),
+        }
+
+
+class StreamAnswer:
+    """An answer as server-sent events."""
+
+    def __init__(self, request: web.Request, message: messages.RunTurn) -> None:
+        """Makes an answer to a turn; the headers wait for its first event."""
+        self._request = request
+        self._message = message
+        self._response: web.StreamResponse | None = None
+
+    async def write(
+        self, events: AsyncIterator[errors.Outcome[Any]]
+    ) -> web.StreamResponse:
+        """Writes a turn's events; returns the finished response."""
+        async for event in events:
+            if not isinstance(event, result.Success):
+                return await self.fail(event.failure())
+            await self._write_event(event.unwrap())
+        if self._response is None:
+            return problems.response_of(_broken_off())
+        await self._response.write_eof()
+        return self._response
+
+    async def fail(self, failure: errors.Failure) -> web.StreamResponse:
+        """Ends the stream with an event that holds the problem."""
+        if self._response is None:
+            return problems.response_of(failure)
+        await self._send({"error": problems.body_of(failure)})
+        await self._response.write_eof()
+        return self._response
+
+    async def _write_event(self, event: object) -> None:
+        chunk: dict[str, Any] = {
+            "id": _answer_id(self._message),
+            "object": "chat.completion.chunk",
+            "model": self._message.service,
+        }
+        match event:
+            case messages.TurnText(piece):
+                chunk["choices"] = [_choice({"content": piece}, None)]
+                await self._send(chunk)
+            case messages.TurnEnd() as end:
+                chunk["choices"] = [_choice({}, "stop")]
+                chunk["usage"] = _usage(end)
+                await self._send(chunk, _DONE)
+
+    async def _send(self, body: dict[str, Any], more: bytes = b"") -> None:
+        if self._response is None:
+            self._response = web.StreamResponse(
+                headers={
+                    "Content-Type": "text/event-stream",
+                    "Cache-Control": "no-store",
+                }
+            )
+            await self._response.prepare(self._request)
+        data = f"data: {json.dumps(body)}\n\n".encode()
+        await self._response.write(data + more)
+
+
+def _choice(delta: dict[str, Any], reason: str | None) -> dict[str, Any]:
+    return {"index": 0, "delta": delta, "finish_reason": reason}
+
+
+def _usage(end: messages.TurnEnd) -> dict[str, Any]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.generated_tokens,
+        "total_tokens": end.prompt_tokens + end.generated_tokens,
+        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
+    }
+
+
+def _answer_id(message: messages.RunTurn) -> str:
+    return f"chat-{message.program or 'single'}-{message.turn}"
+
+
+def _broken_off() -> errors.Failure:
+    return errors.Failure(
+        errors.Reason.TARGET_FAILED,
+        "The answer broke off.",
+        errors.Ran.MAY_HAVE_RUN,
+        retry_after_ms=math.ceil(clock_lib.MS_PER_S),
+    )
--- a/mangotally/callers/chat.py
+++ b/mangotally/callers/chat.py
@@ -2,30 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
-import json
-import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from aiohttp import web
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.callers import access, bodies, problems
+from mangotally.callers import access, answers, bodies, problems
 from mangotally.homes import organisations
 from mangotally.hosts import messages
 from mangotally.policy import records
 from mangotally.settings import lists
-from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from aiohttp import web
 
     from mangotally.homes import configuration as live_configuration
     from mangotally.homes import membership
     from mangotally.homes import programs as program_home
     from mangotally.hosts import peers as peers_lib
+    from mangotally.util import clock as clock_lib
 
 PATH = "/v1/chat/completions"
 PROGRAM_HEADER = "Mangotally-Program"
@@ -60,9 +56,17 @@
         if isinstance(prepared, result.Failure):
             return problems.response_of(prepared.failure())
         message, streamed = prepared.unwrap()
-        task = asyncio.current_task()
-        assert task is not None
-        self._live.guard(message.key_id, task)
+        answer = answers.answer_of(request, message, streamed)
+        return await access.run_guarded(
+            self._live,
+            message.key_id,
+            self._run(message, answer),
+            answer.fail,
+        )
+
+    async def _run(
+        self, message: messages.RunTurn, answer: answers.Answer
+    ) -> web.StreamResponse:
         admitted = await organisations.take_tokens(
             self._peers,
             self._members,
@@ -76,9 +80,7 @@
             home = found or home
         events = self._peers.stream(home, message)
         async with contextlib.aclosing(events):  # type: ignore[type-var]
-            if streamed:
-                return await _answer_stream(request, message, events)
-            return await _answer_whole(message, events)
+            return await answer.write(events)
 
     async def _prepare(
         self, request: web.Request
@@ -139,118 +141,3 @@
             errors.Reason.BAD_REQUEST, f"{TURN_HEADER} is out of range."
         )
     return result.Success((ids.ProgramId(program), number))
-
-
-async def _answer_whole(
-    message: messages.RunTurn, events: AsyncIterator[errors.Outcome[Any]]
-) -> web.Response:
-    text: list[str] = []
-    async for event in events:
-        match event:
-            case result.Success(messages.TurnText(piece)):
-                text.append(piece)
-            case result.Success(messages.TurnEnd() as end):
-                return web.json_response(
-                    {
-                        "id": _answer_id(message),
-                        "object": "chat.completion",
-                        "model": message.service,
-                        "choices": [
-                            {
-                                "index": 0,
-                                "message": {
-                                    "role": "assistant",
-                                    "content": "".join(text),
-                                },
-                                "finish_reason": "stop",
-                            }
-                        ],
-                        "usage": _usage(end),
-                    }
-                )
-            case _:
-                return problems.response_of(event.failure())
-    return problems.response_of(_broken_off())
-
-
-async def _answer_stream(
-    request: web.Request,
-    message: messages.RunTurn,
-    events: AsyncIterator[errors.Outcome[Any]],
-) -> web.StreamResponse:
-    response: web.StreamResponse | None = None
-    async for event in events:
-        failure = None if isinstance(event, result.Success) else event.failure()
-        if response is None:
-            if failure is not None:
-                return problems.response_of(failure)
-            response = web.StreamResponse(
-                headers={
-                    "Content-Type": "text/event-stream",
-                    "Cache-Control": "no-store",
-                }
-            )
-            await response.prepare(request)
-        if failure is not None:
-            await _write_event(response, {"error": problems.body_of(failure)})
-            break
-        await _write_success(response, message, event.unwrap())
-    if response is None:
-        return problems.response_of(_broken_off())
-    await response.write_eof()
-    return response
-
-
-async def _write_success(
-    response: web.StreamResponse, message: messages.RunTurn, event: object
-) -> None:
-    chunk: dict[str, Any] = {
-        "id": _answer_id(message),
-        "object": "chat.completion.chunk",
-        "model": message.service,
-    }
-    match event:
-        case messages.TurnText(piece):
-            chunk["choices"] = [
-                {
-                    "index": 0,
-                    "delta": {"content": piece},
-                    "finish_reason": None,
-                }
-            ]
-            await _write_event(response, chunk)
-        case messages.TurnEnd() as end:
-            chunk["choices"] = [
-                {"index": 0, "delta": {}, "finish_reason": "stop"}
-            ]
-            chunk["usage"] = _usage(end)
-            await _write_event(response, chunk)
-            await response.write(b"data: [DONE]\n\n")
-
-
-async def _write_event(
-    response: web.StreamResponse, body: dict[str, Any]
-) -> None:
-    await response.write(f"data: {json.dumps(body)}\n\n".encode())
-
-
-def _usage(end: messages.TurnEnd) -> dict[str, Any]:
-    return {
-        "prompt_tokens": end.prompt_tokens,
-        "completion_tokens": end.generated_tokens,
-        "total_tokens": end.prompt_tokens + end.generated_tokens,
-        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
-    }
-
-
-def _answer_id(message: messages.RunTurn) -> str:
-    return f"chat-{message.program or 'single'}-{message.turn}"
-
-
-def _broken_off() -> errors.Failure:
-    return errors.Failure(
-        errors.Reason.TARGET_FAILED,
-        "The answer broke off.",
-        errors.Ran.MAY_HAVE_RUN,
-        retry_after_ms=math.ceil(clock_lib.MS_PER_S),
-    )
--- a/mangotally/callers/problems.py
+++ b/mangotally/callers/problems.py
@@ -39,3 +39,8 @@
         content_type=CONTENT_TYPE,
         headers=headers,
     )
+
+
+async def send(failure: errors.Failure) -> web.StreamResponse:
+    """Returns the HTTP answer for a failure, for those who await it."""
+    return response_of(failure)
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -47,26 +47,40 @@
         """Adds the routes to an application."""
         app.router.add_route("*", PATH, self._call)
 
-    async def _call(self, request: web.Request) -> web.Response:
+    async def _call(self, request: web.Request) -> web.StreamResponse:
         service = request.match_info["service"]
-        organisation = ids.OrganisationId("")
-        if service not in self._open_services:
-            caller = access.identify(request, self._live)
-            if isinstance(caller, result.Failure):
-                return problems.response_of(caller.failure())
-            allowed = access.check_service(
-                caller.unwrap(), service, lists.ServiceKind.PLAIN, self._live
-            )
-            if isinstance(allowed, result.Failure):
-                return problems.response_of(allowed.failure())
-            organisation = caller.unwrap().organisation
-            admitted = await organisations.take_tokens(
-                self._peers,
-                self._members,
-                messages.TakeTokens(organisation, 1),
-            )
-            if isinstance(admitted, result.Failure):
-                return problems.response_of(admitted.failure())
+        if service in self._open_services:
+            return await self._answer(request, ids.OrganisationId(""))
+        caller = access.identify(request, self._live)
+        if isinstance(caller, result.Failure):
+            return problems.response_of(caller.failure())
+        allowed = access.check_service(
+            caller.unwrap(), service, lists.ServiceKind.PLAIN, self._live
+        )
+        if isinstance(allowed, result.Failure):
+            return problems.response_of(allowed.failure())
+        return await access.run_guarded(
+            self._live,
+            caller.unwrap().key_id,
+            self._admit(request, caller.unwrap().organisation),
+            problems.send,
+        )
+
+    async def _admit(
+        self, request: web.Request, organisation: ids.OrganisationId
+    ) -> web.StreamResponse:
+        admitted = await organisations.take_tokens(
+            self._peers,
+            self._members,
+            messages.TakeTokens(organisation, 1),
+        )
+        if isinstance(admitted, result.Failure):
+            return problems.response_of(admitted.failure())
+        return await self._answer(request, organisation)
+
+    async def _answer(
+        self, request: web.Request, organisation: ids.OrganisationId
+    ) -> web.StreamResponse:
         answer = await self._run(request, organisation)
         if isinstance(answer, result.Failure):
             return problems.response_of(answer.failure())
--- a/mangotally/homes/configuration.py
+++ b/mangotally/homes/configuration.py
@@ -2,19 +2,43 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import enum
 import logging
 from typing import TYPE_CHECKING, Any
 
+from mangotally import errors, ids
 from mangotally.policy import configuration, records
 
 if TYPE_CHECKING:
-    import asyncio
-    from collections.abc import Callable
-
-    from mangotally import ids
+    from collections.abc import Callable, Iterator
 
 logger = logging.getLogger(__name__)
 
+RETRY_AFTER_MS = 2000
+
+
+class OnStale(enum.Enum):
+    """What a host does when its configuration is older than a bound."""
+
+    REFUSE = "refuse"
+    CONTINUE = "continue"
+
+
+class Guard:
+    """Ends a task when the key of its caller is withdrawn."""
+
+    def __init__(self, task: asyncio.Task[Any]) -> None:
+        """Makes a guard of a task."""
+        self._task = task
+        self.withdrawn = False
+
+    def withdraw(self) -> None:
+        """Cancels the task, whose caller is to be told why."""
+        self.withdrawn = True
+        self._task.cancel()
+
 
 class LiveConfiguration:
     """Configuration and keys as of the records read so far."""
@@ -22,35 +46,124 @@
     def __init__(self) -> None:
         self.current = configuration.Configuration()
         self._listeners: list[Callable[[], None]] = []
-        self._streams: dict[ids.KeyId, set[asyncio.Task[Any]]] = {}
+        self._guards: dict[ids.KeyId, set[Guard]] = {}
+        self._read_age_ms: Callable[[], float | None] = _no_age
+        self._max_age_ms: float | None = None
+        self._on_stale = OnStale.REFUSE
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Adds a function that is called when something took effect."""
         self._listeners.append(listener)
 
+    def watch_age(
+        self,
+        read_age_ms: Callable[[], float | None],
+        max_age_ms: float,
+        on_stale: OnStale,
+    ) -> None:
+        """Sets how old the configuration may become.
+
+        Args:
+            read_age_ms: Returns the time since the stream was last read up
+                to its end, or None before the first time.
+            max_age_ms: The bound.
+            on_stale: What to do past the bound.
+        """
+        self._read_age_ms = read_age_ms
+        self._max_age_ms = max_age_ms
+        self._on_stale = on_stale
+
+    def refusal(self) -> errors.Failure | None:
+        """Returns why keys cannot be trusted now, or None if they can."""
+        if not self.current.is_complete:
+            return errors.Failure(
+                errors.Reason.UNAVAILABLE,
+                "This host does not know the configuration in force.",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        if self._on_stale is OnStale.CONTINUE or not self.is_stale():
+            return None
+        return errors.Failure(
+            errors.Reason.UNAVAILABLE,
+            "This host's configuration is too old to trust keys.",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def is_stale(self) -> bool:
+        """Returns whether the configuration is older than its bound."""
+        if self._max_age_ms is None:
+            return False
+        age_ms = self._read_age_ms()
+        return age_ms is None or age_ms > self._max_age_ms
+
+    def dump(self) -> dict[str, object]:
+        """Returns version and freshness, for the state dump."""
+        age_ms = self._read_age_ms()
+        return {
+            "version": self.current.version,
+            "age_ms": None if age_ms is None else int(age_ms),
+            "complete": self.current.is_complete,
+            "stale": self.is_stale(),
+            "on_stale": self._on_stale.value,
+            "keys": len(self.current.working_keys()),
+            "snapshot_wall_ms": self.current.snapshot_wall_ms,
+        }
+
     def consume(self, record: Any, offset: ids.Offset) -> None:
         """Takes a record of the configuration stream."""
-        if not self.current.apply(record):
-            logger.info(
-                "configuration_record_void",
-                extra={"offset": offset, "kind": type(record).__name__},
-            )
+        known = self.current.is_complete
+        fields = {"offset": offset, "kind": type(record).__name__}
+        if not self.current.apply(record, offset):
+            if not isinstance(record, records.ConfigurationSnapshot):
+                logger.info("configuration_record_void", extra=fields)
             return
-        logger.info(
-            "configuration_changed",
-            extra={"offset": offset, "kind": type(record).__name__},
-        )
+        fields["version"] = self.current.version
+        logger.info("configuration_changed", extra=fields)
         if isinstance(record, records.KeyWithdrawn):
-            self._end_streams(record.key_id)
+            self._end_calls(record.key_id)
+        if not known:
+            self._end_untrusted_calls()
         for listener in self._listeners:
             listener()
 
-    def guard(self, key_id: ids.KeyId, task: asyncio.Task[Any]) -> None:
-        """Cancels a task when its caller's key is withdrawn."""
-        tasks = self._streams.setdefault(key_id, set())
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+    def lose(self, offset: ids.Offset, oldest_offset: ids.Offset) -> None:
+        """Notes that records were gone before this host read them."""
+        logger.warning(
+            "configuration_records_lost",
+            extra={"offset": offset, "oldest_offset": oldest_offset},
+        )
+        self.current.lose()
+
+    @contextlib.contextmanager
+    def guard(self, key_id: ids.KeyId) -> Iterator[Guard]:
+        """Cancels the current task when a key is withdrawn meanwhile."""
+        task = asyncio.current_task()
+        assert task is not None
+        guard = Guard(task)
+        guards = self._guards.setdefault(key_id, set())
+        guards.add(guard)
+        try:
+            if not self.current.is_valid(key_id):
+                guard.withdraw()
+            yield guard
+        finally:
+            guards.discard(guard)
+            if not guards:
+                self._guards.pop(key_id, None)
+
+    def _end_calls(self, key_id: ids.KeyId) -> None:
+        guards = self._guards.pop(key_id, set())
+        for guard in guards:
+            guard.withdraw()
+        logger.info(
+            "key_withdrawn", extra={"key_id": key_id, "calls": len(guards)}
+        )
+
+    def _end_untrusted_calls(self) -> None:
+        for key_id in list(self._guards):
+            if not self.current.is_valid(key_id):
+                self._end_calls(key_id)
+
 
-    def _end_streams(self, key_id: ids.KeyId) -> None:
-        for task in self._streams.pop(key_id, set()):
-            task.cancel()
+def _no_age() -> float | None:
+    return None
--- a/mangotally/log/follower.py
+++ b/mangotally/log/follower.py
@@ -14,6 +14,8 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mangotally.log import base
 
 logger = logging.getLogger(__name__)
@@ -38,8 +40,19 @@
         stream: str,
         consumer: Consumer,
         clock: clock_lib.Clock,
+        on_loss: Callable[[ids.Offset, ids.Offset], None] | None = None,
     ) -> None:
-        """Makes a follower; reading begins on entering it."""
+        """Makes a follower; reading begins on entering it.
+
+        Args:
+            log: The log.
+            stream: Name of the stream.
+            consumer: Takes the records.
+            clock: The clock.
+            on_loss: Called with the offset wanted and the oldest kept if
+                records aged out before they were read.
+        """
+        self._on_loss = on_loss
         self._log = log
         self._stream = stream
         self._consumer = consumer
@@ -94,6 +107,8 @@
                     await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
     async def _take(self, part: base.Slice) -> None:
+        if part.oldest_offset > self._next_offset and self._on_loss:
+            self._on_loss(self._next_offset, part.oldest_offset)
         for entry in part.entries:
             if entry.offset < self._next_offset:
                 continue
--- /dev/null
+++ b/mangotally/operators/publisher.py
@@ -0,0 +1,200 @@
+"""Appends operators' changes to the configuration stream."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.policy import configuration, records
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.homes import configuration as live_configuration
+    from mangotally.log import base, follower
+    from mangotally.settings import lists
+
+logger = logging.getLogger(__name__)
+
+ATTEMPTS = 3
+RETRY_MS = 200
+READ_BACK_MS = 5000
+MAX_DELTA_SHARE = 0.25
+_KEY_BYTES = 24
+_KEY_ID_BYTES = 6
+
+
+class Publisher:
+    """Publishes versions, gives keys and withdraws them.
+
+    An append whose answer was lost is appended again with the same id, and
+    what counts is read back from the stream.
+    """
+
+    def __init__(
+        self,
+        log: base.Log,
+        stream: str,
+        live: live_configuration.LiveConfiguration,
+        reader: follower.Follower,
+    ) -> None:
+        """Makes a publisher."""
+        self._log = log
+        self._stream = stream
+        self._live = live
+        self._reader = reader
+
+    async def publish(
+        self, content: lists.Lists, predecessor: int
+    ) -> errors.Outcome[int]:
+        """Publishes a version that replaces the one an operator has read.
+
+        Args:
+            content: The lists.
+            predecessor: Number of the version that the operator has read.
+
+        Returns:
+            The number of the new version.
+        """
+        unknown = self._unknown()
+        if unknown is not None:
+            return result.Failure(unknown)
+        current = self._live.current
+        if current.version != predecessor:
+            return _conflict(current.version)
+        version = predecessor + 1
+        attempt = ids.new_attempt_id()
+        record = _version_record(current.lists, content, version, attempt)
+        appended = await self._append(record)
+        made_by = self._live.current.publication_of(version)
+        if made_by == attempt:
+            return result.Success(version)
+        if made_by is not None or self._live.current.version >= version:
+            return _conflict(self._live.current.version)
+        return _unsettled(appended)
+
+    async def give_key(
+        self, organisation: ids.OrganisationId
+    ) -> errors.Outcome[tuple[ids.KeyId, str]]:
+        """Gives a new key; returns its id and the key itself."""
+        unknown = self._unknown()
+        if unknown is not None:
+            return result.Failure(unknown)
+        current = self._live.current.lists
+        if current is None or current.organisation_plan(organisation) is None:
+            return errors.failed(
+                errors.Reason.NOT_FOUND, "There is no such organisation."
+            )
+        key = f"mt-{secrets.token_urlsafe(_KEY_BYTES)}"
+        key_id = ids.KeyId(f"k{secrets.token_hex(_KEY_ID_BYTES)}")
+        record = records.KeyGiven(
+            key_id,
+            organisation,
+            configuration.digest_key(key),
+            self._reader.next_offset,
+        )
+        appended = await self._append(record)
+        if self._live.current.is_valid(key_id):
+            return result.Success((key_id, key))
+        return _unsettled(appended, f" The key's id is {key_id}.")
+
+    async def withdraw_key(
+        self, key_id: ids.KeyId
+    ) -> errors.Outcome[ids.KeyId]:
+        """Withdraws a key; one that is withdrawn already stays so."""
+        if not self._live.current.is_valid(key_id):
+            unknown = self._unknown()
+            if unknown is not None:
+                return result.Failure(unknown)
+            return errors.failed(errors.Reason.NOT_FOUND, "No such key.")
+        appended = await self._append(records.KeyWithdrawn(key_id))
+        if not self._live.current.is_valid(key_id):
+            return result.Success(key_id)
+        return _unsettled(appended)
+
+    def _unknown(self) -> errors.Failure | None:
+        if self._live.current.is_complete:
+            return None
+        return errors.Failure(
+            errors.Reason.UNAVAILABLE,
+            "This host does not know the configuration in force.",
+        )
+
+    async def _append(self, record: Any) -> errors.Outcome[None]:
+        data = records.registry.encode_batch([record])
+        outcome = await self._log.append(self._stream, data)
+        for number in range(1, ATTEMPTS):
+            if isinstance(outcome, result.Success):
+                break
+            await asyncio.sleep(clock_lib.to_seconds(RETRY_MS * number))
+            outcome = await self._log.append(self._stream, data)
+        match outcome:
+            case result.Success(offset):
+                return await self._read_back(offset)
+            case _:
+                logger.warning(
+                    "configuration_append_failed",
+                    extra={"kind": type(record).__name__},
+                )
+                await self._read_to_end()
+                return result.Failure(outcome.failure())
+
+    async def _read_to_end(self) -> None:
+        before_ms = self._reader.read_ms
+        waited_ms = 0
+        while self._reader.read_ms == before_ms and waited_ms < READ_BACK_MS:
+            await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+            waited_ms += RETRY_MS
+
+    async def _read_back(self, offset: ids.Offset) -> errors.Outcome[None]:
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(READ_BACK_MS)):
+                await self._reader.wait_for(offset)
+        except TimeoutError:
+            return errors.failed(
+                errors.Reason.LOG_UNAVAILABLE, "The log cannot be read."
+            )
+        return result.Success(None)
+
+
+def _version_record(
+    base: lists.Lists | None,
+    content: lists.Lists,
+    version: int,
+    attempt: ids.AttemptId,
+) -> records.ConfigurationVersion | records.ConfigurationDelta:
+    if base is not None:
+        delta = configuration.difference(base, content, version, attempt)
+        size = len(delta.organisations) + len(delta.removed)
+        limit = MAX_DELTA_SHARE * len(content.plans.organisations)
+        if size <= max(1.0, limit):
+            return delta
+    return records.ConfigurationVersion(version, version - 1, content, attempt)
+
+
+def _conflict(version: int) -> errors.Outcome[Any]:
+    return errors.failed(
+        errors.Reason.CONFLICT,
+        f"Version {version} is in force now; read it and publish again.",
+    )
+
+
+def _unsettled(
+    appended: errors.Outcome[None], more: str = ""
+) -> errors.Outcome[Any]:
+    if isinstance(appended, result.Success):
+        return errors.failed(
+            errors.Reason.CONFLICT,
+            "The change did not take effect; read and try again.",
+        )
+    return errors.failed(
+        errors.Reason.LOG_UNAVAILABLE,
+        "The log did not confirm the change, which may yet take effect; "
+        f"read what is in force before trying again.{more}",
+        errors.Ran.MAY_HAVE_RUN,
+        retry_after_ms=READ_BACK_MS,
+    )
--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import secrets
+import hmac
+import logging
 from typing import TYPE_CHECKING, Any
 
 import pydantic
@@ -10,18 +11,41 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.callers import problems
-from mangotally.policy import configuration, records
+from mangotally.callers import bodies, problems
+from mangotally.policy import configuration
 from mangotally.settings import lists
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from mangotally.homes import configuration as live_configuration
-    from mangotally.log import base, follower
+    from mangotally.operators import publisher
 
-_KEY_BYTES = 24
-_KEY_ID_BYTES = 6
+logger = logging.getLogger(__name__)
+
+
+class Publication(pydantic.BaseModel):
+    """Body that publishes a version.
+
+    Attributes:
+        predecessor: Number of the version that the operator has read.
+        plans: The first list.
+        uses: The second list.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    predecessor: int = pydantic.Field(ge=0)
+    plans: lists.PlanList
+    uses: lists.UseList
+
+
+class NewKey(pydantic.BaseModel):
+    """Body that gives a key."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    organisation: lists.Name
 
 
 class OperatorRoutes:
@@ -31,73 +55,88 @@
         self,
         key_digests: tuple[str, ...],
         live: live_configuration.LiveConfiguration,
-        log: base.Log,
-        reader: follower.Follower,
+        publish: publisher.Publisher,
         dump: Callable[[], dict[str, Any]],
     ) -> None:
         """Makes the routes; `attach` adds them."""
-        self._key_digests = frozenset(key_digests)
+        self._key_digests = key_digests
         self._live = live
-        self._log = log
-        self._reader = reader
+        self._publisher = publish
         self._dump = dump
 
     def attach(self, app: web.Application) -> None:
         """Adds the routes to an application."""
-        app.router.add_get("/admin/lists", self._get_lists)
-        app.router.add_post("/admin/lists", self._publish)
-        app.router.add_get("/admin/keys", self._list_keys)
-        app.router.add_post("/admin/keys", self._give_key)
-        app.router.add_delete("/admin/keys/{key}", self._withdraw_key)
-        app.router.add_get("/admin/dump", self._get_dump)
-
-    def _refuse(self, request: web.Request) -> web.Response | None:
-        key = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        if configuration.digest_key(key) in self._key_digests:
-            return None
-        return problems.response_of(
-            errors.Failure(
-                errors.Reason.UNAUTHORISED, "The operator key does not work."
+        for method, path, handler in (
+            ("GET", "/admin/lists", self._get_lists),
+            ("POST", "/admin/lists", self._publish),
+            ("GET", "/admin/keys", self._list_keys),
+            ("POST", "/admin/keys", self._give_key),
+            ("DELETE", "/admin/keys/{key}", self._withdraw_key),
+            ("GET", "/admin/dump", self._get_dump),
+        ):
+            app.router.add_route(method, path, self._with_key(handler))
+
+    def _with_key(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def checked(request: web.Request) -> web.Response:
+            if self._is_operator(request):
+                return await handler(request)
+            logger.warning(
+                "operator_refused",
+                extra={"remote": request.remote, "path": request.path},
             )
-        )
+            return problems.response_of(
+                errors.Failure(
+                    errors.Reason.UNAUTHORISED,
+                    "The operator key does not work.",
+                )
+            )
+
+        return checked
 
-    async def _get_lists(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
+    def _is_operator(self, request: web.Request) -> bool:
+        header = request.headers.get("Authorization", "")
+        scheme, _, key = header.partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return False
+        digest = configuration.digest_key(key)
+        matches = [
+            hmac.compare_digest(digest, known) for known in self._key_digests
+        ]
+        return any(matches)
+
+    async def _get_lists(self, _request: web.Request) -> web.Response:
         current = self._live.current
         content = current.lists.model_dump(mode="json") if current.lists else {}
-        return web.json_response({"version": current.version, "lists": content})
+        return web.json_response(
+            {
+                "version": current.version,
+                "complete": current.is_complete,
+                "lists": content,
+            }
+        )
 
     async def _publish(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
-        try:
-            content = lists.Lists.model_validate_json(await request.read())
-        except pydantic.ValidationError as error:
-            return problems.response_of(
-                errors.Failure(errors.Reason.BAD_REQUEST, str(error))
-            )
-        version = self._live.current.version
-        record = records.ConfigurationVersion(version + 1, version, content)
-        appended = await self._append(record)
-        if isinstance(appended, result.Failure):
-            return problems.response_of(appended.failure())
-        current = self._live.current
-        if current.version <= version or current.lists != content:
+        body = bodies.parse(Publication, await request.read())
+        if isinstance(body, result.Failure):
+            return problems.response_of(body.failure())
+        wanted = body.unwrap()
+        faults = lists.find_problems(wanted.plans, wanted.uses)
+        if faults:
             return problems.response_of(
                 errors.Failure(
-                    errors.Reason.CONFLICT,
-                    "Another operator published first; read and try again.",
+                    errors.Reason.BAD_REQUEST,
+                    "; ".join(faults[: lists.MAX_PROBLEMS]),
                 )
             )
-        return web.json_response({"version": current.version})
+        published = await self._publisher.publish(
+            lists.Lists(plans=wanted.plans, uses=wanted.uses),
+            wanted.predecessor,
+        )
+        return _respond(published.map(lambda version: {"version": version}))
 
-    async def _list_keys(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
+    async def _list_keys(self, _request: web.Request) -> web.Response:
         return web.json_response(
             [
                 {"key_id": key.key_id, "organisation": key.organisation}
@@ -106,45 +145,26 @@
         )
 
     async def _give_key(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
-        body = await request.json()
-        organisation = ids.OrganisationId(str(body["organisation"]))
-        key = f"mt-{secrets.token_urlsafe(_KEY_BYTES)}"
-        key_id = ids.KeyId(f"k{secrets.token_hex(_KEY_ID_BYTES)}")
-        record = records.KeyGiven(
-            key_id, organisation, configuration.digest_key(key)
+        body = bodies.parse(NewKey, await request.read())
+        if isinstance(body, result.Failure):
+            return problems.response_of(body.failure())
+        organisation = ids.OrganisationId(body.unwrap().organisation)
+        given = await self._publisher.give_key(organisation)
+        return _respond(
+            given.map(lambda found: {"key_id": found[0], "key": found[1]}),
+            status=201,
         )
-        appended = await self._append(record)
-        if isinstance(appended, result.Failure):
-            return problems.response_of(appended.failure())
-        return web.json_response({"key_id": key_id, "key": key}, status=201)
 
     async def _withdraw_key(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
         key_id = ids.KeyId(request.match_info["key"])
-        if not self._live.current.is_valid(key_id):
-            return problems.response_of(
-                errors.Failure(errors.Reason.NOT_FOUND, "No such key.")
-            )
-        appended = await self._append(records.KeyWithdrawn(key_id))
-        if isinstance(appended, result.Failure):
-            return problems.response_of(appended.failure())
-        return web.json_response({"key_id": key_id})
-
-    async def _get_dump(self, request: web.Request) -> web.Response:
-        refusal = self._refuse(request)
-        if refusal is not None:
-            return refusal
+        withdrawn = await self._publisher.withdraw_key(key_id)
+        return _respond(withdrawn.map(lambda found: {"key_id": found}))
+
+    async def _get_dump(self, _request: web.Request) -> web.Response:
         return web.json_response(self._dump())
 
-    async def _append(self, record: Any) -> errors.Outcome[None]:
-        data = records.registry.encode_batch([record])
-        outcome = await self._log.append(records.CONFIGURATION_STREAM, data)
-        if isinstance(outcome, result.Failure):
-            return outcome
-        await self._reader.wait_for(outcome.unwrap())
-        return result.Success(None)
+
+def _respond(outcome: errors.Outcome[Any], status: int = 200) -> web.Response:
+    if isinstance(outcome, result.Failure):
+        return problems.response_of(outcome.failure())
+    return web.json_response(outcome.unwrap(), status=status)
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -11,6 +11,7 @@
 
 MEMBERS_STREAM = "members"
 CONFIGURATION_STREAM = "configuration"
+NO_ATTEMPT = ids.AttemptId("")
 
 registry = codec.Registry()
 
@@ -72,21 +73,55 @@
         version: Number of this version.
         predecessor: Number of the version that it replaces.
         lists: The content.
+        attempt: Id of the publication; a repeated append carries it again.
     """
 
     version: int
     predecessor: int
     lists: lists.Lists
+    attempt: ids.AttemptId = NO_ATTEMPT
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ConfigurationDelta:
+    """A version as its differences from its predecessor.
+
+    Attributes:
+        version: Number of this version.
+        predecessor: Number of the version that it replaces.
+        attempt: Id of the publication; a repeated append carries it again.
+        organisations: Organisations that are new or have another plan.
+        removed: Organisations that are gone.
+        uses: The second list if it changed, or None.
+        digest: Digest of the whole new version.
+    """
+
+    version: int
+    predecessor: int
+    attempt: ids.AttemptId
+    organisations: tuple[lists.Organisation, ...]
+    removed: tuple[ids.OrganisationId, ...]
+    uses: lists.UseList | None
+    digest: str
 
 
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class KeyGiven:
-    """A key of an organisation, as a digest only."""
+    """A key of an organisation, as a digest only.
+
+    Attributes:
+        key_id: The key's public id.
+        organisation: The organisation that it speaks for.
+        digest: SHA-256 digest of the key.
+        read_to: The writer had read all records before this offset.
+    """
 
     key_id: ids.KeyId
     organisation: ids.OrganisationId
     digest: str
+    read_to: ids.Offset
 
 
 @registry.register
@@ -97,6 +132,46 @@
     key_id: ids.KeyId
 
 
+@dataclasses.dataclass(frozen=True)
+class WithdrawnKey:
+    """A withdrawn key as a snapshot keeps it.
+
+    Attributes:
+        key_id: The key.
+        offset: Offset of its withdrawal.
+    """
+
+    key_id: ids.KeyId
+    offset: ids.Offset
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ConfigurationSnapshot:
+    """The whole configuration as of all records before this one.
+
+    It is void unless its own offset is `read_to`: then no record that its
+    writer had not read stands before it.
+
+    Attributes:
+        read_to: The writer had read all records before this offset.
+        wall_ms: When it was written, since the Unix epoch.
+        version: Number of the version in force.
+        attempt: The publication of that version.
+        lists: The lists in force, or None before the first version.
+        keys: The keys that work.
+        withdrawn: Withdrawn keys that must be remembered.
+    """
+
+    read_to: ids.Offset
+    wall_ms: int
+    version: int
+    attempt: ids.AttemptId
+    lists: lists.Lists | None
+    keys: tuple[KeyGiven, ...]
+    withdrawn: tuple[WithdrawnKey, ...]
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ChatMessage:
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+from typing import Literal
 
 import pydantic
 
@@ -17,6 +18,7 @@
         url: Base URL of the log service.
         appends_per_s: Appends a second that the whole fleet may use.
         partitions: Number of history streams; fixed for a fleet's life.
+        configuration_stream: Name of the configuration stream.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -24,6 +26,9 @@
     url: str
     appends_per_s: float = pydantic.Field(default=300.0, gt=0)
     partitions: int = pydantic.Field(default=32, ge=1, le=4096)
+    configuration_stream: str = pydantic.Field(
+        default="configuration", pattern=r"^[a-z0-9][a-z0-9-]{0,63}$"
+    )
 
 
 class TargetSettings(pydantic.BaseModel):
@@ -72,6 +77,11 @@
         shutdown_ms: Longest time for calls under way at shutdown.
         max_body_bytes: Largest request body.
         targets: Limits of targets.
+        configuration_max_age_ms: How old the configuration may become
+            before `on_stale` says what happens.
+        on_stale: Whether calls are refused past that age, or go on.
+        configuration_snapshot_ms: Longest time between snapshots of the
+            configuration; at most half the log's retention.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -94,6 +104,9 @@
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
+    configuration_max_age_ms: int = pydantic.Field(default=60_000, ge=1000)
+    on_stale: Literal["refuse", "continue"] = "refuse"
+    configuration_snapshot_ms: int = pydantic.Field(default=3_600_000, ge=1000)
 
     @pydantic.field_validator("address")
     @classmethod
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import enum
-from typing import TYPE_CHECKING, Annotated
+import hashlib
+from typing import TYPE_CHECKING, Annotated, Any
 
 import pydantic
 
@@ -11,6 +13,10 @@
     from mangotally import ids
 
 MAX_NAME_LENGTH = 64
+MAX_PROBLEMS = 20
+MAX_ORGANISATIONS = 100_000
+MAX_PLANS = 1000
+MAX_SERVICES = 1000
 Name = Annotated[
     str,
     pydantic.StringConstraints(
@@ -35,7 +41,9 @@
 class PlanList(_Strict):
     """The first list: which organisation has which plan."""
 
-    organisations: tuple[Organisation, ...]
+    organisations: tuple[Organisation, ...] = pydantic.Field(
+        max_length=MAX_ORGANISATIONS
+    )
 
 
 class Objective(enum.Enum):
@@ -64,9 +72,9 @@
     """
 
     name: Name
-    rate_per_s: float = pydantic.Field(gt=0)
-    burst: float = pydantic.Field(ge=1)
-    share: float = pydantic.Field(default=1.0, gt=0)
+    rate_per_s: float = pydantic.Field(gt=0, allow_inf_nan=False)
+    burst: float = pydantic.Field(ge=1, allow_inf_nan=False)
+    share: float = pydantic.Field(default=1.0, gt=0, allow_inf_nan=False)
     concurrency: int = pydantic.Field(default=64, ge=1)
     services: tuple[Name, ...]
     program_tokens: int = pydantic.Field(default=2_000_000, ge=1)
@@ -119,8 +127,8 @@
 class UseList(_Strict):
     """The second list: what each plan may use."""
 
-    plans: tuple[Plan, ...]
-    services: tuple[Service, ...]
+    plans: tuple[Plan, ...] = pydantic.Field(max_length=MAX_PLANS)
+    services: tuple[Service, ...] = pydantic.Field(max_length=MAX_SERVICES)
 
 
 class Lists(_Strict):
@@ -128,57 +136,77 @@
 
     plans: PlanList
     uses: UseList
+    _plans_by_name: dict[str, Plan] = pydantic.PrivateAttr(default_factory=dict)
+    _plan_names: dict[str, str] = pydantic.PrivateAttr(default_factory=dict)
+    _services: dict[str, Service] = pydantic.PrivateAttr(default_factory=dict)
 
     @pydantic.model_validator(mode="after")
     def _check(self) -> Lists:
-        problems = list(_find_problems(self.plans, self.uses))
+        problems = find_problems(self.plans, self.uses)
         if problems:
-            raise ValueError("; ".join(problems))
+            raise ValueError("; ".join(problems[:MAX_PROBLEMS]))
         return self
 
+    def model_post_init(self, _context: Any) -> None:
+        """Indexes the lists."""
+        self._plans_by_name = {plan.name: plan for plan in self.uses.plans}
+        self._plan_names = {
+            item.id: item.plan for item in self.plans.organisations
+        }
+        self._services = {item.id: item for item in self.uses.services}
+
     def organisation_plan(
         self, organisation: ids.OrganisationId
     ) -> Plan | None:
         """Returns the plan of an organisation, or None if unknown."""
-        for item in self.plans.organisations:
-            if item.id == organisation:
-                return next(p for p in self.uses.plans if p.name == item.plan)
-        return None
+        name = self._plan_names.get(organisation)
+        return None if name is None else self._plans_by_name[name]
+
+    def plan_name(self, organisation: str) -> str | None:
+        """Returns the name of an organisation's plan, or None."""
+        return self._plan_names.get(organisation)
 
     def service(self, service: str) -> Service | None:
         """Returns a service by its name, or None if unknown."""
-        for item in self.uses.services:
-            if item.id == service:
-                return item
-        return None
+        return self._services.get(service)
 
+    def digest(self) -> str:
+        """Returns a digest that the order of organisations leaves alone."""
+        found = hashlib.sha256(self.uses.model_dump_json().encode())
+        for name in sorted(self._plan_names):
+            found.update(f"\n{name} {self._plan_names[name]}".encode())
+        return found.hexdigest()
 
-def _find_problems(plans: PlanList, uses: UseList) -> list[str]:
+
+def find_problems(plans: PlanList, uses: UseList) -> list[str]:
+    """Returns what is wrong between both lists, one sentence each."""
     plan_names = [plan.name for plan in uses.plans]
     service_names = [service.id for service in uses.services]
-    problems = []
-    problems += _duplicates("plan", plan_names)
-    problems += _duplicates("service", service_names)
-    problems += _duplicates(
-        "organisation", [item.id for item in plans.organisations]
-    )
+    known_plans = frozenset(plan_names)
+    known_services = frozenset(service_names)
+    problems = [
+        *_duplicates("plan", plan_names),
+        *_duplicates("service", service_names),
+        *_duplicates("organisation", [item.id for item in plans.organisations]),
+    ]
     problems += [
         f"organisation {item.id!r} has the unknown plan {item.plan!r}"
         for item in plans.organisations
-        if item.plan not in plan_names
+        if item.plan not in known_plans
     ]
     problems += [
         f"plan {plan.name!r} uses the unknown service {name!r}"
         for plan in uses.plans
         for name in plan.services
-        if name not in service_names
+        if name not in known_services
     ]
     return problems
 
 
 def _duplicates(what: str, names: list[str]) -> list[str]:
+    counts = collections.Counter(names)
     return [
         f"{what} {name!r} stands twice"
-        for name in sorted(set(names))
-        if names.count(name) > 1
+        for name in sorted(counts)
+        if counts[name] > 1
     ]
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -122,7 +122,10 @@
             self.keys[organisation] = (key_id, key)
             found.append(
                 records.KeyGiven(
-                    key_id, organisation, configuration.digest_key(key)
+                    key_id,
+                    organisation,
+                    configuration.digest_key(key),
+                    ids.Offset(0),
                 )
             )
         stream = self.log.stream(records.CONFIGURATION_STREAM)
