--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+from typing import Literal
 
 import pydantic
 
@@ -20,6 +21,7 @@
         retention_ms: How long the log keeps a record at least.
         call_lifetime_ms: How long an idempotency key names one call.
         program_keep_ms: How long answers of a program that ended are kept.
+        configuration_stream: Name of the configuration stream.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -30,6 +32,9 @@
     retention_ms: int = pydantic.Field(default=86_400_000, ge=1000)
     call_lifetime_ms: int = pydantic.Field(default=86_400_000, ge=1000)
     program_keep_ms: int = pydantic.Field(default=600_000, ge=0)
+    configuration_stream: str = pydantic.Field(
+        default="configuration", pattern=r"^[a-z0-9][a-z0-9-]{0,63}$"
+    )
 
 
 class TargetSettings(pydantic.BaseModel):
@@ -78,6 +83,11 @@
         shutdown_ms: Longest time for calls under way at shutdown.
         max_body_bytes: Largest request body.
         targets: Limits of targets.
+        configuration_max_age_ms: How old the configuration may become
+            before `on_stale` says what happens.
+        on_stale: Whether calls are refused past that age, or go on.
+        configuration_snapshot_ms: Longest time between snapshots of the
+            configuration; at most half the log's retention.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -100,6 +110,9 @@
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
+    configuration_max_age_ms: int = pydantic.Field(default=60_000, ge=1000)
+    on_stale: Literal["refuse", "continue"] = "refuse"
+    configuration_snapshot_ms: int = pydantic.Field(default=3_600_000, ge=1000)
 
     @pydantic.field_validator("address")
     @classmethod
