Read answers in parts and render events with one call

Cause: a profile of 300-token answers showed two readline calls of aiohttp for each event (1.9 of 7.1 s) and json.dumps for each chunk (0.6 s). Ruled out: the nested generators (under 0.5 s together). Change: the event reader splits what has arrived into lines itself and waits only when none is left; chunks are parsed and rendered by pydantic's JSON. Counting bytes per part lost pieces that came before an overlong line; a test showed it, and bytes count per line again.

--- a/mangotally/callers/answers.py
+++ b/mangotally/callers/answers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import math
 from typing import TYPE_CHECKING, Any, Protocol
 
+import pydantic_core
 from aiohttp import web
 from returns import result
 
@@ -137,8 +137,8 @@
                 }
             )
             await self._response.prepare(self._request)
-        data = f"data: {json.dumps(body)}\n\n".encode()
-        await self._response.write(data + more)
+        data = pydantic_core.to_json(body)
+        await self._response.write(b"data: %b\n\n%b" % (data, more))
 
 
 def _choice(delta: dict[str, Any], reason: str | None) -> dict[str, Any]:
--- a/mangotally/engines/events.py
+++ b/mangotally/engines/events.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import collections
 from typing import TYPE_CHECKING, Any, Protocol
 
-from aiohttp import http_exceptions
+import pydantic_core
 from returns import result
 
 from mangotally.engines import client
@@ -24,11 +24,11 @@
 _DONE = b"[DONE]"
 
 
-class Lines(Protocol):
-    """A source of lines, such as a response's content."""
+class Source(Protocol):
+    """A source of bytes, such as a response's content."""
 
-    async def readline(self, *, max_line_length: int | None = None) -> bytes:
-        """Returns the next line, or nothing at the end."""
+    async def readany(self) -> bytes:
+        """Returns what has arrived, waiting for it; nothing at the end."""
 
 
 class EventReader:
@@ -57,13 +57,15 @@
         self._last = after
         self._number: int | None = None
         self._usage: dict[str, Any] | None = None
+        self._rest = b""
+        self._lines: collections.deque[bytes] = collections.deque()
         self._bytes_left = request.max_tokens * MAX_TOKEN_BYTES + SPARE_BYTES
 
-    async def read(self, lines: Lines) -> AsyncIterator[client.ChatEvent]:
+    async def read(self, source: Source) -> AsyncIterator[client.ChatEvent]:
         """Yields pieces and then the end, or a fault as the last item."""
         due_s = self._due_s(self._limits.first_ms(self._request.prompt_tokens))
         while True:
-            data = await self._next_data(lines, due_s)
+            data = await self._next_data(source, due_s)
             if isinstance(data, faults.Fault):
                 yield result.Failure(data)
                 return
@@ -83,34 +85,53 @@
         return loop.time() + clock_lib.to_seconds(limit_ms)
 
     async def _next_data(
-        self, lines: Lines, due_s: float
+        self, source: Source, due_s: float
     ) -> bytes | faults.Fault:
+        data = self._buffered_data()
+        if data is not None:
+            return data
         try:
             async with asyncio.timeout_at(due_s):
-                return await self._read_data(lines)
+                return await self._read_data(source)
         except TimeoutError:
             return faults.Fault(
                 faults.FaultKind.STALLED, "the answer made no progress"
             )
-        except http_exceptions.LineTooLong:
-            return faults.Fault(faults.FaultKind.MALFORMED, "an overlong line")
 
-    async def _read_data(self, lines: Lines) -> bytes | faults.Fault:
+    async def _read_data(self, source: Source) -> bytes | faults.Fault:
         while True:
-            line = await lines.readline(max_line_length=MAX_LINE_BYTES)
-            if not line.endswith(b"\n"):
+            if len(self._rest) > MAX_LINE_BYTES:
+                return faults.Fault(
+                    faults.FaultKind.MALFORMED, "an overlong line"
+                )
+            part = await source.readany()
+            if not part:
                 return faults.Fault(
                     faults.FaultKind.BROKEN, "the answer broke off"
                 )
-            self._bytes_left -= len(line)
+            *lines, self._rest = (self._rest + part).split(b"\n")
+            self._lines.extend(lines)
+            data = self._buffered_data()
+            if data is not None:
+                return data
+
+    def _buffered_data(self) -> bytes | faults.Fault | None:
+        while self._lines:
+            line = self._lines.popleft()
+            self._bytes_left -= len(line) + 1
             if self._bytes_left < 0:
                 return faults.Fault(
                     faults.FaultKind.OVERSIZE, "the answer is too long"
                 )
+            if len(line) > MAX_LINE_BYTES:
+                return faults.Fault(
+                    faults.FaultKind.MALFORMED, "an overlong line"
+                )
             if line.startswith(_ID):
                 self._note_number(line[len(_ID) :])
             elif line.startswith(_DATA):
                 return line[len(_DATA) :].strip()
+        return None
 
     def _note_number(self, text: bytes) -> None:
         stripped = text.strip()
@@ -119,7 +140,7 @@
 
     def _parse(self, data: bytes) -> client.ChatText | faults.Fault | None:
         try:
-            chunk = json.loads(data)
+            chunk = pydantic_core.from_json(data)
             if chunk["id"] != self._request.call:
                 return faults.Fault(
                     faults.FaultKind.CROSSED, "an answer to another request"
