Replay traces under a virtual clock, and schedule whole programs

Cause: calls were served first come first served, each to the least loaded target; nothing measured what that costs whole programs.

Change: 'mangotally replay' runs traces against fake workers with the scheduler that 'serve' runs. Twelve generated traces with stated outcomes. FairScheduler replaces FirstComeScheduler in the composition root: the target where a call ends first by an own estimate of cached prefixes, fair queueing between organisations, least attained service with ageing inside.

Ruled out: one queue per target alone (a call bound to a full target waits while another is idle) and one queue per pool alone (prefixes are lost).

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -27,8 +27,7 @@
 from mangotally.log import follower
 from mangotally.log import http as http_log
 from mangotally.operators import server as operator_server
-from mangotally.policy import faults, records
-from mangotally.policy import pools as pool_policy
+from mangotally.policy import faults, records, scheduler
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
@@ -151,7 +150,7 @@
             self.live,
             roster,
             engine,
-            pool_policy.FirstComeScheduler,
+            scheduler.FairScheduler,
             self.clock,
         )
         self.programs = programs.ProgramHome(
--- a/mangotally/commands/cli.py
+++ b/mangotally/commands/cli.py
@@ -11,6 +11,7 @@
 from mangotally.commands import demo as demo_command
 from mangotally.commands import local as local_command
 from mangotally.commands import process
+from mangotally.commands import replay as replay_command
 from mangotally.settings import host as host_settings
 from mangotally.settings import loader
 from mangotally.util import logs
@@ -69,6 +70,40 @@
             lambda: local_command.LocalFleet(deployment, hosts, path, port)
         )
 
+    def replay(
+        self,
+        *traces: str,
+        compare: bool = False,
+        policy: str = replay_command.FAIR,
+        parameters: str | None = None,
+        plot: str | None = None,
+    ) -> None:
+        """Replays traces under a virtual clock and prints a table.
+
+        Exits with 1 if an outcome stated beside a trace is not met.
+
+        Args:
+            traces: Trace files or names of shipped traces; none for all
+                shipped traces.
+            compare: Replays every policy, not one.
+            policy: The policy to replay.
+            parameters: YAML file with parameters of the fake workers.
+            plot: Image file to write; needs matplotlib.
+        """
+        policies = tuple(replay_command.POLICIES) if compare else (policy,)
+        outcome = replay_command.run(
+            replay_command.Request(
+                tuple(str(name) for name in traces),
+                policies,
+                pathlib.Path(parameters) if parameters else None,
+                pathlib.Path(plot) if plot else None,
+            )
+        )
+        if isinstance(outcome, result.Failure):
+            fail(outcome.failure(), EXIT_BAD_USE)
+        if not outcome.unwrap():
+            raise SystemExit(EXIT_FAILED)
+
     def demo(self) -> None:
         """Runs both deployments on the loopback and prints a table."""
         logs.set_up(level=40)
--- /dev/null
+++ b/mangotally/policy/fairness.py
@@ -0,0 +1,178 @@
+"""Fair queueing between organisations, least attained service inside."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from mangotally.policy import pools
+
+if TYPE_CHECKING:
+    from mangotally import ids
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """A call in the queues of a scheduler.
+
+    Attributes:
+        call: The call.
+        key: Its order among calls of its organisation; smaller first.
+        submitted_ms: When it was submitted.
+        lanes: The lanes that it waits in.
+        waiting: Whether it still waits.
+    """
+
+    call: pools.PoolCall
+    key: float
+    submitted_ms: float
+    lanes: list[Lane] = dataclasses.field(default_factory=list)
+    waiting: bool = True
+
+    def leave(self) -> None:
+        """Takes the call out of all lanes."""
+        self.waiting = False
+        for lane in self.lanes:
+            lane.size -= 1
+        self.lanes.clear()
+
+
+@dataclasses.dataclass(slots=True)
+class Account:
+    """What an organisation has received.
+
+    Attributes:
+        tag: Virtual time: weighted tokens served over the share.
+        credit: Tokens charged in advance that were not used.
+        waiting: Its calls that wait.
+        inside: Its calls that run.
+        share: Weight of its plan.
+    """
+
+    tag: float = 0.0
+    credit: float = 0.0
+    waiting: int = 0
+    inside: int = 0
+    share: float = 1.0
+
+
+class Shares:
+    """Start-time fair queueing: virtual time of each organisation."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[ids.OrganisationId, Account] = {}
+        self.now = 0.0
+
+    def enter(self, organisation: ids.OrganisationId, share: float) -> None:
+        """Counts a call that begins to wait."""
+        account = self.accounts.get(organisation)
+        if account is None:
+            account = Account()
+            self.accounts[organisation] = account
+        account.share = share
+        if not account.waiting:
+            account.tag = max(account.tag, self.now)
+        account.waiting += 1
+
+    def leave(self, organisation: ids.OrganisationId) -> None:
+        """Counts a call that waits no more without having run."""
+        self.accounts[organisation].waiting -= 1
+        self._forget(organisation)
+
+    def charge(self, organisation: ids.OrganisationId, tokens: float) -> None:
+        """Charges a call that is dispatched, by its expected cost."""
+        account = self.accounts[organisation]
+        self.now = max(self.now, account.tag)
+        used = min(account.credit, tokens)
+        account.credit -= used
+        account.tag += (tokens - used) / account.share
+        account.waiting -= 1
+        account.inside += 1
+
+    def settle(self, organisation: ids.OrganisationId, change: float) -> None:
+        """Corrects the charge of a call that ended."""
+        account = self.accounts[organisation]
+        account.inside -= 1
+        if change > 0:
+            account.tag += change / account.share
+        else:
+            account.credit -= change
+        self._forget(organisation)
+
+    def tag(self, organisation: ids.OrganisationId) -> float:
+        """Returns the virtual time of an organisation with calls."""
+        return self.accounts[organisation].tag
+
+    def _forget(self, organisation: ids.OrganisationId) -> None:
+        account = self.accounts[organisation]
+        idle = not account.waiting and not account.inside
+        if idle and account.tag <= self.now:
+            del self.accounts[organisation]
+
+
+class Lane:
+    """Waiting calls, by organisation and then by key.
+
+    Calls that left are dropped when they come to the front.
+    """
+
+    def __init__(self, shares: Shares) -> None:
+        """Makes an empty lane."""
+        self.size = 0
+        self._shares = shares
+        self._count = itertools.count()
+        self._calls: dict[
+            ids.OrganisationId, list[tuple[float, int, Entry]]
+        ] = {}
+        self._order: list[tuple[float, int, ids.OrganisationId]] = []
+
+    def add(self, entry: Entry) -> None:
+        """Adds a waiting call."""
+        organisation = entry.call.organisation
+        calls = self._calls.get(organisation)
+        if calls is None:
+            calls = []
+            self._calls[organisation] = calls
+            self._push(organisation)
+        heapq.heappush(calls, (entry.key, next(self._count), entry))
+        entry.lanes.append(self)
+        self.size += 1
+
+    def peek(self) -> Entry | None:
+        """Returns the first call of the organisation with the least tag."""
+        while self._order:
+            tag, _, organisation = self._order[0]
+            entry = self._first(organisation)
+            if entry is None:
+                heapq.heappop(self._order)
+                continue
+            if self._shares.tag(organisation) > tag:
+                heapq.heappop(self._order)
+                self._push(organisation)
+                continue
+            return entry
+        return None
+
+    def entries(self) -> list[Entry]:
+        """Returns all waiting calls."""
+        return [
+            entry
+            for calls in self._calls.values()
+            for _, _, entry in calls
+            if entry.waiting
+        ]
+
+    def _first(self, organisation: ids.OrganisationId) -> Entry | None:
+        calls = self._calls[organisation]
+        while calls and not calls[0][2].waiting:
+            heapq.heappop(calls)
+        if not calls:
+            del self._calls[organisation]
+            return None
+        return calls[0][2]
+
+    def _push(self, organisation: ids.OrganisationId) -> None:
+        tag = self._shares.tag(organisation)
+        heapq.heappush(self._order, (tag, next(self._count), organisation))
--- /dev/null
+++ b/mangotally/policy/placement.py
@@ -0,0 +1,182 @@
+"""The targets of a pool: their load, and where a call ends first."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+from typing import TYPE_CHECKING
+
+from mangotally.policy import fairness, pools, prefixes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from mangotally import ids
+
+MS_PER_S = 1000.0
+LOAD_MEMORY = 64
+HEAP_SLACK = 64
+PREFILL_BURDEN = 0.4
+
+
+@dataclasses.dataclass(frozen=True)
+class Speeds:
+    """What a target of the pool is expected to do.
+
+    Attributes:
+        prefill_tokens_per_s: Uncached prompt tokens computed a second.
+        decode_ms: Time between tokens of a batch of none.
+        decode_ms_per_call: Added to that for each call in the batch.
+    """
+
+    prefill_tokens_per_s: float = 10_000.0
+    decode_ms: float = 20.0
+    decode_ms_per_call: float = 0.8
+
+    def prefill_ms(self, tokens: int) -> float:
+        """Returns the time that a prompt takes alone."""
+        return tokens * MS_PER_S / self.prefill_tokens_per_s
+
+    def token_ms(self, calls: float) -> float:
+        """Returns the time between tokens of a batch."""
+        return self.decode_ms + calls * self.decode_ms_per_call
+
+
+class Target:
+    """One target as the scheduler sees it."""
+
+    def __init__(self, info: pools.TargetInfo, shares: fairness.Shares) -> None:
+        """Makes a target with nothing inside."""
+        self.info = info
+        self.inside = 0
+        self.others = 0
+        self.version = 0
+        self.cache = prefixes.TargetCache()
+        self.lane = fairness.Lane(shares)
+        self._loads: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=LOAD_MEMORY
+        )
+
+    @property
+    def live(self) -> bool:
+        """Whether it takes new work."""
+        return self.info.state is pools.TargetState.LIVE
+
+    @property
+    def load(self) -> int:
+        """Calls inside, those of others included."""
+        return self.inside + self.others
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call may be sent."""
+        return self.live and self.load < self.info.slots
+
+    def change_inside(self, by: int, now_ms: float) -> None:
+        """Counts calls that were sent or ended."""
+        self.inside += by
+        self._loads.append((now_ms, self.inside))
+
+    def observe(self, report: pools.LoadReport, now_ms: float) -> None:
+        """Takes in a report; calls sent since it was made still count."""
+        self.cache.capacity_tokens = report.cache_capacity_tokens
+        taken_ms = now_ms - report.age_ms
+        ours = self.inside
+        for at_ms, inside in reversed(self._loads):
+            ours = inside
+            if at_ms <= taken_ms:
+                break
+        self.others = max(0, report.running + report.waiting - ours)
+
+
+class Fleet:
+    """The targets of a pool, the least loaded at hand."""
+
+    def __init__(self, shares: fairness.Shares, speeds: Speeds) -> None:
+        """Makes a pool without targets."""
+        self.targets: dict[ids.TargetId, Target] = {}
+        self.speeds = speeds
+        self._shares = shares
+        self._heap: list[tuple[float, ids.TargetId, int]] = []
+
+    def replace(self, infos: Sequence[pools.TargetInfo]) -> list[Target]:
+        """Replaces the targets; returns those that are gone."""
+        named = {info.target: info for info in infos}
+        gone = [
+            target for name, target in self.targets.items() if name not in named
+        ]
+        for target in gone:
+            del self.targets[target.info.target]
+        for name, info in named.items():
+            found = self.targets.get(name)
+            if found is None:
+                self.targets[name] = Target(info, self._shares)
+            else:
+                found.info = info
+        for target in self.targets.values():
+            self.touch(target)
+        return gone
+
+    def touch(self, target: Target) -> None:
+        """Files a target again after a change of its load."""
+        target.version += 1
+        entry = (float(target.load), target.info.target, target.version)
+        heapq.heappush(self._heap, entry)
+        if len(self._heap) > 4 * len(self.targets) + HEAP_SLACK:
+            self._rebuild()
+
+    def least(self, excluded: tuple[ids.TargetId, ...] = ()) -> Target | None:
+        """Returns the live target with the fewest calls inside.
+
+        Args:
+            excluded: Targets that must not be chosen.
+        """
+        kept = []
+        found = None
+        while self._heap:
+            entry = self._heap[0]
+            target = self.targets.get(entry[1])
+            if target is None or target.version != entry[2]:
+                heapq.heappop(self._heap)
+                continue
+            if not target.live:
+                heapq.heappop(self._heap)
+                continue
+            if entry[1] in excluded:
+                kept.append(heapq.heappop(self._heap))
+                continue
+            found = target
+            break
+        for entry in kept:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def finish_ms(
+        self, target: Target, call: pools.PoolCall, answer_tokens: float
+    ) -> float:
+        """Returns the expected time until a call would end at a target."""
+        cached = min(call.prompt_tokens, target.cache.tokens(call.program))
+        fresh_ms = self.speeds.prefill_ms(call.prompt_tokens - cached)
+        waiting = target.load + target.lane.size
+        token_ms = self.speeds.token_ms(min(waiting + 1, target.info.slots))
+        others = min(waiting, target.info.slots)
+        fresh_ms *= 1.0 + others * PREFILL_BURDEN
+        token_ms += others * self.speeds.decode_ms_per_call
+        run_ms = fresh_ms + answer_tokens * token_ms
+        over = waiting + 1 - target.info.slots
+        if over <= 0:
+            return run_ms
+        return run_ms * (1.0 + over / target.info.slots)
+
+    def _rebuild(self) -> None:
+        self._heap = [
+            (float(target.load), name, target.version)
+            for name, target in self.targets.items()
+            if target.live
+        ]
+        heapq.heapify(self._heap)
+
+    def __iter__(self) -> Iterator[Target]:
+        """Iterates over the targets."""
+        return iter(self.targets.values())
--- a/mangotally/policy/pools.py
+++ b/mangotally/policy/pools.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 from typing import TYPE_CHECKING, Protocol
@@ -214,96 +213,3 @@
 
     def next_wake_ms(self, now_ms: float) -> float | None:
         """Returns when `advance` is due without a new event, or None."""
-
-
-class FirstComeScheduler:
-    """First come first served, each call to the least loaded target."""
-
-    def __init__(self) -> None:
-        self._targets: dict[ids.TargetId, TargetInfo] = {}
-        self._queue: collections.deque[PoolCall] = collections.deque()
-        self._running: dict[ids.CallId, ids.TargetId] = {}
-        self._busy: collections.Counter[ids.TargetId] = collections.Counter()
-        self._held: dict[ids.ProgramId, set[ids.TargetId]] = {}
-        self._releases: list[Release] = []
-
-    def set_targets(self, targets: Sequence[TargetInfo], now_ms: float) -> None:
-        """Replaces the targets of the pool."""
-        self._targets = {info.target: info for info in targets}
-
-    def submit(self, call: PoolCall, now_ms: float) -> None:
-        """Adds a call to the queue."""
-        self._queue.append(call)
-
-    def cancel(self, call: ids.CallId, now_ms: float) -> None:
-        """Takes back a call that waits or was dispatched."""
-        for waiting in self._queue:
-            if waiting.call == call:
-                self._queue.remove(waiting)
-                return
-        self._free(call)
-
-    def finish(self, report: CallReport, now_ms: float) -> None:
-        """Reports the end of a dispatched call."""
-        self._free(report.call)
-
-    def end_program(self, program: ids.ProgramId, now_ms: float) -> None:
-        """A program is gone; its prefixes are to be released."""
-        for target in sorted(self._held.pop(program, set())):
-            self._releases.append(Release(target, program))
-
-    def confirm_release(
-        self, target: ids.TargetId, program: ids.ProgramId, now_ms: float
-    ) -> None:
-        """A target has confirmed a release."""
-
-    def observe_load(
-        self, target: ids.TargetId, report: LoadReport, now_ms: float
-    ) -> None:
-        """Takes in a load report."""
-
-    def observe_cache(
-        self,
-        target: ids.TargetId,
-        events: Sequence[CacheEvent],
-        now_ms: float,
-    ) -> None:
-        """Takes in cache events."""
-
-    def advance(self, now_ms: float) -> list[Action]:
-        """Returns what has to be done now, in order."""
-        actions: list[Action] = list(self._releases)
-        self._releases.clear()
-        while self._queue:
-            target = self._choose(self._queue[0])
-            if target is None:
-                break
-            call = self._queue.popleft()
-            self._running[call.call] = target.target
-            self._busy[target.target] += 1
-            self._held.setdefault(call.program, set()).add(target.target)
-            actions.append(Dispatch(call.call, target.target, target.address))
-        return actions
-
-    def next_wake_ms(self, now_ms: float) -> float | None:
-        """Returns None: nothing is due without an event."""
-        return None
-
-    def _choose(self, call: PoolCall) -> TargetInfo | None:
-        free = [
-            info
-            for info in self._targets.values()
-            if info.state is TargetState.LIVE
-            and info.target not in call.excluded
-            and self._busy[info.target] < info.slots
-        ]
-        return min(
-            free,
-            key=lambda info: (self._busy[info.target], info.target),
-            default=None,
-        )
-
-    def _free(self, call: ids.CallId) -> None:
-        target = self._running.pop(call, None)
-        if target is not None:
-            self._busy[target] -= 1
--- /dev/null
+++ b/mangotally/policy/scheduler.py
@@ -0,0 +1,334 @@
+"""The scheduler of a pool: whole programs, fair between organisations."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from mangotally import ids
+from mangotally.policy import fairness, placement, pools, prefixes
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+AGE_TOKENS_PER_MS = 1.0
+DECODE_WEIGHT = 10.0
+ANSWER_WEIGHT = 0.1
+FIRST_ANSWER_TOKENS = 256.0
+COMPACT_SLACK = 1024
+DEFAULT_SPEEDS = placement.Speeds()
+
+
+@dataclasses.dataclass(frozen=True)
+class Tuning:
+    """Parameters of the scheduler.
+
+    Attributes:
+        speeds: What a target is expected to do.
+        age_tokens_per_ms: Attained service that waiting one ms outweighs.
+    """
+
+    speeds: placement.Speeds = DEFAULT_SPEEDS
+    age_tokens_per_ms: float = AGE_TOKENS_PER_MS
+
+
+@dataclasses.dataclass(slots=True)
+class _Inside:
+    """A call that runs at a target."""
+
+    call: pools.PoolCall
+    target: ids.TargetId
+    charged: float
+
+
+class FairScheduler:
+    """Sends each call where it ends first, in a fair order."""
+
+    def __init__(self, tuning: Tuning | None = None) -> None:
+        """Makes a scheduler of a pool without targets."""
+        self._tuning = tuning or Tuning()
+        self._shares = fairness.Shares()
+        self._fleet = placement.Fleet(self._shares, self._tuning.speeds)
+        self._releases = prefixes.Releases()
+        self._shared = fairness.Lane(self._shares)
+        self._movable = fairness.Lane(self._shares)
+        self._ready: dict[ids.TargetId, None] = {}
+        self._entries: dict[ids.CallId, fairness.Entry] = {}
+        self._inside: dict[ids.CallId, _Inside] = {}
+        self._count = itertools.count()
+        self._deadlines: list[tuple[float, int, fairness.Entry]] = []
+        self._moves: list[tuple[float, int, fairness.Entry]] = []
+        self._refusals: list[pools.Refuse] = []
+        self._answer_tokens = FIRST_ANSWER_TOKENS
+
+    def set_targets(
+        self, targets: Sequence[pools.TargetInfo], now_ms: float
+    ) -> None:
+        """Replaces the targets of the pool."""
+        gone = self._fleet.replace(targets)
+        for target in gone:
+            self._place_again(target, now_ms)
+        for target in self._fleet:
+            if not target.live:
+                self._place_again(target, now_ms)
+            self._check_ready(target)
+
+    def submit(self, call: pools.PoolCall, now_ms: float) -> None:
+        """Adds a call to the queue."""
+        key = call.attained_tokens + self._tuning.age_tokens_per_ms * now_ms
+        entry = fairness.Entry(call, key, now_ms)
+        self._entries[call.call] = entry
+        self._shares.enter(call.organisation, call.share)
+        heapq.heappush(
+            self._deadlines, (call.deadline_ms, next(self._count), entry)
+        )
+        self._place(entry, now_ms)
+
+    def cancel(self, call: ids.CallId, now_ms: float) -> None:
+        """Takes back a call that waits or was dispatched."""
+        entry = self._entries.pop(call, None)
+        if entry is not None:
+            entry.leave()
+            self._shares.leave(entry.call.organisation)
+            return
+        self._end(call, None, now_ms)
+
+    def finish(self, report: pools.CallReport, now_ms: float) -> None:
+        """Reports the end of a dispatched call."""
+        self._end(report.call, report, now_ms)
+
+    def end_program(self, program: ids.ProgramId, now_ms: float) -> None:
+        """A program is gone; its prefixes are to be released."""
+        for name in self._releases.targets(program):
+            target = self._fleet.targets.get(name)
+            if target is not None:
+                target.cache.drop(program)
+        self._releases.end(program, now_ms)
+
+    def confirm_release(
+        self, target: ids.TargetId, program: ids.ProgramId, now_ms: float
+    ) -> None:
+        """A target has confirmed a release."""
+        self._releases.confirm(target, program)
+
+    def observe_load(
+        self, target: ids.TargetId, report: pools.LoadReport, now_ms: float
+    ) -> None:
+        """Takes in a load report."""
+        found = self._fleet.targets.get(target)
+        if found is not None:
+            found.observe(report, now_ms)
+            self._changed(found)
+
+    def observe_cache(
+        self,
+        target: ids.TargetId,
+        events: Sequence[pools.CacheEvent],
+        now_ms: float,
+    ) -> None:
+        """Takes in cache events."""
+        found = self._fleet.targets.get(target)
+        if found is None:
+            return
+        for event in events:
+            if event.kind is pools.CacheEventKind.STORED:
+                self._releases.stored(target, event.program, now_ms)
+            found.cache.observe(event, now_ms)
+
+    def advance(self, now_ms: float) -> list[pools.Action]:
+        """Returns what has to be done now, in order."""
+        actions: list[pools.Action] = []
+        actions += self._releases.due(self._fleet.targets, now_ms)
+        self._expire(now_ms)
+        self._offer_moves(now_ms)
+        while (found := self._next()) is not None:
+            actions.append(self._dispatch(*found, now_ms))
+        actions += self._refusals
+        self._refusals.clear()
+        return actions
+
+    def next_wake_ms(self, now_ms: float) -> float | None:
+        """Returns when `advance` is due without a new event, or None."""
+        times = [self._releases.next_ms()]
+        for heap in (self._deadlines, self._moves):
+            while heap and not heap[0][2].waiting:
+                heapq.heappop(heap)
+            if heap:
+                times.append(heap[0][0])
+        return min((at for at in times if at is not None), default=None)
+
+    def _place(self, entry: fairness.Entry, now_ms: float) -> None:
+        """Binds a call to the target where it ends first, or to none."""
+        call = entry.call
+        least = self._fleet.least(call.excluded)
+        if least is None:
+            if call.excluded and self._fleet.least() is not None:
+                self._refuse(entry, "Every target of the call is excluded.")
+            else:
+                self._shared.add(entry)
+            return
+        best = self._best(call, least)
+        if best is least and not call.excluded:
+            self._shared.add(entry)
+            return
+        best.lane.add(entry)
+        self._check_ready(best)
+        if not call.excluded:
+            cached = best.cache.tokens(call.program)
+            worth_ms = self._tuning.speeds.prefill_ms(cached)
+            heapq.heappush(
+                self._moves, (now_ms + worth_ms, next(self._count), entry)
+            )
+
+    def _best(
+        self, call: pools.PoolCall, least: placement.Target
+    ) -> placement.Target:
+        answer_tokens = min(float(call.max_tokens), self._answer_tokens)
+        best = least
+        best_ms = self._fleet.finish_ms(least, call, answer_tokens)
+        for name in self._releases.targets(call.program):
+            target = self._fleet.targets.get(name)
+            if target is None or not target.live or name in call.excluded:
+                continue
+            finish_ms = self._fleet.finish_ms(target, call, answer_tokens)
+            if finish_ms < best_ms:
+                best, best_ms = target, finish_ms
+        return best
+
+    def _place_again(self, target: placement.Target, now_ms: float) -> None:
+        """Places the calls anew that waited for a target."""
+        for entry in target.lane.entries():
+            for lane in entry.lanes:
+                lane.size -= 1
+            entry.lanes.clear()
+            fresh = dataclasses.replace(entry, lanes=[])
+            entry.waiting = False
+            self._entries[entry.call.call] = fresh
+            heapq.heappush(
+                self._deadlines,
+                (fresh.call.deadline_ms, next(self._count), fresh),
+            )
+            self._place(fresh, now_ms)
+
+    def _check_ready(self, target: placement.Target) -> None:
+        name = target.info.target
+        if target.lane.size and target.has_room:
+            self._ready[name] = None
+        else:
+            self._ready.pop(name, None)
+
+    def _changed(self, target: placement.Target) -> None:
+        self._fleet.touch(target)
+        self._check_ready(target)
+
+    def _next(self) -> tuple[placement.Target, fairness.Entry] | None:
+        """Returns the next call to dispatch and where, or None."""
+        while self._ready:
+            name = next(iter(self._ready))
+            target = self._fleet.targets.get(name)
+            if target is None or not target.has_room:
+                del self._ready[name]
+                continue
+            own = target.lane.peek()
+            if own is None:
+                del self._ready[name]
+                continue
+            return target, self._first(own, self._shared.peek())
+        if not self._shared.size and not self._movable.size:
+            return None
+        least = self._fleet.least()
+        if least is None or not least.has_room:
+            return None
+        entry = self._shared.peek() or self._movable.peek()
+        return None if entry is None else (least, entry)
+
+    def _first(
+        self, own: fairness.Entry, other: fairness.Entry | None
+    ) -> fairness.Entry:
+        if other is None:
+            return own
+        if own.call.organisation == other.call.organisation:
+            return min(own, other, key=lambda entry: entry.key)
+        return min(
+            own, other, key=lambda e: self._shares.tag(e.call.organisation)
+        )
+
+    def _dispatch(
+        self,
+        target: placement.Target,
+        entry: fairness.Entry,
+        now_ms: float,
+    ) -> pools.Dispatch:
+        call = entry.call
+        entry.leave()
+        del self._entries[call.call]
+        fresh = call.prompt_tokens - min(
+            call.prompt_tokens, target.cache.tokens(call.program)
+        )
+        answer_tokens = min(float(call.max_tokens), self._answer_tokens)
+        cost = fresh + DECODE_WEIGHT * answer_tokens
+        self._shares.charge(call.organisation, cost)
+        name = target.info.target
+        self._inside[call.call] = _Inside(call, name, cost)
+        self._releases.use(name, call.program)
+        target.cache.store(call.program, call.prompt_tokens, now_ms)
+        target.change_inside(1, now_ms)
+        self._changed(target)
+        return pools.Dispatch(call.call, name, target.info.address)
+
+    def _end(
+        self,
+        call: ids.CallId,
+        report: pools.CallReport | None,
+        now_ms: float,
+    ) -> None:
+        inside = self._inside.pop(call, None)
+        if inside is None:
+            return
+        done = report is not None and report.end is pools.CallEnd.DONE
+        organisation = inside.call.organisation
+        program = inside.call.program
+        target = self._fleet.targets.get(inside.target)
+        if target is not None:
+            target.change_inside(-1, now_ms)
+            self._changed(target)
+        self._releases.stored(inside.target, program, now_ms)
+        if report is None or not done:
+            if target is not None:
+                target.cache.drop(program)
+            self._shares.settle(organisation, -inside.charged)
+            return
+        fresh = inside.call.prompt_tokens - report.cached_tokens
+        cost = fresh + DECODE_WEIGHT * report.generated_tokens
+        self._shares.settle(organisation, cost - inside.charged)
+        self._answer_tokens += ANSWER_WEIGHT * (
+            report.generated_tokens - self._answer_tokens
+        )
+        if target is not None:
+            tokens = inside.call.prompt_tokens + report.generated_tokens
+            target.cache.store(program, tokens, now_ms)
+
+    def _expire(self, now_ms: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            entry = heapq.heappop(self._deadlines)[2]
+            if entry.waiting:
+                self._refuse(entry, "The call's time is over.")
+        if len(self._deadlines) > 2 * len(self._entries) + COMPACT_SLACK:
+            self._deadlines = [x for x in self._deadlines if x[2].waiting]
+            heapq.heapify(self._deadlines)
+
+    def _refuse(self, entry: fairness.Entry, detail: str) -> None:
+        call = entry.call
+        entry.leave()
+        del self._entries[call.call]
+        self._shares.leave(call.organisation)
+        self._refusals.append(pools.Refuse(call.call, detail))
+
+    def _offer_moves(self, now_ms: float) -> None:
+        """Lets calls go elsewhere that waited longer than a recompute."""
+        while self._moves and self._moves[0][0] <= now_ms:
+            entry = heapq.heappop(self._moves)[2]
+            if entry.waiting:
+                self._movable.add(entry)
--- /dev/null
+++ b/mangotally/replay/generate.py
@@ -0,0 +1,341 @@
+"""Generates the shipped traces, by seed."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import random
+import sys
+from typing import TYPE_CHECKING
+
+from mangotally.replay import trace
+from mangotally.settings import lists
+from mangotally.standins import deployments
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+DURATION_MS = 600_000
+WORKER_CALLS = 24
+PEAK_MS = 420_000
+PEAK_WIDTH_MS = 120_000
+PEAK_FACTOR = 0.6
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """How a deployment is used.
+
+    Attributes:
+        deployment: The deployment.
+        plans: Its plans, sized to its model service.
+        program_rates_per_s: Programs of one organisation of each plan.
+    """
+
+    deployment: deployments.Deployment
+    plans: tuple[lists.Plan, ...]
+    program_rates_per_s: dict[str, float]
+
+
+def _plan(
+    name: str,
+    service: str,
+    rate_per_s: float,
+    share: float,
+    latency_ms: int,
+    objective: lists.Objective,
+) -> lists.Plan:
+    return lists.Plan(
+        name=name,
+        rate_per_s=rate_per_s,
+        burst=rate_per_s * 8,
+        share=share,
+        services=(service,),
+        program_calls=120,
+        program_latency_ms=latency_ms,
+        objective=objective,
+    )
+
+
+def tornos_norte() -> Site:
+    """Returns the booking desk: many short conversations."""
+    fair = lists.Objective.FAIRNESS
+    return Site(
+        deployments.tornos_norte(),
+        (
+            _plan("grande", "assistente", 3.0, 4.0, 180_000, fair),
+            _plan("oficina", "assistente", 1.5, 2.0, 180_000, fair),
+            _plan("atelier", "assistente", 1.0, 1.0, 180_000, fair),
+        ),
+        {"grande": 0.36, "oficina": 0.13, "atelier": 0.06},
+    )
+
+
+def lakeshore() -> Site:
+    """Returns the commissioning company: fewer, longer conversations."""
+    latency = lists.Objective.LATENCY
+    return Site(
+        deployments.lakeshore(),
+        (
+            _plan("fleet", "agent-llm", 3.0, 3.0, 240_000, latency),
+            _plan("crew", "agent-llm", 1.2, 1.0, 240_000, latency),
+        ),
+        {"fleet": 0.19, "crew": 0.068},
+    )
+
+
+class Generator:
+    """Draws the programs of one trace."""
+
+    def __init__(self, site: Site, seed: int) -> None:
+        """Makes a generator."""
+        self._site = site
+        self._random = random.Random(seed)
+        self._plans = {
+            item.id: item.plan for item in site.deployment.plans.organisations
+        }
+        self._count = 0
+
+    def header(self, kind: str, offender: str | None = None) -> trace.Header:
+        """Returns the first line of a trace."""
+        found = self._site.deployment
+        group = found.groups[0]
+        return trace.Header(
+            version=trace.VERSION,
+            name=f"{found.name}-{kind}",
+            deployment=found.name,
+            service=group.service,
+            duration_ms=DURATION_MS,
+            workers=tuple(
+                trace.Worker(
+                    id=f"{group.service}-{number + 1}",
+                    place=found.places[number % len(found.places)],
+                )
+                for number in range(group.workers)
+            ),
+            worker_calls=WORKER_CALLS,
+            organisations=self._plans,
+            plans=self._site.plans,
+            offender=offender,
+        )
+
+    def organisations(self, plan: str) -> list[str]:
+        """Returns the organisations of a plan."""
+        return [name for name, found in self._plans.items() if found == plan]
+
+    def ordinary(self, factor: float = 1.0) -> list[trace.Program]:
+        """Returns the programs of an ordinary day, with one busy time."""
+        found = []
+        for organisation, plan in self._plans.items():
+            rate_per_s = self._site.program_rates_per_s[plan] * factor
+            for at_ms in self._arrivals(rate_per_s, 0, DURATION_MS, True):
+                found.append(self._conversation(organisation, at_ms))
+        return found
+
+    def offence(
+        self, organisation: str, calls_per_s: float, start: int, end: int
+    ) -> list[trace.Program]:
+        """Returns programs whose calls come at a given rate."""
+        turns = 8
+        found = []
+        for at_ms in self._arrivals(calls_per_s / turns, start, end, False):
+            rows = tuple(self._turn(n, 400, 300) for n in range(turns))
+            found.append(self._program(organisation, at_ms, rows))
+        return found
+
+    def small(self, organisation: str, at_ms: int) -> trace.Program:
+        """Returns a program of one or two short turns."""
+        count = self._random.randint(1, 2)
+        rows = tuple(self._turn(n, 300, 150) for n in range(count))
+        return self._program(organisation, at_ms, rows)
+
+    def huge(self, organisation: str, at_ms: int) -> trace.Program:
+        """Returns a program with a long history."""
+        rows = [(self._random.randint(20_000, 40_000), 400, 1500)]
+        rows += [self._turn(1, 3000, 400) for _ in range(8)]
+        return self._program(organisation, at_ms, tuple(rows))
+
+    def loop(self, organisation: str, at_ms: int) -> trace.Program:
+        """Returns a program that calls without end."""
+        rows = ((1200, 150, 200), (250, 120, 200))
+        found = self._program(organisation, at_ms, rows)
+        return found.model_copy(update={"loop": True})
+
+    def times(self, rate_per_s: float) -> Iterator[int]:
+        """Yields arrival times at an even rate."""
+        yield from self._arrivals(rate_per_s, 0, DURATION_MS, False)
+
+    def choose(self, names: list[str]) -> str:
+        """Returns one of some names."""
+        return self._random.choice(names)
+
+    def choose_any(self) -> str:
+        """Returns an organisation, by the rates of their plans."""
+        rates = {plan.name: plan.rate_per_s for plan in self._site.plans}
+        names = list(self._plans)
+        weights = [rates[self._plans[name]] for name in names]
+        return self._random.choices(names, weights)[0]
+
+    def _arrivals(
+        self, rate_per_s: float, start: int, end: int, peak: bool
+    ) -> Iterator[int]:
+        at_ms = float(start)
+        top = 1.0 + PEAK_FACTOR if peak else 1.0
+        while True:
+            at_ms += self._random.expovariate(rate_per_s * top) * 1000
+            if at_ms >= end:
+                return
+            level = 1.0
+            if peak and abs(at_ms - PEAK_MS) < PEAK_WIDTH_MS / 2:
+                level = top
+            if self._random.random() < level / top:
+                yield int(at_ms)
+
+    def _conversation(self, organisation: str, at_ms: int) -> trace.Program:
+        long = self._site.deployment.name == "lakeshore"
+        count = (
+            self._random.randint(3, 9)
+            if long
+            else self._random.choice([2, 2, 3, 3, 4, 5, 8])
+        )
+        added, answered = (900, 300) if long else (800, 310)
+        rows = tuple(self._turn(n, added, answered) for n in range(count))
+        agents: tuple[trace.Agent, ...] = ()
+        if count > 3 and self._random.random() < 0.2:
+            agents = tuple(
+                trace.Agent(
+                    after_turn=2,
+                    turns=tuple(self._turn(n, 500, 150) for n in range(2)),
+                )
+                for _ in range(self._random.randint(1, 3))
+            )
+        return self._program(organisation, at_ms, rows, agents)
+
+    def _turn(self, number: int, added: int, answered: int) -> trace.Turn:
+        first = 1500 if number == 0 else 0
+        pause_ms = min(20_000, int(self._random.expovariate(1 / 3000)) + 300)
+        return (
+            first + self._spread(added),
+            self._spread(answered),
+            pause_ms,
+        )
+
+    def _spread(self, mean: int) -> int:
+        return max(8, int(mean * self._random.lognormvariate(-0.125, 0.5)))
+
+    def _program(
+        self,
+        organisation: str,
+        at_ms: int,
+        turns: tuple[trace.Turn, ...],
+        agents: tuple[trace.Agent, ...] = (),
+    ) -> trace.Program:
+        self._count += 1
+        return trace.Program(
+            id=f"p{self._count}",
+            at_ms=at_ms,
+            organisation=organisation,
+            turns=turns,
+            agents=agents,
+        )
+
+
+def _ordinary(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    programs = made.ordinary()
+    return _trace(made.header("ordinary"), programs)
+
+
+def _six_times(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    plan = site.plans[0]
+    offender = made.organisations(plan.name)[0]
+    programs = made.ordinary()
+    programs += made.offence(offender, plan.rate_per_s * 6, 370_000, 470_000)
+    return _trace(made.header("six-times", offender), programs)
+
+
+def _worker_lost(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    header = made.header("worker-lost")
+    worker = header.workers[1].id
+    events = (
+        trace.WorkerEvent(
+            at_ms=200_000, worker=worker, change=trace.Change.LOST
+        ),
+        trace.WorkerEvent(
+            at_ms=380_000, worker=worker, change=trace.Change.BACK
+        ),
+    )
+    return _trace(header, made.ordinary(0.85), events)
+
+
+def _place_lost(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    place = site.deployment.places[0]
+    events = (
+        trace.PlaceEvent(at_ms=150_000, place=place, change=trace.Change.LOST),
+        trace.PlaceEvent(at_ms=330_000, place=place, change=trace.Change.BACK),
+    )
+    return _trace(made.header("place-lost"), made.ordinary(0.65), events)
+
+
+def _small_and_huge(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    large = made.organisations(site.plans[0].name)
+    programs = [made.small(made.choose_any(), at) for at in made.times(2.6)]
+    programs += [made.huge(made.choose(large), at) for at in made.times(0.1)]
+    return _trace(made.header("small-and-huge"), programs)
+
+
+def _loop(site: Site, seed: int) -> trace.Trace:
+    made = Generator(site, seed)
+    small = made.organisations(site.plans[-1].name)[-1]
+    programs = made.ordinary(0.8)
+    programs += [made.loop(small, 60_000 + n * 1000) for n in range(2)]
+    return _trace(made.header("loop"), programs)
+
+
+def _trace(
+    header: trace.Header,
+    programs: list[trace.Program],
+    events: tuple[trace.Event, ...] = (),
+) -> trace.Trace:
+    return trace.Trace(
+        header=header,
+        programs=tuple(sorted(programs, key=lambda row: row.at_ms)),
+        events=events,
+    )
+
+
+SITES: tuple[tuple[Callable[[], Site], int], ...] = (
+    (tornos_norte, 11),
+    (lakeshore, 23),
+)
+KINDS: tuple[Callable[[Site, int], trace.Trace], ...] = (
+    _ordinary,
+    _six_times,
+    _worker_lost,
+    _place_lost,
+    _small_and_huge,
+    _loop,
+)
+
+
+def make_all() -> Iterator[trace.Trace]:
+    """Yields all shipped traces."""
+    for make_site, seed in SITES:
+        for make in KINDS:
+            yield make(make_site(), seed)
+
+
+def main() -> None:
+    """Writes all shipped traces to a directory."""
+    directory = pathlib.Path(sys.argv[1])
+    for made in make_all():
+        path = directory / f"{made.header.name}.jsonl"
+        path.write_bytes(trace.dump(made))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mangotally/replay/plot.py
@@ -0,0 +1,62 @@
+"""A plot of replays, by matplotlib if it is installed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from returns import result
+
+from mangotally.replay import results
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Sequence
+
+    from mangotally.replay import report
+
+MS_PER_S = 1000.0
+ROW_INCHES = 2.5
+WIDTH_INCHES = 9.0
+
+
+def write(
+    traces: Sequence[Sequence[report.Checked]], path: pathlib.Path
+) -> result.Result[None, str]:
+    """Writes worst minutes of organisations, a chart for each trace.
+
+    Args:
+        traces: For each trace its replays, one for each policy.
+        path: Image file; its suffix decides the format.
+    """
+    try:
+        from matplotlib import figure as figure_lib
+    except ImportError:
+        return result.Failure(
+            "matplotlib is not installed; install mangotally[plots]"
+        )
+    figure = figure_lib.Figure(
+        figsize=(WIDTH_INCHES, ROW_INCHES * len(traces)),
+        layout="constrained",
+    )
+    charts = figure.subplots(len(traces), squeeze=False)[:, 0]
+    for chart, items in zip(charts, traces, strict=True):
+        _draw(chart, items)
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as error:
+        return result.Failure(f"{path}: {error}")
+    return result.Success(None)
+
+
+def _draw(chart: Any, items: Sequence[report.Checked]) -> None:
+    width = 0.8 / len(items)
+    for number, item in enumerate(items):
+        rows = results.rows(item.run)
+        places = [index + number * width for index in range(len(rows))]
+        heights = [row.worst_minute_ms / MS_PER_S for row in rows]
+        chart.bar(places, heights, width, label=item.run.policy)
+    names = [row.organisation for row in results.rows(items[0].run)]
+    chart.set_xticks(range(len(names)), names, fontsize=6)
+    chart.set_ylabel("worst minute, s")
+    chart.set_title(items[0].run.trace, fontsize=8)
+    chart.legend(fontsize=6)
--- /dev/null
+++ b/mangotally/replay/report.py
@@ -0,0 +1,110 @@
+"""Tables of replays."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from mangotally.replay import results, trace
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+MS_PER_S = 1000.0
+SUMMARY = (
+    f"{'policy':<18}{'p50 s':>9}{'p99 s':>9}{'worst min s':>12}"
+    f"{'worst served':>22}{'its worst min s':>16}{'wasted tokens':>15}"
+    f"{'refused':>9}{'wrongful':>9}"
+)
+DETAIL = (
+    f"{'organisation':<22}{'programs':>9}{'not done':>9}{'p50 s':>9}"
+    f"{'p99 s':>9}{'worst min s':>12}{'wasted tokens':>15}"
+    f"{'refused':>9}{'wrongful':>9}"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Checked:
+    """A replay and what did not come out as stated."""
+
+    header: trace.Header
+    run: results.RunResult
+    problems: tuple[str, ...] | None
+
+
+def worst_served(
+    header: trace.Header, rows: Sequence[results.Row]
+) -> results.Row:
+    """Returns the organisation furthest above its plan's latency.
+
+    An organisation that is over its rate does not count.
+    """
+    found = [
+        row
+        for row in rows
+        if row.organisation not in (results.ALL, header.offender)
+    ]
+    return max(
+        found,
+        key=lambda row: (
+            row.worst_minute_ms
+            / header.plan_of(row.organisation).program_latency_ms
+        ),
+    )
+
+
+def detail(item: Checked) -> str:
+    """Returns the table of one replay, an organisation a line."""
+    lines = [f"{item.run.trace} under {item.run.policy}", DETAIL]
+    lines += [
+        f"{row.organisation:<22}{row.programs:>9}{row.not_done:>9}"
+        f"{_s(row.p50_ms):>9}{_s(row.p99_ms):>9}"
+        f"{_s(row.worst_minute_ms):>12}{row.wasted_tokens:>15}"
+        f"{row.refusals:>9}{row.wrongful_refusals:>9}"
+        for row in results.rows(item.run)
+    ]
+    return "\n".join(lines + _describe_outcomes(item))
+
+
+def comparison(items: Sequence[Checked]) -> str:
+    """Returns the table of one trace, a policy a line."""
+    lines = [items[0].run.trace, SUMMARY]
+    for item in items:
+        rows = results.rows(item.run)
+        total = rows[-1]
+        worst = worst_served(item.header, rows)
+        lines.append(
+            f"{item.run.policy:<18}{_s(total.p50_ms):>9}"
+            f"{_s(total.p99_ms):>9}{_s(total.worst_minute_ms):>12}"
+            f"{worst.organisation:>22}{_s(worst.worst_minute_ms):>16}"
+            f"{total.wasted_tokens:>15}{total.refusals:>9}"
+            f"{total.wrongful_refusals:>9}"
+        )
+    lines += ["", _matrix(items)]
+    for item in items:
+        lines += _describe_outcomes(item)
+    return "\n".join(lines)
+
+
+def _matrix(items: Sequence[Checked]) -> str:
+    tables = [results.rows(item.run) for item in items]
+    names = "".join(f"{item.run.policy:>18}" for item in items)
+    lines = [f"{'worst minute in s':<22}{names}"]
+    for same in zip(*tables, strict=True):
+        cells = "".join(f"{_s(row.worst_minute_ms):>18}" for row in same)
+        lines.append(f"{same[0].organisation:<22}{cells}")
+    return "\n".join(lines)
+
+
+def _describe_outcomes(item: Checked) -> list[str]:
+    if item.problems is None:
+        return []
+    name = f"{item.run.policy}: outcomes"
+    if not item.problems:
+        return [f"{name} as stated"]
+    return [f"{name} not as stated:"] + [f"  {x}" for x in item.problems]
+
+
+def _s(time_ms: float) -> str:
+    return f"{time_ms / MS_PER_S:.1f}"
--- /dev/null
+++ b/tests/test_replay/test_runner.py
@@ -0,0 +1,74 @@
+"""Tests of replays against stated outcomes."""
+
+from __future__ import annotations
+
+import unittest
+
+from mangotally.commands import replay
+from mangotally.replay import parameters, report, results
+
+
+def run(name: str, policy: str = replay.FAIR) -> report.Checked:
+    """Replays a shipped trace."""
+    source = replay.load(name).unwrap()
+    return replay.replay(source, policy, parameters.Parameters()).unwrap()
+
+
+class OutcomesTest(unittest.TestCase):
+    """One trace of each kind comes out as stated."""
+
+    def check(self, name: str) -> None:
+        """Replays a trace and checks its outcomes."""
+        self.assertEqual(run(name).problems, ())
+
+    def test_ordinary(self) -> None:
+        """An ordinary day."""
+        self.check("tornos-norte-ordinary")
+
+    def test_six_times(self) -> None:
+        """One organisation at six times its rate."""
+        self.check("tornos-norte-six-times")
+
+    def test_worker_lost(self) -> None:
+        """A worker is lost and comes back."""
+        self.check("tornos-norte-worker-lost")
+
+    def test_place_lost(self) -> None:
+        """A place is lost and comes back."""
+        self.check("lakeshore-place-lost")
+
+    def test_small_and_huge(self) -> None:
+        """Many small programs beside a few huge ones."""
+        self.check("lakeshore-small-and-huge")
+
+    def test_loop(self) -> None:
+        """Programs without an end."""
+        self.check("tornos-norte-loop")
+
+
+class RunnerTest(unittest.TestCase):
+    """The replay itself."""
+
+    def test_same_seed_same_result(self) -> None:
+        """A replay is the same every time."""
+        name = "lakeshore-place-lost"
+        self.assertEqual(run(name).run, run(name).run)
+
+    def test_every_program_ends_once(self) -> None:
+        """A lost worker loses no program under any policy."""
+        source = replay.load("tornos-norte-worker-lost").unwrap()
+        wanted = {row.id for row in source.trace.programs}
+        for policy in replay.POLICIES:
+            found = run("tornos-norte-worker-lost", policy).run
+            ended = [program.program for program in found.programs]
+            self.assertEqual(set(ended), wanted, policy)
+            self.assertEqual(len(ended), len(wanted), policy)
+            self.assertTrue(
+                all(
+                    program.end is results.ProgramEnd.DONE
+                    and program.turns >= 1
+                    for program in found.programs
+                ),
+                policy,
+            )
+            self.assertGreater(found.retries, 0, policy)
