--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -31,8 +31,7 @@
 from mangotally.log import http as http_log
 from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
-from mangotally.policy import faults
-from mangotally.policy import pools as pool_policy
+from mangotally.policy import faults, scheduler
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
@@ -184,7 +183,7 @@
             self.live,
             roster,
             engine,
-            pool_policy.FirstComeScheduler,
+            scheduler.FairScheduler,
             self.clock,
         )
         self.partitions = self._make_partitions(log)
