--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -14,6 +14,7 @@
 from mangotally.engines import channels as channels_lib
 from mangotally.engines import http as http_engine
 from mangotally.homes import (
+    admission,
     calls,
     configuration,
     membership,
@@ -175,7 +176,14 @@
         engine = http_engine.HttpEngineClient(channels, limits)
         roster = http_roster.HttpRoster(session, settings.roster_url)
         self.organisations = organisations.OrganisationHome(
-            self.members, self.live, self.clock
+            self.members,
+            self.live,
+            self.peers,
+            self.clock,
+            settings.lease_ms,
+        )
+        self.admission = admission.Admission(
+            self.members, self.peers, self.clock, settings.lease_ms
         )
         self.pools = pools.PoolHome(
             settings,
@@ -241,6 +249,7 @@
                 chat.ChatRoutes(
                     self.live,
                     self.members,
+                    self.admission,
                     self.programs,
                     self.peers,
                     self.clock,
@@ -248,6 +257,7 @@
                 services.ServiceRoutes(
                     self.live,
                     self.members,
+                    self.admission,
                     self.calls,
                     self.peers,
                     settings.open_services,
--- a/mangotally/callers/chat.py
+++ b/mangotally/callers/chat.py
@@ -9,7 +9,6 @@
 
 from mangotally import errors, ids
 from mangotally.callers import access, answers, bodies, problems
-from mangotally.homes import organisations
 from mangotally.hosts import messages
 from mangotally.policy import records
 from mangotally.settings import lists
@@ -17,6 +16,7 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from mangotally.homes import admission as admission_lib
     from mangotally.homes import configuration as live_configuration
     from mangotally.homes import membership
     from mangotally.homes import programs as program_home
@@ -36,6 +36,7 @@
         self,
         live: live_configuration.LiveConfiguration,
         members: membership.Membership,
+        admission: admission_lib.Admission,
         home: program_home.ProgramHome,
         peers: peers_lib.Peers,
         clock: clock_lib.Clock,
@@ -43,6 +44,7 @@
         """Makes the route; `attach` adds it."""
         self._live = live
         self._members = members
+        self._admission = admission
         self._home = home
         self._peers = peers
         self._clock = clock
@@ -67,11 +69,7 @@
     async def _run(
         self, message: messages.RunTurn, answer: answers.Answer
     ) -> web.StreamResponse:
-        admitted = await organisations.take_tokens(
-            self._peers,
-            self._members,
-            messages.TakeTokens(message.organisation, 1),
-        )
+        admitted = await self._admission.take(message.organisation)
         if isinstance(admitted, result.Failure):
             return problems.response_of(admitted.failure())
         if message.program is None:
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -9,11 +9,12 @@
 
 from mangotally import errors, ids
 from mangotally.callers import access, chat, problems
-from mangotally.homes import calls, organisations
+from mangotally.homes import calls
 from mangotally.hosts import messages
 from mangotally.settings import lists
 
 if TYPE_CHECKING:
+    from mangotally.homes import admission as admission_lib
     from mangotally.homes import configuration as live_configuration
     from mangotally.homes import membership
     from mangotally.hosts import peers as peers_lib
@@ -32,6 +33,7 @@
         self,
         live: live_configuration.LiveConfiguration,
         members: membership.Membership,
+        admission: admission_lib.Admission,
         home: calls.CallHome,
         peers: peers_lib.Peers,
         open_services: tuple[str, ...],
@@ -39,6 +41,7 @@
         """Makes the routes; `attach` adds them."""
         self._live = live
         self._members = members
+        self._admission = admission
         self._home = home
         self._peers = peers
         self._open_services = open_services
@@ -69,11 +72,7 @@
     async def _admit(
         self, request: web.Request, organisation: ids.OrganisationId
     ) -> web.StreamResponse:
-        admitted = await organisations.take_tokens(
-            self._peers,
-            self._members,
-            messages.TakeTokens(organisation, 1),
-        )
+        admitted = await self._admission.take(organisation)
         if isinstance(admitted, result.Failure):
             return problems.response_of(admitted.failure())
         return await self._answer(request, organisation)
--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -5,23 +5,27 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 from typing import TYPE_CHECKING, Any, Self
 
 from returns import result
 
 from mangotally import ids
 from mangotally.log import follower
-from mangotally.policy import homes, lease, records, view
+from mangotally.policy import membership, records, view
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from mangotally.log import base
+    from mangotally.policy import lease
     from mangotally.settings import host as host_settings
 
 logger = logging.getLogger(__name__)
 
+LEAVE_TIMEOUT_MS = 2000
+
 
 class Membership:
     """Heartbeats of this host, the view, and evictions."""
@@ -33,35 +37,44 @@
         clock: clock_lib.Clock,
     ) -> None:
         """Makes the membership; entering it joins the fleet."""
-        self._settings = settings
         self._log = log
         self._clock = clock
-        self._host = ids.HostId(settings.host_id)
-        self._incarnation = clock.wall_ms()
-        self._view = view.View()
-        self._heard_ms: dict[ids.HostId, tuple[ids.Offset, float]] = {}
-        self._lease = lease.Lease(settings.lease_ms)
+        self._times = membership.Times(settings.heartbeat_ms, settings.lease_ms)
+        me = membership.Self(
+            ids.HostId(settings.host_id),
+            settings.rpc_address,
+            ids.PlaceId(settings.place),
+        )
+        salt = secrets.randbelow(membership.SALTS)
+        self.state = membership.MembershipState(me, self._times, salt)
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[Callable[[], None]] = []
+        self._leaving: list[Callable[[], Awaitable[None]]] = []
         self._joined = asyncio.Event()
         self._follower = follower.Follower(
-            log, records.MEMBERS_STREAM, self, clock
+            log,
+            records.MEMBERS_STREAM,
+            self,
+            clock,
+            window=follower.Window(
+                view.WINDOW_OFFSETS, self._begin, self._mark_read
+            ),
         )
 
     @property
     def host(self) -> ids.HostId:
         """This host."""
-        return self._host
+        return self.state.me.host
 
     @property
     def view(self) -> view.View:
         """The view as of the records read so far."""
-        return self._view
+        return self.state.view
 
     @property
     def lease(self) -> lease.Lease:
         """This host's lease."""
-        return self._lease
+        return self.state.lease
 
     async def __aenter__(self) -> Self:
         """Joins the fleet and waits until this host is in its view."""
@@ -72,106 +85,118 @@
             asyncio.create_task(self._watch()),
         ]
         await self._joined.wait()
-        logger.info("host_joined", extra={"host": self._host})
+        logger.info("host_joined", extra={"host": self.host})
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Leaves the fleet."""
+        """Leaves the fleet, after what `on_leave` asked for."""
+        for leave in self._leaving:
+            await leave()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._lease.lapse()
-        record = records.Leave(self._host, self._incarnation)
-        await self._append(record)
+        self.lease.lapse()
+        await self._append_leave()
         await self._follower.__aexit__()
-        logger.info("host_left", extra={"host": self._host})
+        logger.info("host_left", extra={"host": self.host})
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Adds a function that is called when the view has changed."""
         self._listeners.append(listener)
 
+    def on_leave(self, leave: Callable[[], Awaitable[None]]) -> None:
+        """Adds what is to be done before this host leaves the view."""
+        self._leaving.append(leave)
+
     def address_of(self, host: ids.HostId) -> str | None:
         """Returns a host's address for other hosts, or None."""
-        member = self._view.members.get(host)
+        member = self.view.members.get(host)
         return member.address if member else None
 
     def home_of(self, key: str) -> ids.HostId | None:
         """Returns the home of a rendezvous key, or None."""
-        return homes.home(key, self._view.members)
+        return self.state.home_of(key)
 
     def is_home(self, key: str) -> bool:
         """Returns whether this host is the home of a key."""
-        return self.home_of(key) == self._host
+        return self.home_of(key) == self.host
+
+    async def wait_read(self, offset: ids.Offset, timeout_ms: float) -> bool:
+        """Waits until a record of the members stream has been read."""
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(timeout_ms)):
+                await self._follower.wait_for(offset)
+        except TimeoutError:
+            return False
+        return True
 
     def consume(self, record: Any, offset: ids.Offset) -> None:
         """Takes a record of the members stream."""
-        changed = self._view.apply(record, offset)
-        if isinstance(record, records.Heartbeat):
-            self._heard_ms[record.host] = (offset, self._clock.now_ms())
-        if changed:
-            logger.info(
-                "view_changed", extra={"hosts": len(self._view.hosts())}
-            )
-            for listener in self._listeners:
-                listener()
+        was_member = self.state.is_member()
+        changed = self.state.consume(record, offset, self._clock.now_ms())
+        if not changed:
+            return
+        hosts = len(self.view.members)
+        logger.info("view_changed", extra={"hosts": hosts, "offset": offset})
+        if was_member and not self.state.is_member():
+            logger.warning("host_evicted", extra={"host": self.host})
+        for listener in self._listeners:
+            listener()
+
+    def _begin(self, offset: ids.Offset) -> None:
+        """Starts anew at an offset; earlier records are not known."""
+        if self.state.incarnation >= 0:
+            logger.warning("members_missed", extra={"offset": offset})
+        self.state.reset()
+        self.state.next_offset = offset
+        self.state.tenure.complete = offset == 0
+
+    def _mark_read(self) -> None:
+        """Notes that the stream was read up to its end."""
+        self.state.mark_read(self._clock.now_ms())
 
     async def _beat(self) -> None:
-        pause_s = clock_lib.to_seconds(self._settings.heartbeat_ms)
+        pause_s = clock_lib.to_seconds(self._times.heartbeat_ms)
         while True:
             await self._beat_once()
             await asyncio.sleep(pause_s)
 
     async def _beat_once(self) -> None:
+        record = self.state.heartbeat(self._clock.wall_ms())
+        if record is None:
+            logger.error("host_id_in_use", extra={"host": self.host})
+            return
         sent_ms = self._clock.now_ms()
-        record = records.Heartbeat(
-            self._host,
-            self._incarnation,
-            self._settings.rpc_address,
-            ids.PlaceId(self._settings.place),
-        )
-        match await self._append(record):
+        match await self._append([record]):
             case result.Success(offset):
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(
-                        clock_lib.to_seconds(self._settings.lease_ms)
-                    ):
-                        await self._follower.wait_for(offset)
-                        self._renew(sent_ms)
+                if await self.wait_read(offset, self._times.lease_ms):
+                    self._renew(record, sent_ms, offset)
             case _:
-                logger.warning("heartbeat_failed")
-
-    def _renew(self, sent_ms: float) -> None:
-        member = self._view.members.get(self._host)
-        if member is None or member.incarnation != self._incarnation:
-            logger.warning("host_evicted", extra={"host": self._host})
-            self._incarnation = self._clock.wall_ms()
-            self._lease.lapse()
-            return
-        self._lease.renew(sent_ms)
-        self._joined.set()
+                logger.warning("heartbeat_failed", extra={"host": self.host})
+
+    def _renew(
+        self, record: records.Heartbeat, sent_ms: float, offset: ids.Offset
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if self.state.renew(record, sent_ms, offset, now_ms):
+            self._joined.set()
 
     async def _watch(self) -> None:
-        pause_s = clock_lib.to_seconds(self._settings.heartbeat_ms)
+        pause_s = clock_lib.to_seconds(self._times.heartbeat_ms)
         while True:
             await asyncio.sleep(pause_s)
-            for record in self._overdue():
+            overdue = self.state.overdue(self._clock.now_ms())
+            for record in overdue:
                 logger.info("host_overdue", extra={"host": record.host})
-                await self._append(record)
+            if overdue:
+                await self._append(overdue)
 
-    def _overdue(self) -> list[records.Evict]:
-        now_ms = self._clock.now_ms()
-        read_ms = self._follower.read_ms
-        fresh_ms = 2 * self._settings.heartbeat_ms
-        if read_ms is None or now_ms - read_ms > fresh_ms:
-            return []
-        limit_ms = 1.5 * self._settings.lease_ms
-        return [
-            records.Evict(member.host, member.incarnation, offset)
-            for member in self._view.members.values()
-            for offset, heard_ms in [self._heard_ms[member.host]]
-            if now_ms - heard_ms > limit_ms and member.host != self._host
-        ]
+    async def _append_leave(self) -> None:
+        record = records.Leave(self.host, self.state.incarnation)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(clock_lib.to_seconds(LEAVE_TIMEOUT_MS)):
+                await self._append([record])
 
-    async def _append(self, record: Any) -> Any:
-        data = records.registry.encode_batch([record])
+    async def _append(self, found: list[Any]) -> Any:
+        data = records.registry.encode_batch(found)
         return await self._log.append(records.MEMBERS_STREAM, data)
--- a/mangotally/homes/organisations.py
+++ b/mangotally/homes/organisations.py
@@ -3,21 +3,42 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import logging
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from returns import result
 
 from mangotally import errors, ids
 from mangotally.hosts import messages
-from mangotally.policy import bucket, homes
+from mangotally.policy import limits
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from mangotally.homes import configuration, membership
+    from mangotally.hosts import peers as peers_lib
     from mangotally.hosts import router
 
-HOLD_MS = 2000
+logger = logging.getLogger(__name__)
+
+HAND_OVER_TIMEOUT_MS = 500
+READ_TIMEOUT_MS = 300
+HOLD_LEASES = 1.5
+HOLD_EXTRA_MS = 2000
+
+
+def hold_ms(lease_ms: float) -> float:
+    """Returns how long a call is held while its home changes."""
+    return HOLD_LEASES * lease_ms + HOLD_EXTRA_MS
+
+
+@dataclasses.dataclass
+class _Line:
+    """Held calls of one organisation, decided in order of arrival."""
+
+    turn: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    calls: int = 0
 
 
 class OrganisationHome:
@@ -27,87 +48,207 @@
         self,
         members: membership.Membership,
         live: configuration.LiveConfiguration,
+        peers: peers_lib.Peers,
         clock: clock_lib.Clock,
+        lease_ms: float,
     ) -> None:
         """Makes the home; `attach` puts it to work."""
         self._members = members
         self._live = live
+        self._peers = peers
         self._clock = clock
-        self._buckets: dict[ids.OrganisationId, bucket.Bucket] = {}
+        self._hold_ms = hold_ms(lease_ms)
+        self._limits = limits.Limits(members.state)
+        self._lines: dict[ids.OrganisationId, _Line] = {}
+        members.on_change(lambda: self._limits.forget(clock.now_ms()))
+        members.on_leave(self.hand_on)
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this home's handlers."""
         handlers.add_unary(messages.TakeTokens, self.take)
+        handlers.add_unary(messages.HandOver, self.hand_over)
+        handlers.add_unary(messages.Bequeath, self.receive)
 
     async def take(
         self, message: messages.TakeTokens
-    ) -> errors.Outcome[messages.Done]:
-        """Admits calls of an organisation, or refuses them."""
-        lists = self._live.current.lists
-        plan = lists and lists.organisation_plan(message.organisation)
-        if not plan:
+    ) -> errors.Outcome[messages.TokensTaken]:
+        """Admits calls of an organisation, holds or refuses them."""
+        terms = self._terms(message.organisation)
+        if terms is None:
+            return _no_plan()
+        asked_ms = self._clock.now_ms()
+        line = self._lines.setdefault(message.organisation, _Line())
+        decision = self._limits.take(
+            message.organisation, terms, message.count, asked_ms, line.calls
+        )
+        if _is_open(decision):
+            decision = await self._wait_in_line(message, line)
+        if line.calls == 0:
+            self._lines.pop(message.organisation, None)
+        held_ms = self._clock.now_ms() - asked_ms
+        return _to_outcome(decision, held_ms)
+
+    async def hand_over(
+        self, message: messages.HandOver
+    ) -> errors.Outcome[limits.BucketState]:
+        """Hands an organisation's bucket to its new home."""
+        terms = self._terms(message.organisation)
+        if terms is None:
+            return _no_plan()
+        if not await self._members.wait_read(message.offset, READ_TIMEOUT_MS):
             return errors.failed(
-                errors.Reason.FORBIDDEN, "The organisation has no plan."
+                errors.Reason.UNAVAILABLE, "The stream is not read so far."
             )
-        now_ms = self._clock.now_ms()
-        key = homes.organisation_key(message.organisation)
-        if not self._members.is_home(key):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
-        if not self._members.lease.is_valid(now_ms):
+        state = self._limits.hand_over(
+            message.organisation, message.offset, terms, self._clock.now_ms()
+        )
+        if state is None:
             return errors.failed(
-                errors.Reason.UNAVAILABLE,
-                "Rates cannot be checked now.",
-                retry_after_ms=HOLD_MS,
+                errors.Reason.CONFLICT, "This host cannot vouch for a bucket."
             )
-        found = self._buckets.get(message.organisation)
-        if found is None:
-            found = bucket.Bucket(
-                plan.rate_per_s, plan.burst, plan.burst, now_ms
+        return result.Success(state)
+
+    async def receive(
+        self, message: messages.Bequeath
+    ) -> errors.Outcome[messages.Done]:
+        """Keeps the bucket of a host that is about to leave."""
+        giver = (message.giver, message.incarnation)
+        self._limits.receive_bequest(
+            message.organisation, giver, message.state, self._clock.now_ms()
+        )
+        return result.Success(messages.Done())
+
+    async def hand_on(self) -> None:
+        """Stops all grants and sends the buckets to their next homes."""
+        current = self._live.current.lists
+        names = current.plans.organisations if current else ()
+        plans = {
+            ids.OrganisationId(item.id): terms
+            for item in names
+            if (terms := self._terms(ids.OrganisationId(item.id)))
+        }
+        me = self._members.state
+        bequests = self._limits.bequests(plans, self._clock.now_ms())
+        sent = await asyncio.gather(
+            *(
+                self._peers.call(
+                    heir,
+                    messages.Bequeath(
+                        organisation, me.me.host, me.incarnation, state
+                    ),
+                    HAND_OVER_TIMEOUT_MS,
+                )
+                for heir, organisation, state in bequests
             )
-            self._buckets[message.organisation] = found
-        found.change(plan.rate_per_s, plan.burst, now_ms)
-        wait_ms = found.take(message.count, now_ms)
-        if wait_ms == 0.0:
-            return result.Success(messages.Done())
-        return errors.failed(
-            errors.Reason.OVER_RATE,
-            "The organisation is over its rate.",
-            retry_after_ms=math.ceil(wait_ms),
+        )
+        taken = sum(isinstance(item, result.Success) for item in sent)
+        logger.info(
+            "buckets_handed_on", extra={"sent": len(sent), "taken": taken}
         )
 
     def dump(self) -> dict[str, object]:
         """Returns the buckets' levels, for the state dump."""
-        now_ms = self._clock.now_ms()
+        levels = self._limits.levels(self._clock.now_ms())
         return {
-            name: {"level": round(item.level(now_ms), 3)}
-            for name, item in sorted(self._buckets.items())
+            name: {
+                "level": round(level, 3),
+                "held": self._lines[name].calls if name in self._lines else 0,
+            }
+            for name, level in levels.items()
         }
 
+    def _terms(self, organisation: ids.OrganisationId) -> limits.Terms | None:
+        lists = self._live.current.lists
+        plan = lists and lists.organisation_plan(organisation)
+        return limits.Terms(plan.rate_per_s, plan.burst) if plan else None
+
+    async def _wait_in_line(
+        self, message: messages.TakeTokens, line: _Line
+    ) -> limits.Decision:
+        line.calls += message.count
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(self._hold_ms)):
+                async with line.turn:
+                    return await self._decide(message)
+        except TimeoutError:
+            return limits.OverRate(self._hold_ms)
+        finally:
+            line.calls -= message.count
+
+    async def _decide(self, message: messages.TakeTokens) -> limits.Decision:
+        while True:
+            terms = self._terms(message.organisation)
+            if terms is None:
+                return limits.Refusal.NOT_HOME
+            decision = self._limits.take(
+                message.organisation,
+                terms,
+                message.count,
+                self._clock.now_ms(),
+            )
+            match decision:
+                case limits.AskPrevious():
+                    await self._ask(message.organisation, decision)
+                case limits.Held(wait_ms):
+                    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
+                case _:
+                    return decision
+
+    async def _ask(
+        self, organisation: ids.OrganisationId, question: limits.AskPrevious
+    ) -> None:
+        answer = await self._peers.call(
+            question.host,
+            messages.HandOver(organisation, question.offset),
+            HAND_OVER_TIMEOUT_MS,
+        )
+        terms = self._terms(organisation)
+        match answer:
+            case result.Success(limits.BucketState() as state) if terms:
+                self._limits.accept(
+                    organisation,
+                    question.offset,
+                    state,
+                    terms,
+                    self._clock.now_ms(),
+                )
+            case _:
+                logger.info(
+                    "bucket_not_handed_over",
+                    extra={
+                        "organisation": organisation,
+                        "previous": question.host,
+                    },
+                )
+
+
+def _is_open(decision: limits.Decision) -> bool:
+    return isinstance(decision, limits.Held | limits.AskPrevious)
+
+
+def _to_outcome(
+    decision: limits.Decision, held_ms: float
+) -> errors.Outcome[Any]:
+    match decision:
+        case limits.Admitted():
+            return result.Success(messages.TokensTaken(held_ms))
+        case limits.OverRate(wait_ms):
+            return errors.failed(
+                errors.Reason.OVER_RATE,
+                "The organisation is over its rate.",
+                retry_after_ms=math.ceil(wait_ms),
+            )
+        case limits.Refusal.NO_LEASE:
+            return errors.failed(
+                errors.Reason.UNAVAILABLE,
+                "Rates cannot be checked now.",
+                retry_after_ms=HOLD_EXTRA_MS,
+            )
+        case _:
+            return errors.failed(errors.Reason.MOVED, "The home has moved.")
 
-async def take_tokens(
-    peers: object, members: membership.Membership, message: messages.TakeTokens
-) -> errors.Outcome[messages.Done]:
-    """Asks an organisation's home, through a change of home if need be.
-
-    Args:
-        peers: The `Peers` of this host.
-        members: The membership of this host.
-        message: What to ask.
-
-    Returns:
-        `Done`, or why the calls are not admitted.
-    """
-    from mangotally.hosts import peers as peers_lib
 
-    assert isinstance(peers, peers_lib.Peers)
-    key = homes.organisation_key(message.organisation)
-    waited_ms = 0
-    while True:
-        outcome = await peers.call(members.home_of(key), message)
-        if isinstance(outcome, result.Success) or waited_ms >= HOLD_MS:
-            return outcome
-        reason = outcome.failure().reason
-        if reason not in (errors.Reason.MOVED, errors.Reason.UNAVAILABLE):
-            return outcome
-        await asyncio.sleep(clock_lib.to_seconds(100))
-        waited_ms += 100
+def _no_plan() -> errors.Outcome[Any]:
+    return errors.failed(
+        errors.Reason.FORBIDDEN, "The organisation has no plan."
+    )
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -5,12 +5,13 @@
 import dataclasses
 
 from mangotally import errors, ids
-from mangotally.policy import faults, pools, records
+from mangotally.policy import faults, limits, pools, records
 from mangotally.util import codec
 
 registry = codec.Registry()
 registry.register(errors.Failure)
 registry.register(records.ProgramOpened)
+registry.register(limits.BucketState)
 
 
 @registry.register
@@ -33,6 +34,50 @@
     count: int
 
 
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class TokensTaken:
+    """The calls are admitted.
+
+    Attributes:
+        held_ms: How long the home has held them.
+    """
+
+    held_ms: float
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class HandOver:
+    """Asks the earlier home of an organisation for its bucket.
+
+    Attributes:
+        organisation: The organisation.
+        offset: The record of the members stream that moved its key.
+    """
+
+    organisation: ids.OrganisationId
+    offset: ids.Offset
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class Bequeath:
+    """Gives a bucket to the host that is its home once the giver is gone.
+
+    Attributes:
+        organisation: The organisation.
+        giver: The host that leaves.
+        incarnation: Its incarnation.
+        state: The bucket; the giver grants no more from it.
+    """
+
+    organisation: ids.OrganisationId
+    giver: ids.HostId
+    incarnation: int
+    state: limits.BucketState
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class OpenProgram:
--- a/mangotally/log/follower.py
+++ b/mangotally/log/follower.py
@@ -1,10 +1,12 @@
-"""Reads a stream from its oldest record on, for as long as it lives."""
+"""Reads a stream to its end and on, for as long as it lives."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol, Self
 
 from returns import result
@@ -14,8 +16,6 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from mangotally.log import base
 
 logger = logging.getLogger(__name__)
@@ -31,6 +31,22 @@
         """Takes one record."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Window:
+    """Follows the end of a stream, and starts anew after a loss.
+
+    Attributes:
+        offsets: How far before the end to begin.
+        on_begin: Called with the offset of the next record at the start,
+            and whenever records aged out before they were read.
+        on_read: Called when the stream has been read up to its end.
+    """
+
+    offsets: int
+    on_begin: Callable[[ids.Offset], None]
+    on_read: Callable[[], None]
+
+
 class Follower:
     """Follows one stream of the log."""
 
@@ -41,6 +57,7 @@
         consumer: Consumer,
         clock: clock_lib.Clock,
         on_loss: Callable[[ids.Offset, ids.Offset], None] | None = None,
+        window: Window | None = None,
     ) -> None:
         """Makes a follower; reading begins on entering it.
 
@@ -51,13 +68,16 @@
             clock: The clock.
             on_loss: Called with the offset wanted and the oldest kept if
                 records aged out before they were read.
+            window: How to follow only the end of the stream, or None.
         """
+        self._window = window
         self._on_loss = on_loss
         self._log = log
         self._stream = stream
         self._consumer = consumer
         self._clock = clock
         self._next_offset = ids.Offset(0)
+        self._begun = False
         self._read_ms: float | None = None
         self._caught_up = asyncio.Event()
         self._moved = asyncio.Condition()
@@ -107,8 +127,7 @@
                     await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
     async def _take(self, part: base.Slice) -> None:
-        if part.oldest_offset > self._next_offset and self._on_loss:
-            self._on_loss(self._next_offset, part.oldest_offset)
+        self._skip(part)
         for entry in part.entries:
             if entry.offset < self._next_offset:
                 continue
@@ -118,10 +137,24 @@
         self._next_offset = max(self._next_offset, part.oldest_offset)
         if self._next_offset >= part.next_offset:
             self._read_ms = self._clock.now_ms()
+            if self._window is not None:
+                self._window.on_read()
             self._caught_up.set()
         async with self._moved:
             self._moved.notify_all()
 
+    def _skip(self, part: base.Slice) -> None:
+        lost = part.oldest_offset > self._next_offset
+        if lost and self._on_loss is not None:
+            self._on_loss(self._next_offset, part.oldest_offset)
+        if self._window is not None and (lost or not self._begun):
+            start = max(
+                part.oldest_offset, part.next_offset - self._window.offsets
+            )
+            self._next_offset = ids.Offset(start)
+            self._window.on_begin(self._next_offset)
+        self._begun = True
+
     def _consume(
         self, record: result.Result[Any, str], offset: ids.Offset
     ) -> None:
--- a/mangotally/policy/homes.py
+++ b/mangotally/policy/homes.py
@@ -23,6 +23,42 @@
     return max(hosts, key=lambda host: _weight(key, host), default=None)
 
 
+class HomeMap:
+    """Homes of keys over a set of hosts, kept up to date as it changes."""
+
+    def __init__(self) -> None:
+        self._hosts: set[ids.HostId] = set()
+        self._best: dict[str, tuple[int, ids.HostId]] = {}
+
+    @property
+    def hosts(self) -> frozenset[ids.HostId]:
+        """The hosts."""
+        return frozenset(self._hosts)
+
+    def add(self, host: ids.HostId) -> None:
+        """Adds a host; it takes over the keys that rank it first."""
+        self._hosts.add(host)
+        for key, best in self._best.items():
+            weight = _weight(key, host)
+            if weight > best:
+                self._best[key] = weight
+
+    def remove(self, host: ids.HostId) -> None:
+        """Removes a host; its keys move to the next in their order."""
+        self._hosts.discard(host)
+        for key, (_, holder) in list(self._best.items()):
+            if holder == host:
+                del self._best[key]
+
+    def home(self, key: str) -> ids.HostId | None:
+        """Returns the home of a key, or None if there are no hosts."""
+        best = self._best.get(key)
+        if best is None and self._hosts:
+            best = max(_weight(key, host) for host in self._hosts)
+            self._best[key] = best
+        return best[1] if best else None
+
+
 def organisation_key(organisation: ids.OrganisationId) -> str:
     """Returns the rendezvous key of an organisation."""
     return f"organisation/{organisation}"
--- /dev/null
+++ b/mangotally/policy/limits.py
@@ -0,0 +1,372 @@
+"""Admission of organisations' calls at their home, under its lease."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+from typing import TYPE_CHECKING, TypeAlias
+
+from mangotally import ids
+from mangotally.policy import bucket, homes, tenure
+from mangotally.util import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from mangotally.policy import membership
+
+ASK_AGAIN_MS = 250
+TRANSFER_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Terms:
+    """What a plan allows.
+
+    Attributes:
+        rate_per_s: Calls a second over the whole fleet.
+        burst: Calls above the rate at once.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+class Refusal(enum.Enum):
+    """Why this host decides nothing about an organisation's calls."""
+
+    NOT_HOME = "not-home"
+    NO_LEASE = "no-lease"
+    CLOSING = "closing"
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The calls may run now."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """The calls may be within the rate; decide again later.
+
+    Attributes:
+        wait_ms: When that is worth while.
+    """
+
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class OverRate:
+    """The calls are over the rate.
+
+    Attributes:
+        wait_ms: When they would not be.
+    """
+
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class AskPrevious:
+    """The earlier home has to hand over first.
+
+    Attributes:
+        host: The earlier home.
+        offset: The record that moved the key.
+    """
+
+    host: ids.HostId
+    offset: ids.Offset
+
+
+Decision: TypeAlias = Admitted | Held | OverRate | AskPrevious | Refusal
+
+
+@dataclasses.dataclass(frozen=True)
+class BucketState:
+    """A bucket on its way to another home.
+
+    Attributes:
+        level: Tokens that are there for certain.
+        upper: Most tokens that can be there.
+        batches: Tokens that other hosts still hold; `expires_ms` counts
+            from the sending of this state.
+    """
+
+    level: float
+    upper: float
+    batches: tuple[bucket.Batch, ...] = ()
+
+
+@dataclasses.dataclass
+class _Account:
+    """A bucket and the claim that it was made under."""
+
+    bucket: bucket.Bucket
+    offset: ids.Offset
+
+
+@dataclasses.dataclass(frozen=True)
+class _Bequest:
+    """A bucket that a leaving host has sent ahead."""
+
+    giver: tenure.Identity
+    state: BucketState
+    received_ms: float
+
+
+class Limits:
+    """The buckets of the organisations that this host is home of."""
+
+    def __init__(self, state: membership.MembershipState) -> None:
+        """Makes a host's limits over its membership."""
+        self._state = state
+        self._accounts: dict[ids.OrganisationId, _Account] = {}
+        self._claims: dict[ids.OrganisationId, tenure.Claim] = {}
+        self._generation = -1
+        self._asked_ms: dict[ids.OrganisationId, float] = {}
+        self._bequests: dict[ids.OrganisationId, _Bequest] = {}
+        self.closing = False
+
+    def take(
+        self,
+        organisation: ids.OrganisationId,
+        terms: Terms,
+        count: float,
+        now_ms: float,
+        ahead: float = 0,
+    ) -> Decision:
+        """Admits calls, or says why not.
+
+        Args:
+            organisation: The organisation.
+            terms: Its plan.
+            count: Calls to admit.
+            now_ms: Current time.
+            ahead: Calls that are held and come before these.
+        """
+        found = self.account(organisation, terms, now_ms)
+        if isinstance(found, Held) and ahead + count > terms.burst:
+            return OverRate(found.wait_ms)
+        if not isinstance(found, bucket.Bucket):
+            return found
+        over_ms = found.refusal_ms(ahead + count, now_ms)
+        if over_ms > 0:
+            return OverRate(over_ms)
+        if ahead:
+            return Held(ASK_AGAIN_MS)
+        wait_ms = found.take(count, now_ms)
+        return Held(wait_ms) if wait_ms > 0 else Admitted()
+
+    def account(
+        self, organisation: ids.OrganisationId, terms: Terms, now_ms: float
+    ) -> bucket.Bucket | Decision:
+        """Returns a bucket that this host may grant from, or why not."""
+        key = homes.organisation_key(organisation)
+        if self.closing:
+            return Refusal.CLOSING
+        if self._state.home_of(key) != self._state.me.host:
+            return Refusal.NOT_HOME
+        if not self._state.may_act(now_ms):
+            return Refusal.NO_LEASE
+        claim = self._claim(organisation)
+        if claim is None:
+            return Refusal.NOT_HOME
+        account = self._accounts.get(organisation)
+        if account is None or account.offset != claim.offset:
+            opened = self._open(organisation, claim, terms, now_ms)
+            if not isinstance(opened, bucket.Bucket):
+                return opened
+            account = _Account(opened, claim.offset)
+            self._accounts[organisation] = account
+        account.bucket.change(terms.rate_per_s, terms.burst, now_ms)
+        return account.bucket
+
+    def accept(
+        self,
+        organisation: ids.OrganisationId,
+        offset: ids.Offset,
+        state: BucketState,
+        terms: Terms,
+        now_ms: float,
+    ) -> None:
+        """Takes the bucket that the earlier home has handed over."""
+        claim = self._claim(organisation)
+        known = self._accounts.get(organisation)
+        if claim is None or claim.offset != offset:
+            return
+        if known is not None and known.offset == offset:
+            return
+        made = _make(state, terms, now_ms)
+        self._accounts[organisation] = _Account(made, offset)
+
+    def hand_over(
+        self,
+        organisation: ids.OrganisationId,
+        offset: ids.Offset,
+        terms: Terms,
+        now_ms: float,
+    ) -> BucketState | None:
+        """Returns the bucket for the home that a record has made.
+
+        The record has been read here, so this host grants no more. The same
+        question has the same answer: only one home asks it.
+
+        Args:
+            organisation: The organisation.
+            offset: The record that moved its key.
+            terms: Its plan.
+            now_ms: Current time.
+
+        Returns:
+            The bucket, or None if this host cannot vouch for it.
+        """
+        if self._state.next_offset <= offset:
+            return None
+        key = homes.organisation_key(organisation)
+        current = self._state.tenure.claim(key)
+        if current is not None and current.offset < offset:
+            return None
+        claim = self._state.tenure.claim(key, before=offset)
+        if claim is None:
+            return None
+        account = self._accounts.get(organisation)
+        if account is not None and account.offset == claim.offset:
+            return _state_of(account.bucket, now_ms)
+        if now_ms < claim.free_ms:
+            return None
+        level = _level_since(claim.free_ms, terms, now_ms)
+        return BucketState(level, terms.burst)
+
+    def bequests(
+        self,
+        plans: Mapping[ids.OrganisationId, Terms],
+        now_ms: float,
+    ) -> list[tuple[ids.HostId, ids.OrganisationId, BucketState]]:
+        """Stops all grants and returns the buckets for the next homes."""
+        found = []
+        for organisation, terms in plans.items():
+            held = self.account(organisation, terms, now_ms)
+            if not isinstance(held, bucket.Bucket):
+                continue
+            key = homes.organisation_key(organisation)
+            others = set(self._state.view.members) - {self._state.me.host}
+            heir = homes.home(key, others)
+            if heir is not None:
+                state = _state_of(held, now_ms)
+                found.append((heir, organisation, state))
+        self.closing = True
+        return found
+
+    def receive_bequest(
+        self,
+        organisation: ids.OrganisationId,
+        giver: tenure.Identity,
+        state: BucketState,
+        now_ms: float,
+    ) -> None:
+        """Keeps a bucket that counts once its giver is gone."""
+        self._bequests[organisation] = _Bequest(giver, state, now_ms)
+
+    def is_open(self, organisation: ids.OrganisationId, now_ms: float) -> bool:
+        """Returns whether this host could grant at this moment."""
+        account = self._accounts.get(organisation)
+        if account is None or self.closing or not self._state.may_act(now_ms):
+            return False
+        return self._is_current(organisation, account)
+
+    def forget(self, now_ms: float) -> None:
+        """Drops the buckets of lost keys that no new home can want."""
+        for organisation, account in list(self._accounts.items()):
+            if self._is_current(organisation, account):
+                continue
+            if account.bucket.is_full(now_ms):
+                del self._accounts[organisation]
+
+    def levels(self, now_ms: float) -> dict[ids.OrganisationId, float]:
+        """Returns the levels of the buckets in use here."""
+        return {
+            organisation: account.bucket.level(now_ms)
+            for organisation, account in sorted(self._accounts.items())
+            if self._is_current(organisation, account)
+        }
+
+    def _is_current(
+        self, organisation: ids.OrganisationId, account: _Account
+    ) -> bool:
+        claim = self._claim(organisation)
+        return claim is not None and claim.offset == account.offset
+
+    def _claim(self, organisation: ids.OrganisationId) -> tenure.Claim | None:
+        if self._generation != self._state.generation:
+            self._generation = self._state.generation
+            self._claims.clear()
+        known = self._claims.get(organisation)
+        if known is None:
+            key = homes.organisation_key(organisation)
+            known = self._state.tenure.claim(key)
+            if known is not None:
+                self._claims[organisation] = known
+        return known
+
+    def _open(
+        self,
+        organisation: ids.OrganisationId,
+        claim: tenure.Claim,
+        terms: Terms,
+        now_ms: float,
+    ) -> bucket.Bucket | Decision:
+        bequest = self._bequests.get(organisation)
+        if bequest is not None and bequest.giver == claim.removed:
+            del self._bequests[organisation]
+            return _make(bequest.state, terms, bequest.received_ms)
+        if self._may_ask(organisation, claim, now_ms):
+            assert claim.previous is not None
+            self._asked_ms[organisation] = now_ms
+            return AskPrevious(claim.previous[0], claim.offset)
+        if now_ms < claim.free_ms:
+            return Held(min(ASK_AGAIN_MS, claim.free_ms - now_ms))
+        level = _level_since(claim.free_ms, terms, now_ms)
+        return bucket.Bucket(terms.rate_per_s, terms.burst, level, now_ms)
+
+    def _may_ask(
+        self,
+        organisation: ids.OrganisationId,
+        claim: tenure.Claim,
+        now_ms: float,
+    ) -> bool:
+        if claim.previous is None:
+            return False
+        member = self._state.view.members.get(claim.previous[0])
+        if member is None or member.incarnation != claim.previous[1]:
+            return False
+        asked_ms = self._asked_ms.get(organisation, -math.inf)
+        if now_ms >= claim.free_ms:
+            return asked_ms < claim.free_ms
+        return now_ms - asked_ms >= ASK_AGAIN_MS
+
+
+def _make(state: BucketState, terms: Terms, now_ms: float) -> bucket.Bucket:
+    made = bucket.Bucket(terms.rate_per_s, terms.burst, state.level, now_ms)
+    moved = TRANSFER_MS * terms.rate_per_s / clock.MS_PER_S
+    made.limit_upper(state.upper + moved)
+    for item in state.batches:
+        expires_ms = now_ms + item.expires_ms
+        made.adopt(dataclasses.replace(item, expires_ms=expires_ms))
+    return made
+
+
+def _state_of(found: bucket.Bucket, now_ms: float) -> BucketState:
+    level = found.level(now_ms)
+    batches = tuple(
+        dataclasses.replace(item, expires_ms=item.expires_ms - now_ms)
+        for item in found.batches
+    )
+    return BucketState(level, found.upper(now_ms), batches)
+
+
+def _level_since(free_ms: float, terms: Terms, now_ms: float) -> float:
+    gained = (now_ms - free_ms) * terms.rate_per_s / clock.MS_PER_S
+    return min(terms.burst, gained)
--- a/mangotally/policy/view.py
+++ b/mangotally/policy/view.py
@@ -1,12 +1,15 @@
-"""The fleet's view: a pure function of a prefix of the members stream."""
+"""The fleet's view: a pure function of the end of the members stream."""
 
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from mangotally import ids
 from mangotally.policy import records
 
+WINDOW_OFFSETS = 4096
+
 
 @dataclasses.dataclass(frozen=True)
 class Member:
@@ -29,12 +32,54 @@
     heartbeat_offset: ids.Offset
 
 
+class ChangeKind(enum.Enum):
+    """How the set of members changed.
+
+    `REMOVED` members have left or were evicted: their lease was over when
+    the record was written. `EXPIRED` members may still hold a lease.
+    """
+
+    JOINED = "joined"
+    REMOVED = "removed"
+    EXPIRED = "expired"
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One change of the set of members.
+
+    Attributes:
+        kind: What happened.
+        host: The host.
+        incarnation: Its incarnation that joined or went.
+        replaced: The incarnation that a joining host had before, or None.
+        offset: Offset of the record that caused it.
+    """
+
+    kind: ChangeKind
+    host: ids.HostId
+    incarnation: int
+    replaced: int | None
+    offset: ids.Offset
+
+
 class View:
-    """The hosts of the fleet as of a prefix of the members stream."""
+    """The hosts of the fleet as of a prefix of the members stream.
+
+    A member expires when its last heartbeat is `window` offsets old, and
+    removals are forgotten as fast. A reader that begins `window` offsets
+    before the end therefore knows all members.
+    """
+
+    def __init__(self, window: int = WINDOW_OFFSETS) -> None:
+        """Makes an empty view.
 
-    def __init__(self) -> None:
+        Args:
+            window: Offsets after which a member expires.
+        """
+        self._window = window
         self._members: dict[ids.HostId, Member] = {}
-        self._gone: dict[ids.HostId, int] = {}
+        self._gone: dict[ids.HostId, tuple[int, ids.Offset]] = {}
 
     @property
     def members(self) -> dict[ids.HostId, Member]:
@@ -45,7 +90,13 @@
         """Returns the ids of all members in a fixed order."""
         return sorted(self._members)
 
-    def apply(self, record: object, offset: ids.Offset) -> bool:
+    def last_incarnation(self, host: ids.HostId) -> int:
+        """Returns the newest known incarnation of a host, or -1."""
+        known = self._members.get(host)
+        gone = self._gone.get(host, (-1, 0))[0]
+        return max(gone, known.incarnation if known else -1)
+
+    def apply(self, record: object, offset: ids.Offset) -> list[Change]:
         """Applies one record.
 
         Args:
@@ -53,27 +104,51 @@
             offset: Its offset.
 
         Returns:
-            Whether the set of members or an address changed.
+            The changes of the set of members, in order.
         """
+        changes = self._expire(offset)
         match record:
             case records.Heartbeat():
-                return self._apply_heartbeat(record, offset)
+                changes += self._apply_heartbeat(record, offset)
             case records.Leave():
-                return self._remove(record.host, record.incarnation)
+                changes += self._remove(record.host, record.incarnation, offset)
             case records.Evict():
-                return self._apply_evict(record)
-            case _:
-                return False
+                changes += self._apply_evict(record, offset)
+        return changes
+
+    def _expire(self, offset: ids.Offset) -> list[Change]:
+        oldest = offset - self._window
+        changes = []
+        for member in list(self._members.values()):
+            if member.heartbeat_offset >= oldest:
+                break
+            del self._members[member.host]
+            changes.append(
+                Change(
+                    ChangeKind.EXPIRED,
+                    member.host,
+                    member.incarnation,
+                    None,
+                    offset,
+                )
+            )
+        for host, (_, gone_offset) in list(self._gone.items()):
+            if gone_offset >= oldest:
+                break
+            del self._gone[host]
+        return changes
 
     def _apply_heartbeat(
         self, record: records.Heartbeat, offset: ids.Offset
-    ) -> bool:
-        if record.incarnation <= self._gone.get(record.host, -1):
-            return False
+    ) -> list[Change]:
+        if record.incarnation <= self._gone.get(record.host, (-1, 0))[0]:
+            return []
         known = self._members.get(record.host)
         if known is not None and record.incarnation < known.incarnation:
-            return False
+            return []
         same = known is not None and known.incarnation == record.incarnation
+        # Reinserted, so that members stay in order of their heartbeats.
+        self._members.pop(record.host, None)
         self._members[record.host] = Member(
             host=record.host,
             incarnation=record.incarnation,
@@ -82,18 +157,33 @@
             joined_offset=known.joined_offset if known and same else offset,
             heartbeat_offset=offset,
         )
-        return not same
-
-    def _apply_evict(self, record: records.Evict) -> bool:
+        if same:
+            return []
+        return [
+            Change(
+                ChangeKind.JOINED,
+                record.host,
+                record.incarnation,
+                known.incarnation if known else None,
+                offset,
+            )
+        ]
+
+    def _apply_evict(
+        self, record: records.Evict, offset: ids.Offset
+    ) -> list[Change]:
         known = self._members.get(record.host)
         if known is None or known.heartbeat_offset > record.heartbeat_offset:
-            return False
-        return self._remove(record.host, record.incarnation)
+            return []
+        return self._remove(record.host, record.incarnation, offset)
 
-    def _remove(self, host: ids.HostId, incarnation: int) -> bool:
+    def _remove(
+        self, host: ids.HostId, incarnation: int, offset: ids.Offset
+    ) -> list[Change]:
         known = self._members.get(host)
         if known is None or known.incarnation != incarnation:
-            return False
+            return []
         del self._members[host]
-        self._gone[host] = incarnation
-        return True
+        self._gone.pop(host, None)
+        self._gone[host] = (incarnation, offset)
+        return [Change(ChangeKind.REMOVED, host, incarnation, None, offset)]
--- /dev/null
+++ b/tests/test_policy/test_limits.py
@@ -0,0 +1,232 @@
+"""Tests of admission at organisations' homes, under faults."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from mangotally.policy import limits
+from tests import stateful as stateful_settings
+from tests.test_policy import fleet as fleet_lib
+
+if TYPE_CHECKING:
+    from mangotally import ids
+
+MAX_HOSTS = 5
+HOLD_MS = 2 * fleet_lib.TIMES.lease_ms
+EPSILON = 1e-6
+indexes = st.integers(0, MAX_HOSTS - 1)
+organisations = st.sampled_from(fleet_lib.ORGANISATIONS)
+
+
+class Oracle:
+    """One ideal bucket per organisation, in real time."""
+
+    def __init__(self) -> None:
+        self._terms = fleet_lib.TERMS
+        self._levels = dict.fromkeys(
+            fleet_lib.ORGANISATIONS, (self._terms.burst, 0.0)
+        )
+
+    def level(self, organisation: ids.OrganisationId, real_ms: float) -> float:
+        level, updated_ms = self._levels[organisation]
+        rate = self._terms.rate_per_s * fleet_lib.FAST
+        gained = (real_ms - updated_ms) / 1000 * rate
+        return min(self._terms.burst, level + gained)
+
+    def admit(self, organisation: ids.OrganisationId, real_ms: float) -> None:
+        level = self.level(organisation, real_ms) - 1
+        assert level >= -EPSILON, f"{organisation} over its rate: {level}"
+        self._levels[organisation] = (level, real_ms)
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Calls while hosts join, pause, crash, leave and lose the log.
+
+    Checked: no window over rate and burst, never two hosts that can grant,
+    and without faults no refusal of a call that an ideal bucket admits.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = fleet_lib.Fleet()
+        self.oracle = Oracle()
+        self.faulty = False
+
+    @stateful.initialize(hosts=st.integers(1, 3))
+    def begin(self, hosts: int) -> None:
+        for _ in range(hosts):
+            self.fleet.start()
+        self.fleet.advance(1000)
+
+    def host(self, index: int) -> fleet_lib.Host | None:
+        running = self.fleet.running()
+        return running[index % len(running)] if running else None
+
+    def ask(
+        self, index: int, organisation: ids.OrganisationId
+    ) -> limits.Decision | None:
+        entry = self.host(index)
+        if entry is None or entry.paused:
+            return None
+        decision = self.fleet.take(entry, organisation)
+        if isinstance(decision, limits.Admitted):
+            self.oracle.admit(organisation, self.fleet.real_ms)
+        if isinstance(decision, limits.OverRate) and not self.faulty:
+            level = self.oracle.level(organisation, self.fleet.real_ms)
+            slack = 1 - 1 / fleet_lib.FAST**2
+            assert level < 1 + slack * fleet_lib.TERMS.burst, "refused"
+        return decision
+
+    @stateful.rule(index=indexes, organisation=organisations)
+    def call(self, index: int, organisation: ids.OrganisationId) -> None:
+        self.ask(index, organisation)
+
+    @stateful.rule(
+        index=indexes, organisation=organisations, count=st.integers(2, 8)
+    )
+    def burst(
+        self, index: int, organisation: ids.OrganisationId, count: int
+    ) -> None:
+        for _ in range(count):
+            self.ask(index, organisation)
+
+    @stateful.rule(index=indexes, organisation=organisations)
+    def call_and_wait(
+        self, index: int, organisation: ids.OrganisationId
+    ) -> None:
+        """Without faults a held call is admitted within the hold."""
+        for _ in range(int(HOLD_MS / fleet_lib.TICK_MS)):
+            decision = self.ask(index, organisation)
+            if isinstance(decision, limits.Admitted | limits.OverRate):
+                return
+            self.fleet.advance(fleet_lib.TICK_MS)
+        assert self.faulty, f"held too long: {decision}"
+
+    @stateful.rule(by_ms=st.sampled_from((50, 300, 1000, 3000, 5000, 8000)))
+    def advance(self, by_ms: int) -> None:
+        self.fleet.advance(by_ms)
+
+    @stateful.rule()
+    def join(self) -> None:
+        if len(self.fleet.running()) < MAX_HOSTS:
+            self.fleet.start()
+
+    @stateful.rule(index=indexes)
+    def leave(self, index: int) -> None:
+        host = self.host(index)
+        if host and not host.paused and len(self.fleet.running()) > 1:
+            self.fleet.leave(host)
+
+    def home(
+        self, index: int, organisation: ids.OrganisationId
+    ) -> fleet_lib.Host | None:
+        """Returns the home of an organisation, as some host sees it."""
+        host = self.host(index)
+        if host is None:
+            return None
+        name = host.state.home_of(f"organisation/{organisation}")
+        return self.fleet.find(name)
+
+    @stateful.rule(index=indexes, organisation=organisations)
+    def pause_home(self, index: int, organisation: ids.OrganisationId) -> None:
+        host = self.home(index, organisation)
+        if host:
+            self.faulty = host.paused = True
+
+    @stateful.rule(index=indexes, organisation=organisations)
+    def crash_home(self, index: int, organisation: ids.OrganisationId) -> None:
+        host = self.home(index, organisation)
+        if host:
+            self.faulty = host.gone = True
+
+    @stateful.rule(index=indexes, organisation=organisations)
+    def resume(self, index: int, organisation: ids.OrganisationId) -> None:
+        """A paused host decides calls before it has read anything."""
+        host = self.host(index)
+        if host and host.paused:
+            host.paused = False
+            self.ask(index, organisation)
+
+    @stateful.rule(index=indexes, again=st.booleans())
+    def crash(self, index: int, again: bool) -> None:
+        host = self.host(index)
+        if host:
+            self.faulty = host.gone = True
+            if again:
+                self.fleet.start(host.name)
+
+    @stateful.rule(index=indexes)
+    def replace_paused(self, index: int) -> None:
+        """A second process takes the id of a paused one."""
+        host = self.host(index)
+        if host and host.paused and len(self.fleet.running()) < MAX_HOSTS:
+            self.fleet.start(host.name)
+
+    @stateful.rule(index=indexes, cut=st.booleans())
+    def cut_from_log(self, index: int, cut: bool) -> None:
+        host = self.host(index)
+        if host:
+            host.cut = cut
+            self.faulty |= cut
+
+    @stateful.rule(index=indexes, lose=st.booleans())
+    def lose_answers(self, index: int, lose: bool) -> None:
+        host = self.host(index)
+        if host:
+            host.lose_answer = lose
+            self.faulty |= lose
+
+    @stateful.rule(index=indexes, lag=st.sampled_from((0, 1, 3, 8, 15, 30)))
+    def read_late(self, index: int, lag: int) -> None:
+        host = self.host(index)
+        if host:
+            host.lag = lag
+            self.faulty |= lag > 0
+
+    @stateful.rule(index=indexes, land=st.booleans())
+    def append_late(self, index: int, land: bool) -> None:
+        host = self.host(index)
+        if host and land:
+            host.land()
+        elif host and not host.paused:
+            host.send_late()
+            self.faulty = True
+
+    @stateful.rule(down=st.booleans())
+    def log_down(self, down: bool) -> None:
+        self.fleet.log.down = down
+        self.faulty |= down
+
+    @stateful.rule(lose=st.booleans())
+    def lose_handover(self, lose: bool) -> None:
+        self.fleet.lose_handover = lose
+        self.faulty |= lose
+
+    @stateful.rule(kept=st.integers(0, 40))
+    def age_out(self, kept: int) -> None:
+        log = self.fleet.log
+        log.oldest = max(log.oldest, len(log.entries) - 200 - kept)
+
+    @stateful.invariant()
+    def one_holder(self) -> None:
+        for organisation in fleet_lib.ORGANISATIONS:
+            able = [
+                host.name
+                for host in self.fleet.running()
+                if host.limits.is_open(organisation, host.now())
+            ]
+            assert len(able) <= 1, f"{organisation} is granted by {able}"
+
+
+LimitsTest = LimitsMachine.TestCase
+LimitsTest.settings = stateful_settings.CI_SETTINGS
+
+MACHINES = [LimitsMachine]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_policy/test_membership.py
@@ -0,0 +1,143 @@
+"""Tests of leases, incarnations and evictions."""
+
+from __future__ import annotations
+
+import unittest
+
+from mangotally import ids
+from mangotally.policy import membership, records, view
+from tests.test_policy import fleet as fleet_lib
+
+LEASE_MS = fleet_lib.TIMES.lease_ms
+PLACE = ids.PlaceId("p")
+
+
+def make_state(name: str = "a") -> membership.MembershipState:
+    """Returns the state of a host that has read an empty stream."""
+    me = membership.Self(ids.HostId(name), f"{name}:1", PLACE)
+    state = membership.MembershipState(me, fleet_lib.TIMES)
+    state.tenure.complete = True
+    return state
+
+
+def heartbeat(name: str, incarnation: int = 1) -> records.Heartbeat:
+    """Returns a heartbeat of another host."""
+    return records.Heartbeat(ids.HostId(name), incarnation, "x:1", PLACE)
+
+
+class LeaseTest(unittest.TestCase):
+    """When a host may act."""
+
+    def setUp(self) -> None:
+        self.state = make_state()
+        found = self.state.heartbeat(wall_ms=1)
+        assert found is not None
+        self.beat = found
+
+    def renew(self, sent_ms: float, offset: int, now_ms: float) -> bool:
+        return self.state.renew(self.beat, sent_ms, ids.Offset(offset), now_ms)
+
+    def test_lease_runs_from_the_sending(self) -> None:
+        """A late answer does not prolong the lease."""
+        self.state.consume(self.beat, ids.Offset(0), 2000)
+        self.assertTrue(self.renew(0, 0, 2000))
+        self.assertTrue(self.state.may_act(LEASE_MS - 1))
+        self.assertFalse(self.state.may_act(LEASE_MS))
+
+    def test_lease_needs_the_stream_read(self) -> None:
+        """An answer alone is no lease: who joined before is not known."""
+        self.state.consume(self.beat, ids.Offset(0), 0)
+        self.assertFalse(self.renew(0, 1, 10))
+        self.assertFalse(self.state.may_act(10))
+
+    def test_evicted_host_joins_again(self) -> None:
+        """An eviction ends the lease; the next incarnation is higher."""
+        self.state.consume(self.beat, ids.Offset(0), 0)
+        self.renew(0, 0, 0)
+        evict = records.Evict(
+            self.state.me.host, self.beat.incarnation, ids.Offset(0)
+        )
+        self.state.consume(evict, ids.Offset(1), 10)
+        self.assertFalse(self.state.may_act(10))
+        again = self.state.heartbeat(wall_ms=0)
+        assert again is not None
+        self.assertGreater(again.incarnation, self.beat.incarnation)
+        self.assertFalse(self.renew(5, 1, 20))
+
+    def test_process_gives_way_to_its_successor(self) -> None:
+        """A process whose id another has taken sends nothing more."""
+        self.state.consume(self.beat, ids.Offset(0), 0)
+        self.renew(0, 0, 0)
+        newer = heartbeat("a", self.beat.incarnation + 5)
+        self.state.consume(newer, ids.Offset(1), 10)
+        self.assertFalse(self.state.may_act(10))
+        self.assertIsNone(self.state.heartbeat(wall_ms=99))
+
+    def test_claims_begin_anew_after_a_long_silence(self) -> None:
+        """A host silent for long waits a lease before it acts alone."""
+        self.state.consume(self.beat, ids.Offset(0), 0)
+        self.renew(0, 0, 0)
+        late_ms = fleet_lib.TIMES.silence_ms + 2 * LEASE_MS
+        self.state.consume(self.beat, ids.Offset(1), late_ms)
+        self.renew(late_ms, 1, late_ms)
+        claim = self.state.tenure.claim("organisation/x")
+        assert claim is not None
+        self.assertGreaterEqual(claim.free_ms, late_ms + LEASE_MS)
+
+
+class EvictionTest(unittest.TestCase):
+    """Who is evicted, and when an eviction is void."""
+
+    def setUp(self) -> None:
+        self.state = make_state()
+        self.state.consume(heartbeat("b"), ids.Offset(0), 0)
+        self.state.mark_read(0)
+
+    def read_until(self, end_ms: int) -> None:
+        for now_ms in range(0, end_ms, 500):
+            self.state.mark_read(now_ms)
+
+    def test_silent_host_is_overdue(self) -> None:
+        """A host is evicted after its lease, and not before."""
+        self.read_until(3000)
+        self.assertEqual(self.state.overdue(2900), [])
+        self.read_until(4500)
+        found = self.state.overdue(4400)
+        self.assertEqual([item.host for item in found], ["b"])
+
+    def test_own_pause_evicts_nobody(self) -> None:
+        """A host that slept or had no log counts silence anew."""
+        self.assertEqual(self.state.overdue(60_000), [])
+        self.state.mark_read(60_000)
+        self.assertEqual(self.state.overdue(60_100), [])
+
+    def test_eviction_is_void_after_a_heartbeat(self) -> None:
+        """An eviction that names an older heartbeat changes nothing."""
+        self.state.consume(heartbeat("b"), ids.Offset(1), 10)
+        evict = records.Evict(ids.HostId("b"), 1, ids.Offset(0))
+        self.assertFalse(self.state.consume(evict, ids.Offset(2), 20))
+
+    def test_stale_heartbeat_does_not_rejoin(self) -> None:
+        """A late heartbeat of an evicted incarnation is ignored."""
+        evict = records.Evict(ids.HostId("b"), 1, ids.Offset(0))
+        self.assertTrue(self.state.consume(evict, ids.Offset(1), 10))
+        self.assertFalse(self.state.consume(heartbeat("b"), ids.Offset(2), 20))
+
+
+class WindowTest(unittest.TestCase):
+    """The view is a function of the end of the stream."""
+
+    def test_reader_of_the_end_knows_the_same_members(self) -> None:
+        """A silent member expires at the same record for all readers."""
+        names = ["a"] + ["b", "c"] * 8
+        whole, end = view.View(window=10), view.View(window=10)
+        for offset, name in enumerate(names):
+            whole.apply(heartbeat(name), ids.Offset(offset))
+            if offset >= len(names) - 11:
+                end.apply(heartbeat(name), ids.Offset(offset))
+        self.assertEqual(whole.hosts(), ["b", "c"])
+        self.assertEqual(end.hosts(), whole.hosts())
+
+
+if __name__ == "__main__":
+    unittest.main()
