Finish the command line, and read YAML with bounds and line numbers

Cause: bad use of a command printed fire's traces, `check`, `publish`, `key` and `dump` were missing, and a YAML bomb or a doubled key went through.

Change: fire reads the words, commands then run outside it, so every bad use is one line and code 2; files are told apart by content; faults name file, line and path; aliases, doubled names, deep nesting, huge files and non-finite numbers are refused; `dump HOST` asks a host of the view through any host's administration API.

Ruled out: fire's own pager for help, which would start a process.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -27,7 +27,7 @@
     sweeper,
     turns,
 )
-from mangotally.hosts import link, peers, router
+from mangotally.hosts import link, messages, peers, router
 from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
 from mangotally.operators import publisher
@@ -124,7 +124,7 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
-        await stack.enter_async_context(self._operator_server(log))
+        await stack.enter_async_context(self._operator_server(log, handlers))
         await stack.enter_async_context(self._caller_server())
 
     async def _start_configuration(
@@ -267,24 +267,27 @@
             settings.shutdown_ms,
         )
 
-    def _operator_server(self, log: http_log.HttpLog) -> server.HttpServer:
+    def _operator_server(
+        self, log: http_log.HttpLog, handlers: router.Router
+    ) -> server.HttpServer:
         settings = self.settings
+        routes = operator_server.OperatorRoutes(
+            settings.operator_key_digests,
+            self.live,
+            publisher.Publisher(
+                log,
+                settings.log.configuration_stream,
+                self.live,
+                self.configuration_reader,
+            ),
+            self.dump,
+            self.peers,
+        )
+        handlers.add_unary(messages.DumpState, routes.dump_state)
         return server.HttpServer(
             settings.address,
             settings.operators_port,
-            [
-                operator_server.OperatorRoutes(
-                    settings.operator_key_digests,
-                    self.live,
-                    publisher.Publisher(
-                        log,
-                        settings.log.configuration_stream,
-                        self.live,
-                        self.configuration_reader,
-                    ),
-                    self.dump,
-                )
-            ],
+            [routes],
             settings.max_body_bytes,
             shutdown_ms=0,
         )
--- a/mangotally/commands/local.py
+++ b/mangotally/commands/local.py
@@ -16,6 +16,8 @@
 
     from mangotally.settings import host as host_settings
 
+MAX_HOSTS = 64
+
 
 class LocalFleet:
     """A platform of stand-ins and some hosts; entering it starts them."""
@@ -26,6 +28,7 @@
         hosts: int,
         ready_file: pathlib.Path | None = None,
         port: int | None = None,
+        seed: int = 0,
     ) -> None:
         """Makes a fleet.
 
@@ -34,8 +37,11 @@
             hosts: Number of hosts, 0 for the stand-ins alone.
             ready_file: Where to write how to reach the fleet.
             port: Port for callers of the first host, or None for any.
+            seed: Seed of the stand-ins.
         """
-        self.platform = platform.Platform(deployments.DEPLOYMENTS[deployment]())
+        self.platform = platform.Platform(
+            deployments.DEPLOYMENTS[deployment](), seed=seed
+        )
         self._count = hosts
         self._ready_file = ready_file
         self._port = port
--- a/mangotally/commands/process.py
+++ b/mangotally/commands/process.py
@@ -6,6 +6,8 @@
 import contextlib
 import os
 import signal
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from typing import TYPE_CHECKING, Any
 
 # uvloop would open an io_uring with its first loop.
@@ -14,14 +16,14 @@
 import aiomisc
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Coroutine
-    from contextlib import AbstractAsyncContextManager
+    from collections.abc import AsyncIterator, Coroutine
 
 _POOL_THREADS = 2
+Opener = Callable[[], AbstractAsyncContextManager[object]]
 
 
 def run_until_stopped(
-    open_service: Callable[[], AbstractAsyncContextManager[object]],
+    open_service: Opener,
 ) -> None:
     """Runs a service until SIGTERM or SIGINT, then closes it in order."""
     with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
@@ -35,7 +37,7 @@
 
 
 async def _serve(
-    open_service: Callable[[], AbstractAsyncContextManager[object]],
+    open_service: Opener,
 ) -> None:
     async with _stop_signal() as stopped, open_service():
         await stopped.wait()
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -341,3 +341,17 @@
     organisation: ids.OrganisationId
     program: ids.ProgramId
     charge: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class DumpState:
+    """Asks a host for the state of its process."""
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class StateDump:
+    """The state of a process, as JSON."""
+
+    json: str
--- a/mangotally/hosts/peers.py
+++ b/mangotally/hosts/peers.py
@@ -61,6 +61,10 @@
         """Closes all links."""
         await self._stack.aclose()
 
+    def knows(self, host: ids.HostId) -> bool:
+        """Returns whether a host is in the view."""
+        return self._directory.address_of(host) is not None
+
     async def call(
         self,
         host: ids.HostId | None,
--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import json
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +13,7 @@
 
 from mangotally import errors, ids
 from mangotally.callers import bodies, problems
+from mangotally.hosts import messages
 from mangotally.policy import configuration
 from mangotally.settings import lists
 
@@ -19,6 +21,7 @@
     from collections.abc import Awaitable, Callable
 
     from mangotally.homes import configuration as live_configuration
+    from mangotally.hosts import peers as peers_lib
     from mangotally.operators import publisher
 
 logger = logging.getLogger(__name__)
@@ -57,12 +60,14 @@
         live: live_configuration.LiveConfiguration,
         publish: publisher.Publisher,
         dump: Callable[[], dict[str, Any]],
+        peers: peers_lib.Peers,
     ) -> None:
         """Makes the routes; `attach` adds them."""
         self._key_digests = key_digests
         self._live = live
         self._publisher = publish
         self._dump = dump
+        self._peers = peers
 
     def attach(self, app: web.Application) -> None:
         """Adds the routes to an application."""
@@ -73,6 +78,7 @@
             ("POST", "/admin/keys", self._give_key),
             ("DELETE", "/admin/keys/{key}", self._withdraw_key),
             ("GET", "/admin/dump", self._get_dump),
+            ("GET", "/admin/hosts/{host}/dump", self._get_dump_of),
         ):
             app.router.add_route(method, path, self._with_key(handler))
 
@@ -163,6 +169,21 @@
     async def _get_dump(self, _request: web.Request) -> web.Response:
         return web.json_response(self._dump())
 
+    async def _get_dump_of(self, request: web.Request) -> web.Response:
+        host = ids.HostId(request.match_info["host"])
+        if not self._peers.knows(host):
+            return problems.response_of(
+                errors.Failure(errors.Reason.NOT_FOUND, "No such host.")
+            )
+        answer = await self._peers.call(host, messages.DumpState())
+        return _respond(answer.map(lambda found: json.loads(found.json)))
+
+    async def dump_state(
+        self, _message: messages.DumpState
+    ) -> errors.Outcome[messages.StateDump]:
+        """Answers another host's request for this one's state."""
+        return result.Success(messages.StateDump(json.dumps(self._dump())))
+
 
 def _respond(outcome: errors.Outcome[Any], status: int = 200) -> web.Response:
     if isinstance(outcome, result.Failure):
--- /dev/null
+++ b/mangotally/settings/checks.py
@@ -0,0 +1,107 @@
+"""Checks files of any kind: settings, plans and uses."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import pathlib
+from typing import TYPE_CHECKING, Any
+
+from returns import result
+
+from mangotally.settings import host, lists, loader, yaml_files
+
+if TYPE_CHECKING:
+    import pydantic
+
+
+class Kind(enum.Enum):
+    """What a file holds."""
+
+    SETTINGS = "settings"
+    PLANS = "plans"
+    USES = "uses"
+
+
+MODELS: dict[Kind, type[pydantic.BaseModel]] = {
+    Kind.SETTINGS: host.HostSettings,
+    Kind.PLANS: lists.PlanList,
+    Kind.USES: lists.UseList,
+}
+_MARKS = {
+    Kind.PLANS: {"organisations"},
+    Kind.USES: {"plans", "services"},
+    Kind.SETTINGS: {"host_id", "address", "log", "roster_url", "place"},
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Checked:
+    """A file that is right by itself."""
+
+    path: pathlib.Path
+    kind: Kind
+    model: Any
+
+
+def check_files(
+    paths: list[pathlib.Path], overrides: dict[str, Any] | None = None
+) -> tuple[list[Checked], list[str]]:
+    """Checks files, and plans and uses against each other.
+
+    Args:
+        paths: The files.
+        overrides: Values that replace those of settings files.
+
+    Returns:
+        The files that are right by themselves, and all faults.
+    """
+    checked: list[Checked] = []
+    faults: list[str] = []
+    for path in paths:
+        match check_file(path, overrides):
+            case result.Success(found):
+                checked.append(found)
+            case failed:
+                faults.append(failed.failure())
+    faults += _check_together(checked)
+    return checked, faults
+
+
+def check_file(
+    path: pathlib.Path, overrides: dict[str, Any] | None = None
+) -> result.Result[Checked, str]:
+    """Returns a checked file of whichever kind it is."""
+    match yaml_files.read(path):
+        case result.Success(document):
+            kind = kind_of(document.content)
+        case failed:
+            return result.Failure(failed.failure())
+    if kind is None:
+        return result.Failure(
+            f"{path}:1: neither settings nor plans nor uses; the top has "
+            "none of the names that tell them apart"
+        )
+    values = overrides if kind is Kind.SETTINGS else None
+    model = loader.check(MODELS[kind], path, document, values)
+    return model.map(lambda found: Checked(path, kind, found))
+
+
+def kind_of(content: dict[str, Any]) -> Kind | None:
+    """Returns which kind of file has a content, or None."""
+    counts = {
+        kind: len(marks & content.keys()) for kind, marks in _MARKS.items()
+    }
+    best = max(counts, key=lambda kind: counts[kind])
+    return best if counts[best] else None
+
+
+def _check_together(checked: list[Checked]) -> list[str]:
+    plans = [item for item in checked if item.kind is Kind.PLANS]
+    uses = [item for item in checked if item.kind is Kind.USES]
+    return [
+        f"{first.path} with {second.path}: {problem}"
+        for first in plans
+        for second in uses
+        for problem in lists.find_problems(first.model, second.model)
+    ]
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -24,7 +24,9 @@
         configuration_stream: Name of the configuration stream.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
     url: str
     appends_per_s: float = pydantic.Field(default=300.0, gt=0)
@@ -50,7 +52,9 @@
             refused.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
     connect_ms: int = pydantic.Field(default=1000, ge=1)
     first_token_ms: int = pydantic.Field(default=5000, ge=1)
@@ -90,7 +94,9 @@
             configuration; at most half the log's retention.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
     host_id: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")
     address: str = "127.0.0.1"
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -28,7 +28,9 @@
 class _Strict(pydantic.BaseModel):
     """A model that refuses unknown fields and does not change."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
 
 class Organisation(_Strict):
--- a/mangotally/settings/loader.py
+++ b/mangotally/settings/loader.py
@@ -1,4 +1,4 @@
-"""Reads YAML files and checks them."""
+"""Reads YAML files and checks them against their models."""
 
 from __future__ import annotations
 
@@ -8,9 +8,12 @@
 import yaml
 from returns import result
 
+from mangotally.settings import yaml_files
+
 if TYPE_CHECKING:
     import pathlib
 
+MAX_ERRORS = 20
 M = TypeVar("M", bound=pydantic.BaseModel)
 
 
@@ -27,24 +30,41 @@
         overrides: Values that replace those of the file, by dotted path.
 
     Returns:
-        The model, or a text that names file, place and reason.
+        The model, or a text that names file, line, place and reason.
     """
-    try:
-        content = yaml.safe_load(path.read_text())
-    except OSError as error:
-        return result.Failure(f"{path}: {error.strerror}")
-    except UnicodeDecodeError:
-        return result.Failure(f"{path}: not UTF-8 text")
-    except yaml.YAMLError as error:
-        return result.Failure(f"{path}: {error}")
-    if not isinstance(content, dict):
-        return result.Failure(f"{path}: not a mapping")
+    return yaml_files.read(path).bind(
+        lambda document: check(kind, path, document, overrides)
+    )
+
+
+def check(
+    kind: type[M],
+    path: pathlib.Path,
+    document: yaml_files.Document,
+    overrides: dict[str, Any] | None = None,
+) -> result.Result[M, str]:
+    """Returns a document's content as a model; see `load`."""
     for name, value in (overrides or {}).items():
-        _set(content, name.split("."), value)
+        if not _set(document.content, name.split("."), value):
+            return result.Failure(f"--set {name}: not inside a mapping")
     try:
-        return result.Success(kind.model_validate(content))
+        return result.Success(kind.model_validate(document.content))
     except pydantic.ValidationError as error:
-        return result.Failure(_describe(path, error))
+        return result.Failure(_describe(path, document, error))
+
+
+def parse_overrides(
+    texts: tuple[str, ...],
+) -> result.Result[dict[str, Any], str]:
+    """Returns the values of `name=value` overrides by dotted path."""
+    values: dict[str, Any] = {}
+    for text in texts:
+        parsed = parse_override(text)
+        if isinstance(parsed, result.Failure):
+            return result.Failure(parsed.failure())
+        name, value = parsed.unwrap()
+        values[name] = value
+    return result.Success(values)
 
 
 def parse_override(text: str) -> result.Result[tuple[str, Any], str]:
@@ -54,19 +74,30 @@
         return result.Failure(f"--set {text}: not name=value")
     try:
         return result.Success((name, yaml.safe_load(value)))
-    except yaml.YAMLError:
-        return result.Failure(f"--set {text}: the value is not YAML")
+    except (yaml.YAMLError, ValueError, RecursionError):
+        return result.Failure(f"--set {name}: the value is not YAML")
 
 
-def _set(content: dict[str, Any], path: list[str], value: Any) -> None:
+def _set(content: dict[str, Any], path: list[str], value: Any) -> bool:
     for part in path[:-1]:
         content = content.setdefault(part, {})
+        if not isinstance(content, dict):
+            return False
     content[path[-1]] = value
+    return True
 
 
-def _describe(path: pathlib.Path, error: pydantic.ValidationError) -> str:
-    lines = []
-    for item in error.errors(include_url=False, include_input=False):
+def _describe(
+    path: pathlib.Path,
+    document: yaml_files.Document,
+    error: pydantic.ValidationError,
+) -> str:
+    texts = []
+    found = error.errors(include_url=False, include_input=False)
+    for item in found[:MAX_ERRORS]:
+        line = document.line_of(item["loc"])
         where = ".".join(str(part) for part in item["loc"]) or "(top)"
-        lines.append(f"{path}: {where}: {item['msg']}")
-    return "\n".join(lines)
+        texts.append(f"{path}:{line}: {where}: {item['msg']}")
+    if len(found) > MAX_ERRORS:
+        texts.append(f"{path}: {len(found) - MAX_ERRORS} more faults")
+    return "\n".join(texts)
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
+import random
 import secrets
 import socket
 from typing import TYPE_CHECKING, Self
@@ -18,6 +20,7 @@
     from mangotally.standins import deployments
 
 _KEY_BYTES = 24
+SPEED_SPREAD = 0.1
 
 
 class Platform:
@@ -27,15 +30,18 @@
         self,
         deployment: deployments.Deployment,
         speed: engine.EngineSpeed | None = None,
+        seed: int = 0,
     ) -> None:
         """Makes a platform.
 
         Args:
             deployment: What stands on it.
             speed: How fast its engines are.
+            seed: Gives each engine a speed of its own.
         """
         self.deployment = deployment
-        self._speed = speed
+        self._speed = speed or engine.EngineSpeed()
+        self._random = random.Random(seed)
         self.log = log.LogStandIn()
         self.roster = roster.RosterStandIn()
         self.engines: dict[ids.TargetId, engine.EngineStandIn] = {}
@@ -87,7 +93,7 @@
         name = f"{group.service}-{number + 1}"
         target = ids.TargetId(name)
         if group.kind is lists.ServiceKind.MODEL:
-            worker = engine.EngineStandIn(name, self._speed)
+            worker = engine.EngineStandIn(name, self._vary_speed())
             self.engines[target] = worker
             await self._stack.enter_async_context(worker)
             url = worker.url
@@ -108,6 +114,12 @@
             )
         )
 
+    def _vary_speed(self) -> engine.EngineSpeed:
+        factor = self._random.uniform(1 - SPEED_SPREAD, 1 + SPEED_SPREAD)
+        return dataclasses.replace(
+            self._speed, decode_ms=self._speed.decode_ms * factor
+        )
+
     def _publish(self) -> None:
         first = records.ConfigurationVersion(
             1,
--- /dev/null
+++ b/tests/test_commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/tests/test_commands/test_cli.py
@@ -0,0 +1,176 @@
+"""Tests of the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import pathlib
+import sys
+import tempfile
+import unittest
+from typing import Any
+from unittest import mock
+
+import yaml
+
+from mangotally import application
+from mangotally.commands import arguments, cli, fleet, local
+from mangotally.settings import host, loader
+from mangotally.standins import platform
+from tests import fleet as fleet_lib
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
+PLANS = str(EXAMPLES / "plans.yaml")
+USES = str(EXAMPLES / "uses.yaml")
+
+
+def run(*words: str) -> tuple[int, str, str]:
+    """Runs a command in this process; returns code, output and errors."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = arguments.run(cli.Commands, list(words))
+    return code, out.getvalue(), err.getvalue()
+
+
+class UseTest(unittest.TestCase):
+    """Good and bad use."""
+
+    def test_bad_use_is_one_line_and_code_2(self) -> None:
+        """Each bad use is explained in one line."""
+        for words, reason in (
+            (["nope"], "nope"),
+            (["--nope"], "--nope"),
+            (["key"], "missing"),
+            (["key", "nope"], "nope"),
+            (["key", "give"], "organisation"),
+            (["key", "give", "--organisation"], "needs a value"),
+            (["serve"], "settings"),
+            (["serve", "--settings", "x", "--nope", "1"], "--nope"),
+            (["serve", "--settings", "x", "nope"], "nope"),
+            (["serve", "--settings", "x", "--set"], "--set"),
+            (["serve", "--settings", PLANS, "--set", "x"], "not name=value"),
+            (["serve", "--settings", "/none"], "No such file"),
+            (["local", "--hosts", "abc"], "--hosts abc: not a number"),
+            (["local", "--hosts", "-1"], "--hosts -1"),
+            (["local", "--port", "70000"], "--port"),
+            (["local", "--deployment", "x"], "--deployment x"),
+            (["check"], "name a file"),
+            (["dump"], "host"),
+            (["dump", "h1", "--operators", "x"], "not an http"),
+            (["publish", "--plans", PLANS], "uses"),
+        ):
+            with self.subTest(words=words):
+                code, out, err = run(*words)
+                self.assertEqual((code, out), (arguments.EXIT_BAD_USE, ""))
+                self.assertIn(reason, err)
+                self.assertEqual(err.count("\n"), 1, err)
+
+    def test_operator_key_comes_from_the_environment(self) -> None:
+        """Without the variable a fleet is not asked."""
+        with mock.patch.dict(os.environ, clear=True):
+            code, _, err = run("key", "list", "--operators", "http://x")
+        self.assertEqual(code, arguments.EXIT_BAD_USE)
+        self.assertIn(fleet.KEY_VARIABLE, err)
+
+    def test_check(self) -> None:
+        """Files are told apart; a fault gives code 1."""
+        settings = str(EXAMPLES / "settings.yaml")
+        code, out, _ = run("check", settings, PLANS, USES)
+        self.assertEqual((code, out.count(" ok\n")), (0, 3))
+        code, out, err = run("check", settings, "--set", "port=0")
+        self.assertEqual((code, out), (arguments.EXIT_FAILED, ""))
+        self.assertIn("settings.yaml:", err)
+        self.assertIn("port: ", err)
+
+    def test_help(self) -> None:
+        """Each command is listed and has its options explained."""
+        code, text, _ = run("--help")
+        self.assertEqual(code, 0)
+        for name in ("serve", "check", "publish", "key", "dump", "local"):
+            self.assertRegex(text, rf"\n     {name}\n")
+        code, text, _ = run("help", "local")
+        self.assertEqual(code, 0)
+        self.assertIn("--ready_file", text)
+        self.assertNotIn("FIRE_METADATA", text)
+
+
+class FleetCommandTest(unittest.IsolatedAsyncioTestCase):
+    """Commands against a running fleet."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts two hosts."""
+        self.fleet = fleet_lib.Fleet(hosts=2)
+        await self.enterAsyncContext(self.fleet)
+        settings = self.fleet.local.hosts[0].settings
+        self.url = f"http://{settings.address}:{settings.operators_port}"
+        key = self.fleet.local.platform.operator_key
+        variables = {fleet.KEY_VARIABLE: key, fleet.URL_VARIABLE: self.url}
+        self.enterContext(mock.patch.dict(os.environ, variables))
+
+    async def run_command(self, *words: str) -> tuple[int, Any, str]:
+        """Runs a command beside the fleet."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "mangotally",
+            *words,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, yaml.safe_load(out), err.decode()
+
+    async def test_commands(self) -> None:
+        """Keys, lists and dumps through one host for the whole fleet."""
+        give = ("key", "give", "--organisation", "escola-braga")
+        results = await asyncio.gather(
+            self.run_command(*give),
+            self.run_command("dump", "h2"),
+            self.run_command("dump", "h9"),
+            self.run_command("publish", "--plans", PLANS, "--uses", USES),
+            self.run_command(
+                "publish",
+                *("--plans", PLANS, "--uses", USES, "--predecessor", "7"),
+            ),
+        )
+        codes = [code for code, _, _ in results]
+        self.assertEqual(codes, [0, 0, 1, 0, 1], results)
+        self.assertEqual(set(results[0][1]), {"key_id", "key"})
+        self.assertEqual(results[1][1]["host"], "h2")
+        self.assertEqual(results[3][1], {"version": 2, "predecessor": 1})
+        self.assertIn("status 409", results[4][2])
+        key_id = results[0][1]["key_id"]
+        code, listed, _ = await self.run_command("key", "list")
+        self.assertIn(key_id, [item["key_id"] for item in listed])
+        code, _, _ = await self.run_command("key", "withdraw", "--id", key_id)
+        self.assertEqual(code, 0)
+        code, _, err = await self.run_command("key", "withdraw", "--id", key_id)
+        self.assertEqual((code, err.count("\n")), (1, 1), err)
+
+
+class StandInsAloneTest(unittest.IsolatedAsyncioTestCase):
+    """Hosts that join a platform of stand-ins by its settings file."""
+
+    async def test_settings_file(self) -> None:
+        """Id and port are enough, and an address if wanted."""
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        ready = pathlib.Path(directory) / "ready.json"
+        async with local.LocalFleet("lakeshore", 0, ready):
+            path = pathlib.Path(json.loads(ready.read_text())["settings"])
+            for number, address in ((1, "127.0.0.1"), (2, "127.0.0.5")):
+                port = platform.free_ports(1)[0]
+                values = {
+                    "host_id": f"h{number}",
+                    "port": port,
+                    "address": address,
+                    "rpc_port": platform.free_ports(1)[0],
+                    "operator_port": platform.free_ports(1)[0],
+                }
+                loaded = loader.load(host.HostSettings, path, values)
+                started = application.Application(loaded.unwrap())
+                await self.enterAsyncContext(started)
+                self.assertIn(f"h{number}", started.dump()["view"])
--- /dev/null
+++ b/tests/test_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings and lists."""
