Check callers' input byte for byte and bound what callers hold

Cause: paths reached targets decoded and normalised, so `/find/../deposits` counted as the repeatable `/find`; fields of the usual chat format were refused; slow bodies, silent connections and unreadable requests had no bound or no problem answer; a key in the query went to the target.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from mangotally.callers import chat, server, services
+from mangotally.callers import chat, limits, server, services
 from mangotally.callers import programs as program_routes
 from mangotally.engines import channels as channels_lib
 from mangotally.engines import http as http_engine
@@ -57,6 +57,7 @@
         """Makes a host; entering it starts it."""
         self.settings = settings
         self.clock = clock or clock_lib.SystemClock()
+        self.limits = _make_limits(settings)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -88,6 +89,7 @@
             },
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
             "configuration": self.live.dump(),
+            "callers": self.limits.dump(),
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
@@ -263,7 +265,7 @@
                     settings.open_services,
                 ),
             ],
-            settings.max_body_bytes,
+            self.limits,
             settings.shutdown_ms,
         )
 
@@ -288,11 +290,25 @@
             settings.address,
             settings.operators_port,
             [routes],
-            settings.max_body_bytes,
+            limits.Limits(self.limits.bounds),
             shutdown_ms=0,
         )
 
 
+def _make_limits(settings: host_settings.HostSettings) -> limits.Limits:
+    found = settings.callers
+    return limits.Limits(
+        limits.Bounds(
+            found.head_ms,
+            found.body_ms,
+            settings.max_body_bytes,
+            found.all_bodies_bytes,
+            found.connections,
+            found.organisation_calls,
+        )
+    )
+
+
 def _client_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
     return aiohttp.ClientSession(
--- a/mangotally/callers/access.py
+++ b/mangotally/callers/access.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import dataclasses
+import re
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from returns import result
 
 from mangotally import errors, ids
+from mangotally.callers import limits
 from mangotally.policy import configuration
 from mangotally.settings import lists
 
@@ -20,6 +22,7 @@
     from mangotally.homes import configuration as live_configuration
 
 _SCHEME = "bearer"
+_PROGRAM = re.compile(r"[A-Za-z0-9._-]{1,128}")
 R = TypeVar("R")
 
 
@@ -87,24 +90,36 @@
     return result.Success(found)
 
 
+def is_program_name(text: str) -> bool:
+    """Returns whether a text can be the id of a program."""
+    return _PROGRAM.fullmatch(text) is not None
+
+
 async def run_guarded(
     live: live_configuration.LiveConfiguration,
+    bounds: limits.Limits,
+    organisation: ids.OrganisationId,
     key_id: ids.KeyId,
     work: Coroutine[Any, Any, R],
-    on_withdrawn: Callable[[errors.Failure], Awaitable[R]],
+    on_end: Callable[[errors.Failure], Awaitable[R]],
 ) -> R:
     """Runs a call; ends it when its caller's key is withdrawn.
 
     Args:
         live: The configuration in force.
+        bounds: Counts the calls of organisations.
+        organisation: The caller's organisation.
         key_id: The caller's key.
         work: The call.
-        on_withdrawn: Tells the caller, and returns in place of the call.
+        on_end: Tells the caller why, and returns in place of the call.
 
     Returns:
-        What the call or `on_withdrawn` returned.
+        What the call or `on_end` returned.
     """
-    with live.guard(key_id) as guard:
+    with bounds.call(organisation) as admitted, live.guard(key_id) as guard:
+        if not admitted:
+            work.close()
+            return await on_end(limits.too_many_calls())
         try:
             return await work
         except asyncio.CancelledError:
@@ -112,7 +127,7 @@
             assert task is not None
             if not guard.withdrawn or task.uncancel() > 0:
                 raise
-    return await on_withdrawn(
+    return await on_end(
         errors.Failure(
             errors.Reason.UNAUTHORISED,
             "The key was withdrawn.",
--- a/mangotally/callers/chat.py
+++ b/mangotally/callers/chat.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.callers import access, answers, bodies, problems
+from mangotally.callers import access, answers, bodies, limits, problems
 from mangotally.hosts import messages
 from mangotally.policy import records
 from mangotally.settings import lists
@@ -26,6 +26,7 @@
 PATH = "/v1/chat/completions"
 PROGRAM_HEADER = "Mangotally-Program"
 TURN_HEADER = "Mangotally-Turn"
+DEFAULT_TOKENS = 512
 _MAX_TURN = 100_000
 
 
@@ -61,6 +62,8 @@
         answer = answers.answer_of(request, message, streamed)
         return await access.run_guarded(
             self._live,
+            request.app[limits.KEY],
+            message.organisation,
             message.key_id,
             self._run(message, answer),
             answer.fail,
@@ -86,7 +89,7 @@
         caller = access.identify(request, self._live)
         if isinstance(caller, result.Failure):
             return caller
-        body = bodies.parse(bodies.Chat, await request.read())
+        body = await bodies.read(bodies.Chat, request)
         if isinstance(body, result.Failure):
             return body
         chat = body.unwrap()
@@ -107,12 +110,13 @@
             number,
             ids.ServiceId(chat.model),
             tuple(
-                records.ChatMessage(item.role, item.content)
+                records.ChatMessage(item.role, item.text(), item.extra())
                 for item in chat.messages
             ),
-            chat.max_tokens,
+            chat.answer_tokens(DEFAULT_TOKENS),
             plan.share,
             plan.program_wall_ms,
+            chat.options(),
         )
         return result.Success((message, chat.stream))
 
@@ -133,6 +137,10 @@
         return errors.failed(
             errors.Reason.BAD_REQUEST, f"{TURN_HEADER} is not a turn number."
         )
+    if not access.is_program_name(program):
+        return errors.failed(
+            errors.Reason.NOT_FOUND, "There is no such program."
+        )
     number = int(turn)
     if not 1 <= number <= _MAX_TURN:
         return errors.failed(
--- /dev/null
+++ b/mangotally/callers/headers.py
@@ -0,0 +1,68 @@
+"""Checks of request lines and headers, before anything else."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+from urllib import parse as urls
+
+from mangotally import errors
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+SINGLE = (
+    "Authorization",
+    "Content-Type",
+    "Idempotency-Key",
+    "Mangotally-Program",
+    "Mangotally-Turn",
+)
+_PRINTABLE = re.compile(r"[\x20-\x7e]*")
+_TARGET = re.compile(r"/[\x21\x22\x24-\x7e]*")
+_BODY_TYPES = frozenset(
+    {"", "application/json", "text/plain", "application/x-www-form-urlencoded"}
+)
+
+
+def check(request: web.Request) -> errors.Failure | None:
+    """Returns what is wrong with a request's line or headers, or None."""
+    if not _TARGET.fullmatch(request.raw_path):
+        return _bad("The request target is not a plain path.")
+    for name in SINGLE:
+        values = request.headers.getall(name, [])
+        if len(values) > 1:
+            return _bad(f"{name} stands more than once.")
+        if values and not _PRINTABLE.fullmatch(values[0]):
+            return _bad(f"{name} has characters that are not allowed.")
+    return None
+
+
+def check_json(request: web.Request) -> errors.Failure | None:
+    """Returns what is wrong with the content type of JSON, or None."""
+    header = request.headers.get("Content-Type", "")
+    kind = header.partition(";")[0].strip().lower()
+    if kind in _BODY_TYPES or kind.endswith("+json"):
+        return None
+    return _bad("Content-Type must be application/json.")
+
+
+def reveals_key(request: web.Request, body: bytes) -> bool:
+    """Returns whether what a target would see holds the caller's key."""
+    header = request.headers.get("Authorization", "")
+    key = header.partition(" ")[2].strip()
+    if not key:
+        return False
+    if key.encode() in body:
+        return True
+    seen = [
+        value
+        for name, value in request.headers.items()
+        if name.lower() != "authorization"
+    ]
+    seen += [request.raw_path, urls.unquote(request.raw_path)]
+    return any(key in text for text in seen)
+
+
+def _bad(detail: str) -> errors.Failure:
+    return errors.Failure(errors.Reason.BAD_REQUEST, detail)
--- /dev/null
+++ b/mangotally/callers/limits.py
@@ -0,0 +1,137 @@
+"""Bounds on what callers may hold of a host."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from returns import result
+
+from mangotally import errors
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mangotally import ids
+
+logger = logging.getLogger(__name__)
+
+RETRY_AFTER_MS = 1000
+_RESERVED = "reserved_bytes"
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Bounds of one server.
+
+    Attributes:
+        head_ms: Longest time from a connection to its first request.
+        body_ms: Longest time for a request's body.
+        body_bytes: Largest body of one request.
+        all_bodies_bytes: All bodies in memory together.
+        connections: Open connections.
+        organisation_calls: Calls of one organisation under way.
+    """
+
+    head_ms: float = 10_000
+    body_ms: float = 30_000
+    body_bytes: int = 4_194_304
+    all_bodies_bytes: int = 134_217_728
+    connections: int = 4096
+    organisation_calls: int = 1024
+
+
+class Limits:
+    """Counts what callers hold; knows nothing of plans."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        """Makes limits that nobody uses yet."""
+        self.bounds = bounds
+        self.reserved_bytes = 0
+        self._calls: collections.Counter[ids.OrganisationId] = (
+            collections.Counter()
+        )
+
+    async def read_body(self, request: web.Request) -> errors.Outcome[bytes]:
+        """Reads a request's body within the bounds of size and time."""
+        length = request.content_length
+        if length is not None and length > self.bounds.body_bytes:
+            return _too_large()
+        wanted = self.bounds.body_bytes if length is None else length
+        if self.reserved_bytes + wanted > self.bounds.all_bodies_bytes:
+            return errors.failed(
+                errors.Reason.UNAVAILABLE,
+                "This host holds too many requests' bodies.",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        self._reserve(request, wanted)
+        try:
+            async with asyncio.timeout(
+                clock_lib.to_seconds(self.bounds.body_ms)
+            ):
+                body = await request.read()
+        except TimeoutError:
+            return errors.failed(
+                errors.Reason.BAD_REQUEST, "The body took too long to arrive."
+            )
+        except web.HTTPRequestEntityTooLarge:
+            return _too_large()
+        except (web.RequestPayloadError, ConnectionError):
+            return errors.failed(
+                errors.Reason.BAD_REQUEST, "The body cannot be read."
+            )
+        self._reserve(request, len(body))
+        return result.Success(body)
+
+    def release(self, request: web.Request) -> None:
+        """Gives back what a request's body held."""
+        self._reserve(request, 0)
+
+    @contextlib.contextmanager
+    def call(self, organisation: ids.OrganisationId) -> Iterator[bool]:
+        """Counts a call; yields whether the organisation may make it."""
+        if self._calls[organisation] >= self.bounds.organisation_calls:
+            yield False
+            return
+        self._calls[organisation] += 1
+        try:
+            yield True
+        finally:
+            self._calls[organisation] -= 1
+            if not self._calls[organisation]:
+                del self._calls[organisation]
+
+    def dump(self) -> dict[str, object]:
+        """Returns what is held now."""
+        return {
+            "bodies_bytes": self.reserved_bytes,
+            "calls": sum(self._calls.values()),
+        }
+
+    def _reserve(self, request: web.Request, size: int) -> None:
+        self.reserved_bytes += size - request.get(_RESERVED, 0)
+        request[_RESERVED] = size
+
+
+KEY = web.AppKey("limits", Limits)
+
+
+def too_many_calls() -> errors.Failure:
+    """Returns the refusal of an organisation with too many calls."""
+    return errors.Failure(
+        errors.Reason.OVER_RATE,
+        "The organisation has too many calls under way at this host.",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _too_large() -> errors.Outcome[bytes]:
+    return errors.failed(
+        errors.Reason.TOO_LARGE, "The request body is too large."
+    )
--- a/mangotally/callers/programs.py
+++ b/mangotally/callers/programs.py
@@ -48,7 +48,7 @@
         caller = access.identify(request, self._live)
         if isinstance(caller, result.Failure):
             return problems.response_of(caller.failure())
-        body = bodies.parse(bodies.NewProgram, await request.read())
+        body = await bodies.read(bodies.NewProgram, request)
         if isinstance(body, result.Failure):
             return problems.response_of(body.failure())
         wanted = body.unwrap()
@@ -89,26 +89,31 @@
         )
 
     async def _describe(self, request: web.Request) -> web.Response:
-        caller = access.identify(request, self._live)
-        if isinstance(caller, result.Failure):
-            return problems.response_of(caller.failure())
-        organisation = caller.unwrap().organisation
-        program = ids.ProgramId(request.match_info["program"])
-        answer = await self._peers.call_home(
-            self._home.key_of(organisation, program),
-            messages.DescribeProgram(organisation, program),
-        )
-        return _respond(answer, status=200)
+        return await self._ask(request, messages.DescribeProgram)
 
     async def _close(self, request: web.Request) -> web.Response:
+        return await self._ask(request, messages.CloseProgram)
+
+    async def _ask(
+        self,
+        request: web.Request,
+        kind: type[messages.DescribeProgram | messages.CloseProgram],
+    ) -> web.Response:
         caller = access.identify(request, self._live)
         if isinstance(caller, result.Failure):
             return problems.response_of(caller.failure())
         organisation = caller.unwrap().organisation
-        program = ids.ProgramId(request.match_info["program"])
+        name = request.match_info["program"]
+        if not access.is_program_name(name):
+            return problems.response_of(
+                errors.Failure(
+                    errors.Reason.NOT_FOUND, "There is no such program."
+                )
+            )
+        program = ids.ProgramId(name)
         answer = await self._peers.call_home(
             self._home.key_of(organisation, program),
-            messages.CloseProgram(organisation, program),
+            kind(organisation, program),
         )
         return _respond(answer, status=200)
 
--- a/mangotally/callers/server.py
+++ b/mangotally/callers/server.py
@@ -1,22 +1,31 @@
-"""The HTTP server for callers."""
+"""The HTTP server for callers and operators."""
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import logging
-from typing import TYPE_CHECKING, Protocol, Self
+from typing import TYPE_CHECKING, Any, Protocol, Self
 
 from aiohttp import web
 
 from mangotally import errors
-from mangotally.callers import problems
+from mangotally.callers import headers, problems
+from mangotally.callers import limits as limits_lib
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Awaitable, Callable, Sequence
 
 logger = logging.getLogger(__name__)
 
+MAX_LINE_BYTES = 8190
+MAX_HEADER_BYTES = 8190
+SWEEP_MS = 1000
+_NO_ACCESS_LOG: Any = None
+BACKLOG = 1024
+
 
 class Routes(Protocol):
     """A group of routes."""
@@ -33,18 +42,27 @@
         address: str,
         port: int,
         routes: Sequence[Routes],
-        max_body_bytes: int,
+        limits: limits_lib.Limits,
         shutdown_ms: float,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         """Makes a server; it listens on entering it."""
         self._address = address
         self._port = port
+        self.port = port
+        self._tls = tls
+        self._limits = limits
         self._app = web.Application(
-            client_max_size=max_body_bytes, middlewares=[_answer_errors]
+            client_max_size=limits.bounds.body_bytes,
+            middlewares=[_answer_errors, self._watch],
         )
+        self._app[limits_lib.KEY] = limits
         for group in routes:
             group.attach(self._app)
         self._shutdown_ms = shutdown_ms
+        self._runner: web.AppRunner | None = None
+        self._since_ms: dict[web.RequestHandler, float] = {}
+        self._active: set[web.RequestHandler] = set()
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -56,21 +74,125 @@
             handler_cancellation=True,
         )
         await runner.setup()
+        self._runner = runner
         self._stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, self._address, self._port)
-        await site.start()
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            self._open,
+            self._address,
+            self._port,
+            ssl=self._tls,
+            backlog=BACKLOG,
+        )
+        self._stack.callback(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+        sweeper = asyncio.create_task(self._sweep())
+        self._stack.callback(sweeper.cancel)
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to listen, then waits for calls under way."""
         await self._stack.aclose()
 
+    def connections(self) -> int:
+        """Returns how many connections are open."""
+        assert self._runner is not None
+        server = self._runner.server
+        return len(server.connections) if server is not None else 0
+
+    def _open(self) -> _Connection:
+        assert self._runner is not None
+        assert self._runner.server is not None
+        return _Connection(
+            self._runner.server,
+            loop=asyncio.get_running_loop(),
+            access_log=_NO_ACCESS_LOG,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
+    @web.middleware
+    async def _watch(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self._active.add(request.protocol)
+        if len(self._active) > self._limits.bounds.connections:
+            response = problems.response_of(_too_many_connections())
+            response.force_close()
+            return response
+        try:
+            return await handler(request)
+        finally:
+            self._limits.release(request)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(clock_lib.to_seconds(SWEEP_MS))
+            self.close_idle(clock_lib.SystemClock().now_ms())
+
+    def close_idle(self, now_ms: float) -> None:
+        """Closes connections that sent no request in time.
+
+        Args:
+            now_ms: The monotonic time.
+        """
+        assert self._runner is not None
+        server = self._runner.server
+        found = server.connections if server is not None else []
+        self._active.intersection_update(found)
+        idle = [item for item in found if item not in self._active]
+        self._since_ms = {
+            item: self._since_ms.get(item, now_ms) for item in idle
+        }
+        excess = len(found) - self._limits.bounds.connections
+        oldest = sorted(idle, key=lambda item: self._since_ms[item])
+        for number, item in enumerate(oldest):
+            age_ms = now_ms - self._since_ms[item]
+            if age_ms > self._limits.bounds.head_ms or number < excess:
+                logger.info("idle_connection_closed", extra={"age_ms": age_ms})
+                item.force_close()
+
+
+class _Connection(web.RequestHandler):
+    """A connection whose unreadable requests get a problem as well."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that could not be read, or a fault of ours."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        if status >= 500:
+            return problems.response_of(_internal(request, exc))
+        logger.info(
+            "request_unreadable",
+            extra={"remote": request.remote, "kind": type(exc).__name__},
+        )
+        response = problems.response_of(
+            errors.Failure(
+                errors.Reason.BAD_REQUEST, "The request cannot be read."
+            )
+        )
+        response.force_close()
+        return response
+
 
 @web.middleware
 async def _answer_errors(
     request: web.Request,
     handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
 ) -> web.StreamResponse:
+    refusal = headers.check(request)
+    if refusal is not None:
+        return problems.response_of(refusal)
     try:
         return await handler(request)
     except web.HTTPRequestEntityTooLarge:
@@ -83,4 +205,31 @@
         else:
             reason = errors.Reason.BAD_REQUEST
             detail = "The request cannot be read."
+    except Exception as error:
+        if request.writer.output_size > 0:
+            raise
+        return problems.response_of(_internal(request, error))
     return problems.response_of(errors.Failure(reason, detail))
+
+
+def _internal(
+    request: web.BaseRequest, error: BaseException | None
+) -> errors.Failure:
+    logger.error(
+        "request_failed",
+        extra={"method": request.method, "kind": type(error).__name__},
+        exc_info=error,
+    )
+    return errors.Failure(
+        errors.Reason.INTERNAL,
+        "The host failed; the request may have run.",
+        errors.Ran.MAY_HAVE_RUN,
+    )
+
+
+def _too_many_connections() -> errors.Failure:
+    return errors.Failure(
+        errors.Reason.UNAVAILABLE,
+        "This host has too many connections.",
+        retry_after_ms=limits_lib.RETRY_AFTER_MS,
+    )
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.callers import access, chat, problems
+from mangotally.callers import access, chat, headers, limits, problems
 from mangotally.homes import calls
 from mangotally.hosts import messages
 from mangotally.settings import lists
@@ -19,6 +19,7 @@
     from mangotally.homes import membership
     from mangotally.hosts import peers as peers_lib
 
+ROOT = "/services/"
 PATH = "/services/{service}/{path:.*}"
 KEY_HEADER = "Idempotency-Key"
 CALL_TIMEOUT_MS = 30_000
@@ -64,6 +65,8 @@
             return problems.response_of(allowed.failure())
         return await access.run_guarded(
             self._live,
+            request.app[limits.KEY],
+            caller.unwrap().organisation,
             caller.unwrap().key_id,
             self._admit(request, caller.unwrap().organisation),
             problems.send,
@@ -87,7 +90,7 @@
         return web.Response(
             status=value.status,
             body=calls.decode_body(value.body_base64),
-            content_type=value.content_type,
+            headers={"Content-Type": value.content_type},
         )
 
     async def _run(
@@ -106,24 +109,39 @@
             return errors.failed(
                 errors.Reason.BAD_REQUEST, f"{KEY_HEADER} is too long."
             )
-        path = "/" + request.match_info["path"]
-        headers = [
+        if program is not None and not access.is_program_name(program):
+            return errors.failed(
+                errors.Reason.NOT_FOUND, "There is no such program."
+            )
+        path = target_path(request.raw_path)
+        if path is None:
+            return errors.failed(
+                errors.Reason.BAD_REQUEST, f"The path must begin with {ROOT}."
+            )
+        body = await request.app[limits.KEY].read_body(request)
+        if isinstance(body, result.Failure):
+            return body
+        if headers.reveals_key(request, body.unwrap()):
+            return errors.failed(
+                errors.Reason.BAD_REQUEST,
+                "The key must stand in Authorization only.",
+            )
+        sent = [
             (name, request.headers[name])
             for name in _ALLOWED_HEADERS
             if name in request.headers
         ]
         if key is not None:
-            headers.append((KEY_HEADER, key))
-        query = f"?{request.query_string}" if request.query_string else ""
+            sent.append((KEY_HEADER, key))
         message = messages.RunCall(
             organisation,
             key or "",
             ids.ProgramId(program) if program else None,
             ids.ServiceId(service),
             request.method,
-            path + query,
-            tuple(headers),
-            calls.encode_body(await request.read()),
+            path,
+            tuple(sent),
+            calls.encode_body(body.unwrap()),
             CALL_TIMEOUT_MS,
         )
         if key is None or found.may_repeat(request.method, path):
@@ -139,3 +157,19 @@
     if key is None and program is not None and turn is not None:
         return f"{program}/{turn}"
     return key
+
+
+def target_path(raw_path: str) -> str | None:
+    """Returns the part of a request target that its service gets.
+
+    Args:
+        raw_path: The request target as the caller sent it.
+
+    Returns:
+        Path and query, byte for byte as sent, or None if the request
+        target does not begin as it should.
+    """
+    if not raw_path.startswith(ROOT):
+        return None
+    _, slash, rest = raw_path[len(ROOT) :].partition("/")
+    return f"/{rest}" if slash else None
--- a/mangotally/engines/client.py
+++ b/mangotally/engines/client.py
@@ -25,6 +25,7 @@
         messages: The whole conversation.
         max_tokens: Longest answer.
         prompt_tokens: Estimated length of the conversation.
+        options: Further fields as a JSON object, or empty.
     """
 
     call: ids.CallId
@@ -33,6 +34,7 @@
     messages: tuple[records.ChatMessage, ...]
     max_tokens: int
     prompt_tokens: int = 0
+    options: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator, Mapping
 
     from mangotally.engines import channels as channels_lib
+    from mangotally.policy import records
 
 CONTROL_TIMEOUT_MS = 2000
 MAX_CONTROL_BYTES = 4 * 1024 * 1024
@@ -216,17 +217,24 @@
 def _request_body(request: client.ChatRequest) -> dict[str, Any]:
     return {
         "model": request.model,
-        "messages": [
-            {"role": item.role, "content": item.content}
-            for item in request.messages
-        ],
+        "messages": [_message_body(item) for item in request.messages],
         "max_tokens": request.max_tokens,
         "stream": True,
         "stream_options": {"include_usage": True},
         "cache_key": request.program,
+        **(json.loads(request.options) if request.options else {}),
     }
 
 
+def _message_body(message: records.ChatMessage) -> dict[str, Any]:
+    if not message.extra:
+        return {"role": message.role, "content": message.content}
+    extra = json.loads(message.extra)
+    empty = not message.content and "tool_calls" in extra
+    content = None if empty else message.content
+    return {"role": message.role, "content": content, **extra}
+
+
 def _parse_load(body: Any) -> errors.Outcome[pools.LoadReport]:
     try:
         return result.Success(
--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -190,7 +190,9 @@
             message.turn,
             message.messages,
             message.max_tokens,
-            programs.digest_messages(message.service, message.messages),
+            programs.digest_messages(
+                message.service, message.messages, message.options
+            ),
         )
         events = self._join(message, wanted, outcome.unwrap())
         async with contextlib.aclosing(events):
--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -124,7 +124,9 @@
             attained_tokens=attained_tokens,
             share=message.share,
             deadline_ms=float(message.timeout_ms),
-            digest=programs.digest_messages(message.service, prompt),
+            digest=programs.digest_messages(
+                message.service, prompt, message.options
+            ),
         )
         due_ms = self._clock.now_ms() + message.timeout_ms
         turn = _Turn(message, call, tuple(prompt), due_ms, permit)
@@ -228,6 +230,7 @@
             turn.prompt,
             turn.message.max_tokens,
             turn.call.prompt_tokens,
+            turn.message.options,
         )
         events = self._engine.chat(grant.address, request)
         first: faults.Fault | None = None
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -147,6 +147,7 @@
         max_tokens: Longest answer.
         share: Weight of the organisation's plan.
         timeout_ms: Longest time for the turn.
+        options: Fields for the engine as a JSON object, or empty.
     """
 
     organisation: ids.OrganisationId
@@ -158,6 +159,7 @@
     max_tokens: int
     share: float
     timeout_ms: int
+    options: str = ""
 
 
 @registry.register
--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -124,7 +124,7 @@
         )
 
     async def _publish(self, request: web.Request) -> web.Response:
-        body = bodies.parse(Publication, await request.read())
+        body = await bodies.read(Publication, request)
         if isinstance(body, result.Failure):
             return problems.response_of(body.failure())
         wanted = body.unwrap()
@@ -151,7 +151,7 @@
         )
 
     async def _give_key(self, request: web.Request) -> web.Response:
-        body = bodies.parse(NewKey, await request.read())
+        body = await bodies.read(NewKey, request)
         if isinstance(body, result.Failure):
             return problems.response_of(body.failure())
         organisation = ids.OrganisationId(body.unwrap().organisation)
--- a/mangotally/policy/programs.py
+++ b/mangotally/policy/programs.py
@@ -19,15 +19,19 @@
 
 
 def digest_messages(
-    service: ids.ServiceId, messages: Sequence[records.ChatMessage]
+    service: ids.ServiceId,
+    messages: Sequence[records.ChatMessage],
+    options: str = "",
 ) -> str:
     """Returns the digest by which a repeated turn is recognised."""
     digest = hashlib.sha256(service.encode())
+    parts = [options]
     for message in messages:
-        for part in (message.role, message.content):
-            data = part.encode()
-            digest.update(len(data).to_bytes(8, "big"))
-            digest.update(data)
+        parts += (message.role, message.content, message.extra)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(8, "big"))
+        digest.update(data)
     return digest.hexdigest()
 
 
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -175,10 +175,17 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ChatMessage:
-    """One message of a conversation."""
+    """One message of a conversation.
+
+    Attributes:
+        role: Who speaks.
+        content: The text.
+        extra: Other fields as a JSON object, or empty.
+    """
 
     role: str
     content: str
+    extra: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/services/client.py
+++ b/mangotally/services/client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import yarl
 from returns import result
 
 from mangotally.engines import http as http_engine
@@ -68,7 +69,7 @@
                 self._session(address, is_repeatable) as session,
                 session.request(
                     message.method,
-                    f"{address}{message.path}",
+                    yarl.URL(f"{address}{message.path}", encoded=True),
                     headers=dict(message.headers),
                     data=base64.b64decode(message.body_base64),
                     timeout=timeout,
@@ -109,7 +110,7 @@
     return result.Success(
         messages.CallAnswer(
             response.status,
-            response.content_type,
+            response.headers.get("Content-Type", "application/octet-stream"),
             base64.b64encode(body).decode(),
             replayed=False,
         )
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -64,6 +64,26 @@
     quarantine_ms: int = pydantic.Field(default=600_000, ge=1000)
 
 
+class CallerSettings(pydantic.BaseModel):
+    """What callers may hold of one host.
+
+    Attributes:
+        head_ms: Longest time from a connection to its first request.
+        body_ms: Longest time for a request's body.
+        all_bodies_bytes: All request bodies in memory together.
+        connections: Open connections.
+        organisation_calls: Calls of one organisation under way.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    head_ms: int = pydantic.Field(default=10_000, ge=10)
+    body_ms: int = pydantic.Field(default=30_000, ge=10)
+    all_bodies_bytes: int = pydantic.Field(default=134_217_728, ge=1024)
+    connections: int = pydantic.Field(default=4096, ge=1)
+    organisation_calls: int = pydantic.Field(default=1024, ge=1)
+
+
 class HostSettings(pydantic.BaseModel):
     """Settings of one host process.
 
@@ -87,6 +107,7 @@
         shutdown_ms: Longest time for calls under way at shutdown.
         max_body_bytes: Largest request body.
         targets: Limits of targets.
+        callers: What callers may hold of this host.
         configuration_max_age_ms: How old the configuration may become
             before `on_stale` says what happens.
         on_stale: Whether calls are refused past that age, or go on.
@@ -116,6 +137,7 @@
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
+    callers: CallerSettings = CallerSettings()
     configuration_max_age_ms: int = pydantic.Field(default=60_000, ge=1000)
     on_stale: Literal["refuse", "continue"] = "refuse"
     configuration_snapshot_ms: int = pydantic.Field(default=3_600_000, ge=1000)
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -5,6 +5,7 @@
 import collections
 import enum
 import hashlib
+import re
 from typing import TYPE_CHECKING, Annotated, Any
 
 import pydantic
@@ -12,6 +13,9 @@
 if TYPE_CHECKING:
     from mangotally import ids
 
+_AMBIGUOUS_PATH = re.compile(
+    r"//|\\|%2f|%5c|%00|(^|/)(\.|%2e){1,2}(;[^/]*)?(/|$)", re.IGNORECASE
+)
 MAX_NAME_LENGTH = 64
 MAX_PROBLEMS = 20
 MAX_ORGANISATIONS = 100_000
@@ -119,7 +123,18 @@
     honours_fencing: bool = True
 
     def may_repeat(self, method: str, path: str) -> bool:
-        """Returns whether a call of a plain service is idempotent."""
+        """Returns whether a call of a plain service is idempotent.
+
+        A path that a target may read as another one, by dot segments,
+        empty segments or encoded delimiters, is taken for non-idempotent.
+
+        Args:
+            method: The HTTP method.
+            path: Path and query as sent to the target.
+        """
+        path = path.partition("?")[0]
+        if _AMBIGUOUS_PATH.search(path):
+            return False
         return any(
             call.method == method and path.startswith(call.path_prefix)
             for call in self.repeatable
--- a/mangotally/standins/service.py
+++ b/mangotally/standins/service.py
@@ -20,6 +20,7 @@
             collections.Counter()
         )
         self.headers: list[dict[str, str]] = []
+        self.targets: list[str] = []
 
     def application(self) -> web.Application:
         """Returns the application to serve."""
@@ -32,6 +33,7 @@
         call = (request.method, request.path, key)
         self.runs[call] += 1
         self.headers.append(dict(request.headers))
+        self.targets.append(request.raw_path)
         return web.json_response(
             {"path": request.path, "runs": self.runs[call]}
         )
--- /dev/null
+++ b/tests/test_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP interface for callers."""
