--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from mangotally.callers import chat, server, services
+from mangotally.callers import chat, limits, server, services
 from mangotally.callers import programs as program_routes
 from mangotally.engines import channels as channels_lib
 from mangotally.engines import http as http_engine
@@ -27,7 +27,7 @@
     sweeper,
     turns,
 )
-from mangotally.hosts import link, peers, router
+from mangotally.hosts import link, messages, peers, router
 from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
 from mangotally.operators import publisher
@@ -57,6 +57,7 @@
         """Makes a host; entering it starts it."""
         self.settings = settings
         self.clock = clock or clock_lib.SystemClock()
+        self.limits = _make_limits(settings)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -88,6 +89,7 @@
             },
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
             "configuration": self.live.dump(),
+            "callers": self.limits.dump(),
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
@@ -124,7 +126,7 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
-        await stack.enter_async_context(self._operator_server(log))
+        await stack.enter_async_context(self._operator_server(log, handlers))
         await stack.enter_async_context(self._caller_server())
 
     async def _start_configuration(
@@ -263,33 +265,50 @@
                     settings.open_services,
                 ),
             ],
-            settings.max_body_bytes,
+            self.limits,
             settings.shutdown_ms,
         )
 
-    def _operator_server(self, log: http_log.HttpLog) -> server.HttpServer:
+    def _operator_server(
+        self, log: http_log.HttpLog, handlers: router.Router
+    ) -> server.HttpServer:
         settings = self.settings
+        routes = operator_server.OperatorRoutes(
+            settings.operator_key_digests,
+            self.live,
+            publisher.Publisher(
+                log,
+                settings.log.configuration_stream,
+                self.live,
+                self.configuration_reader,
+            ),
+            self.dump,
+            self.peers,
+        )
+        handlers.add_unary(messages.DumpState, routes.dump_state)
         return server.HttpServer(
             settings.address,
             settings.operators_port,
-            [
-                operator_server.OperatorRoutes(
-                    settings.operator_key_digests,
-                    self.live,
-                    publisher.Publisher(
-                        log,
-                        settings.log.configuration_stream,
-                        self.live,
-                        self.configuration_reader,
-                    ),
-                    self.dump,
-                )
-            ],
-            settings.max_body_bytes,
+            [routes],
+            limits.Limits(self.limits.bounds),
             shutdown_ms=0,
         )
 
 
+def _make_limits(settings: host_settings.HostSettings) -> limits.Limits:
+    found = settings.callers
+    return limits.Limits(
+        limits.Bounds(
+            found.head_ms,
+            found.body_ms,
+            settings.max_body_bytes,
+            found.all_bodies_bytes,
+            found.connections,
+            found.organisation_calls,
+        )
+    )
+
+
 def _client_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
     return aiohttp.ClientSession(
