--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import pathlib
@@ -78,10 +79,17 @@
 
     def terminate(self, name: str) -> int:
         """Sends SIGTERM, waits, and returns the exit code."""
-        process = self._processes.pop(name)
-        process.send_signal(signal.SIGTERM)
+        self.send_stop(name)
+        return self.wait(name)
+
+    def send_stop(self, name: str) -> None:
+        """Sends SIGTERM."""
+        self._processes[name].send_signal(signal.SIGTERM)
         self.ports.pop(name, None)
-        return process.wait(STOP_TIMEOUT_S)
+
+    def wait(self, name: str) -> int:
+        """Waits for the end of a process; returns the exit code."""
+        return self._processes.pop(name).wait(STOP_TIMEOUT_S)
 
     def request(
         self,
@@ -92,7 +100,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, Any]:
         """Sends a request to a host as the sample organisation."""
-        key = self.ready["organisations"]["escola-braga"]["key"]
+        key = self.ready["organisations"]["oficinas-porto"]["key"]
         url = f"http://127.0.0.1:{self.ports[name]}{path}"
         return _request(url, key, method, body, headers or {})
 
@@ -180,3 +188,40 @@
         if time.monotonic() > deadline_s:
             raise AssertionError(f"{name} did not start: {fleet.log(name)}")
         time.sleep(POLL_S)
+
+
+class Stream:
+    """A streamed turn, read step by step."""
+
+    def __init__(
+        self, fleet: ProcessFleet, name: str, program: str, words: int
+    ) -> None:
+        key = fleet.ready["organisations"]["oficinas-porto"]["key"]
+        self._connection = http.client.HTTPConnection(
+            "127.0.0.1", fleet.ports[name], timeout=STOP_TIMEOUT_S
+        )
+        body = {
+            "model": "assistente",
+            "messages": [{"role": "user", "content": "word " * words}],
+            "max_tokens": 2 * words,
+            "stream": True,
+        }
+        self._connection.request(
+            "POST",
+            "/v1/chat/completions",
+            json.dumps(body),
+            {
+                "Authorization": f"Bearer {key}",
+                "Mangotally-Program": program,
+                "Mangotally-Turn": "1",
+            },
+        )
+        self._response = self._connection.getresponse()
+        self.status = self._response.status
+        self.first = self._response.readline()
+
+    def rest(self) -> bytes:
+        """Reads to the end and closes the connection."""
+        data = self._response.read()
+        self._connection.close()
+        return data
--- a/tests/test_application/test_processes.py
+++ b/tests/test_application/test_processes.py
@@ -11,6 +11,7 @@
 
 TRIES = 100
 TRY_PAUSE_S = 0.2
+WORDS = 1500
 
 
 class ProcessTest(unittest.TestCase):
@@ -40,6 +41,22 @@
                 self.assertEqual(_children(pid), "")
                 self.assertEqual(_io_urings(pid), [])
 
+    def test_stop_cuts_no_stream(self) -> None:
+        """Streams through and at hosts that stop are finished."""
+        with processes.ProcessFleet(hosts=3) as fleet:
+            names = ("h1", "h2", "h3") * 3
+            streams = [
+                processes.Stream(fleet, name, _open(fleet, name), WORDS)
+                for name in names
+            ]
+            self.assertEqual({item.status for item in streams}, {200})
+            fleet.send_stop("h1")
+            fleet.send_stop("h2")
+            ends = [item.rest()[-14:] for item in streams]
+            codes = [fleet.wait("h1"), fleet.wait("h2")]
+            self.assertEqual(set(ends), {b"data: [DONE]\n\n"})
+            self.assertEqual(codes, [0, 0])
+
     def test_stop_on_signal(self) -> None:
         """SIGTERM ends a host with exit code 0, and it leaves the view."""
         with processes.ProcessFleet(hosts=2) as fleet:
