Authenticate hosts to one another, and serve TLS by settings

Cause: links between hosts were plain and open to anyone; the ports for callers and operators spoke HTTP only; targets could compress answers whose encoding was then not passed on.

Targets are asked for unencoded answers.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -27,6 +27,7 @@
     sweeper,
     turns,
 )
+from mangotally.hosts import credentials as credentials_lib
 from mangotally.hosts import link, messages, peers, router
 from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
@@ -36,10 +37,14 @@
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
+from mangotally.util import certificates
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    import ssl
+
     from mangotally.settings import host as host_settings
+    from mangotally.settings import tls as tls_settings
 
 logger = logging.getLogger(__name__)
 
@@ -96,17 +101,26 @@
         }
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
-        session = await stack.enter_async_context(_client_session())
+        self._check_plain_connections()
+        tls = self.settings.tls
+        credentials = (
+            credentials_lib.HostCredentials(tls.hosts) if tls.hosts else None
+        )
+        session = await stack.enter_async_context(
+            _client_session(tls.platform_ca_file)
+        )
         log = http_log.HttpLog(session, self.settings.log.url)
         handlers = router.Router()
         await self._start_configuration(stack, log)
         await stack.enter_async_context(
-            link.Server(handlers, self.settings.rpc_address)
+            link.Server(handlers, self.settings.rpc_address, credentials)
         )
         self.members = membership.Membership(self.settings, log, self.clock)
-        self.peers = peers.Peers(self.members, handlers)
+        self.peers = peers.Peers(self.members, handlers, credentials)
         await stack.enter_async_context(self.peers)
-        channels = channels_lib.Channels()
+        channels = channels_lib.Channels(
+            certificates.client_context(tls.targets_ca_file)
+        )
         await stack.enter_async_context(channels)
         self.slots = slots.SlotClient(self.members, self.peers, self.clock)
         await stack.enter_async_context(self.slots)
@@ -126,8 +140,18 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
-        await stack.enter_async_context(self._operator_server(log, handlers))
-        await stack.enter_async_context(self._caller_server())
+        await stack.enter_async_context(
+            self._operator_server(
+                log,
+                handlers,
+                await _enter_tls(stack, self.settings.tls.operators),
+            )
+        )
+        await stack.enter_async_context(
+            self._caller_server(
+                await _enter_tls(stack, self.settings.tls.callers)
+            )
+        )
 
     async def _start_configuration(
         self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
@@ -161,6 +185,12 @@
         read_ms = self.configuration_reader.read_ms
         return None if read_ms is None else self.clock.now_ms() - read_ms
 
+    def _check_plain_connections(self) -> None:
+        tls = self.settings.tls
+        for name in ("hosts", "callers", "operators"):
+            if getattr(tls, name) is None:
+                logger.warning("tls_off", extra={"towards": name})
+
     def _make_homes(
         self,
         session: aiohttp.ClientSession,
@@ -239,7 +269,9 @@
             settings.call_lifetime_ms,
         )
 
-    def _caller_server(self) -> server.HttpServer:
+    def _caller_server(
+        self, context: ssl.SSLContext | None
+    ) -> server.HttpServer:
         settings = self.settings
         return server.HttpServer(
             settings.address,
@@ -267,10 +299,14 @@
             ],
             self.limits,
             settings.shutdown_ms,
+            context,
         )
 
     def _operator_server(
-        self, log: http_log.HttpLog, handlers: router.Router
+        self,
+        log: http_log.HttpLog,
+        handlers: router.Router,
+        context: ssl.SSLContext | None,
     ) -> server.HttpServer:
         settings = self.settings
         routes = operator_server.OperatorRoutes(
@@ -292,9 +328,20 @@
             [routes],
             limits.Limits(self.limits.bounds),
             shutdown_ms=0,
+            tls=context,
         )
 
 
+async def _enter_tls(
+    stack: contextlib.AsyncExitStack, settings: tls_settings.Certificate | None
+) -> ssl.SSLContext | None:
+    if settings is None:
+        return None
+    found = certificates.ServerContext(settings)
+    await stack.enter_async_context(found)
+    return found.context
+
+
 def _make_limits(settings: host_settings.HostSettings) -> limits.Limits:
     found = settings.callers
     return limits.Limits(
@@ -309,8 +356,12 @@
     )
 
 
-def _client_session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+def _client_session(ca_file: str | None) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        use_dns_cache=False,
+        ssl=certificates.client_context(ca_file) or True,
+    )
     return aiohttp.ClientSession(
         connector=connector, auto_decompress=False, trust_env=False
     )
--- a/mangotally/commands/local.py
+++ b/mangotally/commands/local.py
@@ -15,6 +15,7 @@
     import pathlib
 
     from mangotally.settings import host as host_settings
+    from mangotally.settings import tls
 
 MAX_HOSTS = 64
 
@@ -68,7 +69,8 @@
     def entries(self) -> list[str]:
         """Returns the base URLs for callers."""
         return [
-            f"http://{host.settings.address}:{host.settings.port}"
+            f"{_scheme(host.settings.tls.callers)}://"
+            f"{host.settings.address}:{host.settings.port}"
             for host in self.hosts
         ]
 
@@ -90,7 +92,8 @@
 
     def _describe(self) -> dict[str, Any]:
         operators = [
-            f"http://{host.settings.address}:{host.settings.operators_port}"
+            f"{_scheme(host.settings.tls.operators)}://"
+            f"{host.settings.address}:{host.settings.operators_port}"
             for host in self.hosts
         ]
         return {
@@ -126,3 +129,7 @@
             exclude={"host_id", "port", "rpc_port", "operator_port"},
         )
         return yaml.safe_dump(content, sort_keys=False)
+
+
+def _scheme(certificate: tls.Certificate | None) -> str:
+    return "http" if certificate is None else "https"
--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -19,11 +19,14 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from mangotally.hosts import credentials as credentials_lib
+
 logger = logging.getLogger(__name__)
 
 MAX_BATCH_FRAMES = 256
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 KEEPALIVE_MS = 2000
+MAX_REASON_CHARS = 300
 OPTIONS = (
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -67,7 +70,7 @@
     def __init__(
         self,
         address: str,
-        credentials: grpc.ChannelCredentials | None = None,
+        credentials: credentials_lib.HostCredentials | None = None,
     ) -> None:
         """Makes a link; it connects on first use.
 
@@ -117,8 +120,11 @@
         if self._credentials is None:
             channel = grpc.aio.insecure_channel(self.address, OPTIONS)
         else:
+            name = self._credentials.name
             channel = grpc.aio.secure_channel(
-                self.address, self._credentials, OPTIONS
+                self.address,
+                self._credentials.channel(),
+                (*OPTIONS, ("grpc.ssl_target_name_override", name)),
             )
         call = hosts_pb2_grpc.HostsStub(channel).Exchange()
         self._channel = channel
@@ -144,10 +150,25 @@
         answers.put_nowait(decode(frame))
 
     async def _guard(self, work: Any) -> None:
-        with contextlib.suppress(grpc.aio.AioRpcError, asyncio.CancelledError):
-            await work
+        with contextlib.suppress(asyncio.CancelledError):
+            try:
+                await work
+            except grpc.aio.AioRpcError as error:
+                self._log_failure(error)
         self._break()
 
+    def _log_failure(self, error: grpc.aio.AioRpcError) -> None:
+        if self._writer is None or error.code() is grpc.StatusCode.CANCELLED:
+            return
+        logger.warning(
+            "link_failed",
+            extra={
+                "peer": self.address,
+                "code": error.code().name,
+                "reason": (error.details() or "")[:MAX_REASON_CHARS],
+            },
+        )
+
     def _break(self) -> None:
         calls, self._calls = self._calls, {}
         if self._writer is None:
@@ -195,7 +216,7 @@
         self,
         handlers: router.Router,
         address: str,
-        credentials: grpc.ServerCredentials | None = None,
+        credentials: credentials_lib.HostCredentials | None = None,
     ) -> None:
         """Makes a server; it listens on entering it."""
         self._router = handlers
@@ -210,7 +231,7 @@
         if self._credentials is None:
             server.add_insecure_port(self._address)
         else:
-            server.add_secure_port(self._address, self._credentials)
+            server.add_secure_port(self._address, self._credentials.server())
         await server.start()
         self._server = server
         return self
@@ -224,6 +245,13 @@
         self, request_iterator: Any, context: Any
     ) -> None:
         """Serves one stream; the name is the protocol's."""
+        if self._credentials is not None and not self._credentials.admits(
+            context.auth_context()
+        ):
+            logger.warning("host_refused", extra={"peer": context.peer()})
+            await context.abort(
+                grpc.StatusCode.UNAUTHENTICATED, "not a host of this fleet"
+            )
         writer = FrameWriter(context.write)
         writing = asyncio.create_task(writer.run())
         tasks: dict[int, asyncio.Task[None]] = {}
--- a/mangotally/hosts/peers.py
+++ b/mangotally/hosts/peers.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
 
-    import grpc
+    from mangotally.hosts import credentials as credentials_lib
 
 CALL_TIMEOUT_MS = 5000
 HOME_HOLD_MS = 15_000
@@ -44,7 +44,7 @@
         self,
         directory: Directory,
         handlers: router.Router,
-        credentials: grpc.ChannelCredentials | None = None,
+        credentials: credentials_lib.HostCredentials | None = None,
     ) -> None:
         """Makes the sender; links open on first use."""
         self._directory = directory
--- a/mangotally/services/client.py
+++ b/mangotally/services/client.py
@@ -21,6 +21,7 @@
     from mangotally.engines import channels as channels_lib
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+_IDENTITY = {"Accept-Encoding": "identity"}
 _REFUSALS = frozenset({429, 503})
 
 
@@ -70,7 +71,7 @@
                 session.request(
                     message.method,
                     yarl.URL(f"{address}{message.path}", encoded=True),
-                    headers=dict(message.headers),
+                    headers=_IDENTITY | dict(message.headers),
                     data=base64.b64decode(message.body_base64),
                     timeout=timeout,
                     allow_redirects=False,
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -7,6 +7,8 @@
 
 import pydantic
 
+from mangotally.settings import tls as tls_settings
+
 RPC_PORT_STEP = 1000
 OPERATOR_PORT_STEP = 2000
 
@@ -108,6 +110,8 @@
         max_body_bytes: Largest request body.
         targets: Limits of targets.
         callers: What callers may hold of this host.
+        tls: Certificates; between hosts they may be left out only on the
+            loopback.
         configuration_max_age_ms: How old the configuration may become
             before `on_stale` says what happens.
         on_stale: Whether calls are refused past that age, or go on.
@@ -138,6 +142,7 @@
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
     callers: CallerSettings = CallerSettings()
+    tls: tls_settings.TlsSettings = tls_settings.TlsSettings()
     configuration_max_age_ms: int = pydantic.Field(default=60_000, ge=1000)
     on_stale: Literal["refuse", "continue"] = "refuse"
     configuration_snapshot_ms: int = pydantic.Field(default=3_600_000, ge=1000)
@@ -148,6 +153,15 @@
         ipaddress.ip_address(value)
         return value
 
+    @pydantic.model_validator(mode="after")
+    def _check_tls(self) -> HostSettings:
+        address = ipaddress.ip_address(self.address)
+        if self.tls.hosts is None and not address.is_loopback:
+            raise ValueError(
+                "tls.hosts is missing, and the address is not on the loopback"
+            )
+        return self
+
     @property
     def rpc_address(self) -> str:
         """Address for other hosts as `ip:port`."""
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -14,6 +14,7 @@
 from mangotally.roster import base as roster_base
 from mangotally.settings import host as host_settings
 from mangotally.settings import lists
+from mangotally.settings import tls as tls_settings
 from mangotally.standins import engine, log, roster, service
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
         """
         self.deployment = deployment
         self._speed = speed or engine.EngineSpeed()
+        self.tls = tls_settings.TlsSettings()
         self._random = random.Random(seed)
         self.log = log.LogStandIn()
         self.roster = roster.RosterStandIn()
@@ -81,6 +83,7 @@
             log=host_settings.LogSettings(url=self.log.url),
             roster_url=self.roster.url,
             weights_url=self.roster.url,
+            tls=self.tls,
             operator_key_digests=(configuration.digest_key(self.operator_key),),
             load_poll_ms=100,
             heartbeat_ms=200,
--- /dev/null
+++ b/tests/test_hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between hosts."""
