Record latency per organisation and target, and show it as text

Cause: there were no metrics; a log value with U+2028 broke a line in two; a stream that broke off without its end looked whole to the caller; a caller that did not read held its call for ever.

Change: a Recorder takes one call per answered request and one per refusal; histograms for the 128 most recent organisations and targets, the rest together; GET /metrics on the operators' port, with the operator key or a key that reads metrics only; log lines are ASCII; a broken stream ends with a problem; a write that takes 30 s ends the call.

Tests: values of any kind read back from a log line; counts and buckets through the text parser of the exposition library; bounded series.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -31,6 +31,7 @@
 from mangotally.hosts import link, messages, peers, router
 from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
+from mangotally.metrics import store
 from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
 from mangotally.policy import faults, scheduler
@@ -63,6 +64,7 @@
         self.settings = settings
         self.clock = clock or clock_lib.SystemClock()
         self.limits = _make_limits(settings)
+        self.metrics = store.MetricsStore()
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -95,6 +97,7 @@
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
             "configuration": self.live.dump(),
             "callers": self.limits.dump(),
+            "metrics": self.metrics.dump(),
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
@@ -300,6 +303,7 @@
             self.limits,
             settings.shutdown_ms,
             context,
+            self.metrics,
         )
 
     def _operator_server(
@@ -320,6 +324,8 @@
             ),
             self.dump,
             self.peers,
+            self.metrics,
+            settings.metrics_key_digests,
         )
         handlers.add_unary(messages.DumpState, routes.dump_state)
         return server.HttpServer(
--- a/mangotally/callers/answers.py
+++ b/mangotally/callers/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -17,6 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from mangotally.metrics import recorder
+
+SEND_MS = 30_000
 _DONE = b"data: [DONE]\n\n"
 
 
@@ -33,20 +37,26 @@
 
 
 def answer_of(
-    request: web.Request, message: messages.RunTurn, streamed: bool
+    request: web.Request,
+    message: messages.RunTurn,
+    streamed: bool,
+    watch: recorder.CallWatch,
 ) -> Answer:
     """Returns the writer of an answer in the form that the caller wants."""
     if streamed:
-        return StreamAnswer(request, message)
-    return WholeAnswer(message)
+        return StreamAnswer(request, message, watch)
+    return WholeAnswer(message, watch)
 
 
 class WholeAnswer:
     """An answer as one JSON document."""
 
-    def __init__(self, message: messages.RunTurn) -> None:
+    def __init__(
+        self, message: messages.RunTurn, watch: recorder.CallWatch
+    ) -> None:
         """Makes an answer to a turn."""
         self._message = message
+        self._watch = watch
 
     async def write(
         self, events: AsyncIterator[errors.Outcome[Any]]
@@ -56,8 +66,10 @@
         async for event in events:
             match event:
                 case result.Success(messages.TurnText(piece)):
+                    self._watch.token()
                     text.append(piece)
                 case result.Success(messages.TurnEnd() as end):
+                    _record(self._watch, end)
                     return web.json_response(self._body("".join(text), end))
                 case _:
                     return problems.response_of(event.failure())
@@ -86,11 +98,18 @@
 class StreamAnswer:
     """An answer as server-sent events."""
 
-    def __init__(self, request: web.Request, message: messages.RunTurn) -> None:
+    def __init__(
+        self,
+        request: web.Request,
+        message: messages.RunTurn,
+        watch: recorder.CallWatch,
+    ) -> None:
         """Makes an answer to a turn; the headers wait for its first event."""
         self._request = request
         self._message = message
+        self._watch = watch
         self._response: web.StreamResponse | None = None
+        self._ended = False
 
     async def write(
         self, events: AsyncIterator[errors.Outcome[Any]]
@@ -100,8 +119,8 @@
             if not isinstance(event, result.Success):
                 return await self.fail(event.failure())
             await self._write_event(event.unwrap())
-        if self._response is None:
-            return problems.response_of(_broken_off())
+        if self._response is None or not self._ended:
+            return await self.fail(_broken_off())
         await self._response.write_eof()
         return self._response
 
@@ -109,6 +128,7 @@
         """Ends the stream with an event that holds the problem."""
         if self._response is None:
             return problems.response_of(failure)
+        self._response[problems.REASON] = failure.reason
         await self._send({"error": problems.body_of(failure)})
         await self._response.write_eof()
         return self._response
@@ -121,12 +141,15 @@
         }
         match event:
             case messages.TurnText(piece):
+                self._watch.token()
                 chunk["choices"] = [_choice({"content": piece}, None)]
                 await self._send(chunk)
             case messages.TurnEnd() as end:
                 chunk["choices"] = [_choice({}, "stop")]
                 chunk["usage"] = _usage(end)
                 await self._send(chunk, _DONE)
+                self._ended = True
+                _record(self._watch, end)
 
     async def _send(self, body: dict[str, Any], more: bytes = b"") -> None:
         if self._response is None:
@@ -138,7 +161,18 @@
             )
             await self._response.prepare(self._request)
         data = pydantic_core.to_json(body)
-        await self._response.write(b"data: %b\n\n%b" % (data, more))
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(SEND_MS)):
+                await self._response.write(b"data: %b\n\n%b" % (data, more))
+        except TimeoutError:
+            raise ConnectionResetError("the caller does not read") from None
+
+
+def _record(watch: recorder.CallWatch, end: messages.TurnEnd) -> None:
+    if end.replayed:
+        watch.done(None)
+    else:
+        watch.done(end.target, end.generated_tokens)
 
 
 def _choice(delta: dict[str, Any], reason: str | None) -> dict[str, Any]:
--- a/mangotally/callers/chat.py
+++ b/mangotally/callers/chat.py
@@ -10,6 +10,7 @@
 from mangotally import errors, ids
 from mangotally.callers import access, answers, bodies, limits, problems
 from mangotally.hosts import messages
+from mangotally.metrics import recorder
 from mangotally.policy import records
 from mangotally.settings import lists
 
@@ -59,7 +60,14 @@
         if isinstance(prepared, result.Failure):
             return problems.response_of(prepared.failure())
         message, streamed = prepared.unwrap()
-        answer = answers.answer_of(request, message, streamed)
+        answer = answers.answer_of(
+            request,
+            message,
+            streamed,
+            recorder.CallWatch(
+                request.app[recorder.KEY], message.organisation, self._clock
+            ),
+        )
         return await access.run_guarded(
             self._live,
             request.app[limits.KEY],
--- a/mangotally/callers/problems.py
+++ b/mangotally/callers/problems.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from mangotally import errors
 
+REASON = "reason"
 CONTENT_TYPE = "application/problem+json"
 
 
@@ -33,12 +34,14 @@
     if failure.retry_after_ms is not None:
         seconds = math.ceil(failure.retry_after_ms / clock.MS_PER_S)
         headers["Retry-After"] = str(max(1, seconds))
-    return web.Response(
+    response = web.Response(
         status=failure.status,
         text=json.dumps(body_of(failure)),
         content_type=CONTENT_TYPE,
         headers=headers,
     )
+    response[REASON] = failure.reason
+    return response
 
 
 async def send(failure: errors.Failure) -> web.StreamResponse:
--- a/mangotally/callers/server.py
+++ b/mangotally/callers/server.py
@@ -12,6 +12,7 @@
 from mangotally import errors
 from mangotally.callers import headers, problems
 from mangotally.callers import limits as limits_lib
+from mangotally.metrics import recorder
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -45,8 +46,10 @@
         limits: limits_lib.Limits,
         shutdown_ms: float,
         tls: ssl.SSLContext | None = None,
+        measurements: recorder.Recorder | None = None,
     ) -> None:
         """Makes a server; it listens on entering it."""
+        self._recorder = measurements or recorder.NullRecorder()
         self._address = address
         self._port = port
         self.port = port
@@ -54,9 +57,10 @@
         self._limits = limits
         self._app = web.Application(
             client_max_size=limits.bounds.body_bytes,
-            middlewares=[_answer_errors, self._watch],
+            middlewares=[self._count, _answer_errors, self._watch],
         )
         self._app[limits_lib.KEY] = limits
+        self._app[recorder.KEY] = self._recorder
         for group in routes:
             group.attach(self._app)
         self._shutdown_ms = shutdown_ms
@@ -111,6 +115,18 @@
             max_field_size=MAX_HEADER_BYTES,
         )
 
+    @web.middleware
+    async def _count(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        reason = response.get(problems.REASON)
+        if reason is not None:
+            self._recorder.count_refusal(reason)
+        return response
+
     @web.middleware
     async def _watch(
         self,
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -11,7 +11,9 @@
 from mangotally.callers import access, chat, headers, limits, problems
 from mangotally.homes import calls
 from mangotally.hosts import messages
+from mangotally.metrics import recorder
 from mangotally.settings import lists
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from mangotally.homes import admission as admission_lib
@@ -83,10 +85,14 @@
     async def _answer(
         self, request: web.Request, organisation: ids.OrganisationId
     ) -> web.StreamResponse:
+        watch = recorder.CallWatch(
+            request.app[recorder.KEY], organisation, clock_lib.SystemClock()
+        )
         answer = await self._run(request, organisation)
         if isinstance(answer, result.Failure):
             return problems.response_of(answer.failure())
         value = answer.unwrap()
+        watch.done(None)
         return web.Response(
             status=value.status,
             body=calls.decode_body(value.body_base64),
--- /dev/null
+++ b/mangotally/metrics/store.py
@@ -0,0 +1,155 @@
+"""Histograms per organisation and target, in bounded memory."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from hdrh import histogram
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mangotally import errors
+    from mangotally.metrics import recorder
+
+MAX_SERIES = 128
+MAX_LATENCY_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+_WORD_BYTES = 4
+OTHER = "other"
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(
+        1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS, word_size=_WORD_BYTES
+    )
+
+
+@dataclasses.dataclass
+class Series:
+    """Measurements of one organisation or target.
+
+    Attributes:
+        latency: Latency of calls in ms.
+        first_token: Time to the first token in ms.
+        generated_tokens: Tokens generated.
+    """
+
+    latency: histogram.HdrHistogram = dataclasses.field(
+        default_factory=_new_histogram
+    )
+    first_token: histogram.HdrHistogram = dataclasses.field(
+        default_factory=_new_histogram
+    )
+    generated_tokens: int = 0
+
+    def add(self, other: Series) -> None:
+        """Adds the measurements of another series."""
+        self.latency.add(other.latency)
+        self.first_token.add(other.first_token)
+        self.generated_tokens += other.generated_tokens
+
+
+class SeriesSet:
+    """Series by name; the longest unused are put together as `other`."""
+
+    def __init__(self, max_series: int = MAX_SERIES) -> None:
+        """Makes an empty set."""
+        self._max_series = max_series
+        self._series: collections.OrderedDict[str, Series]
+        self._series = collections.OrderedDict()
+        self._other: Series | None = None
+
+    def record(self, name: str, record: recorder.CallRecord) -> None:
+        """Records a call under a name."""
+        series = self._series.get(name)
+        if series is None:
+            series = self._series[name] = Series()
+            self._evict()
+        self._series.move_to_end(name)
+        series.latency.record_value(_clamp(record.latency_ms))
+        series.generated_tokens += record.generated_tokens
+        if record.first_token_ms is not None:
+            series.first_token.record_value(_clamp(record.first_token_ms))
+
+    def items(self) -> Iterator[tuple[str, Series]]:
+        """Yields all series by name."""
+        yield from sorted(self._series.items())
+        if self._other is not None:
+            yield OTHER, self._other
+
+    def _evict(self) -> None:
+        while len(self._series) > self._max_series:
+            _, series = self._series.popitem(last=False)
+            if self._other is None:
+                self._other = Series()
+            self._other.add(series)
+
+
+class MetricsStore:
+    """Keeps what is recorded on this host."""
+
+    def __init__(self, max_series: int = MAX_SERIES) -> None:
+        """Makes an empty store.
+
+        Args:
+            max_series: Organisations, and targets, kept apart.
+        """
+        self.organisations = SeriesSet(max_series)
+        self.targets = SeriesSet(max_series)
+        self.refusals: collections.Counter[errors.Reason] = (
+            collections.Counter()
+        )
+
+    def record_call(self, record: recorder.CallRecord) -> None:
+        """Records an answered call."""
+        if record.organisation:
+            self.organisations.record(record.organisation, record)
+        if record.target:
+            self.targets.record(record.target, record)
+
+    def count_refusal(self, reason: errors.Reason) -> None:
+        """Counts a call that was refused or failed."""
+        self.refusals[reason] += 1
+
+    def dump(self) -> dict[str, object]:
+        """Returns a summary for the state dump."""
+        return {
+            "organisations": _summaries(self.organisations),
+            "targets": _summaries(self.targets),
+            "refusals": {
+                reason.value: count
+                for reason, count in sorted(
+                    self.refusals.items(), key=lambda item: item[0].value
+                )
+            },
+        }
+
+
+def _summaries(found: SeriesSet) -> dict[str, object]:
+    return {
+        name: {
+            "calls": series.latency.total_count,
+            "latency_ms": _percentiles(series.latency),
+            "first_token_ms": _percentiles(series.first_token),
+            "generated_tokens": series.generated_tokens,
+        }
+        for name, series in found.items()
+    }
+
+
+def _percentiles(found: histogram.HdrHistogram) -> dict[str, int] | None:
+    if not found.total_count:
+        return None
+    return {
+        "p50": found.get_value_at_percentile(50),
+        "p99": found.get_value_at_percentile(99),
+        "max": found.get_max_value(),
+    }
+
+
+def _clamp(value_ms: float) -> int:
+    return min(MAX_LATENCY_MS, max(1, math.ceil(value_ms)))
--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -14,6 +14,7 @@
 from mangotally import errors, ids
 from mangotally.callers import bodies, problems
 from mangotally.hosts import messages
+from mangotally.metrics import exposition, store
 from mangotally.policy import configuration
 from mangotally.settings import lists
 
@@ -61,6 +62,8 @@
         publish: publisher.Publisher,
         dump: Callable[[], dict[str, Any]],
         peers: peers_lib.Peers,
+        metrics: store.MetricsStore,
+        metrics_key_digests: tuple[str, ...] = (),
     ) -> None:
         """Makes the routes; `attach` adds them."""
         self._key_digests = key_digests
@@ -68,6 +71,8 @@
         self._publisher = publish
         self._dump = dump
         self._peers = peers
+        self._metrics = metrics
+        self._metrics_key_digests = metrics_key_digests
 
     def attach(self, app: web.Application) -> None:
         """Adds the routes to an application."""
@@ -80,13 +85,21 @@
             ("GET", "/admin/dump", self._get_dump),
             ("GET", "/admin/hosts/{host}/dump", self._get_dump_of),
         ):
-            app.router.add_route(method, path, self._with_key(handler))
+            app.router.add_route(
+                method, path, self._with_key(handler, self._key_digests)
+            )
+        readers = self._key_digests + self._metrics_key_digests
+        app.router.add_get(
+            "/metrics", self._with_key(self._get_metrics, readers)
+        )
 
     def _with_key(
-        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+        self,
+        handler: Callable[[web.Request], Awaitable[web.Response]],
+        digests: tuple[str, ...],
     ) -> Callable[[web.Request], Awaitable[web.Response]]:
         async def checked(request: web.Request) -> web.Response:
-            if self._is_operator(request):
+            if _has_key(request, digests):
                 return await handler(request)
             logger.warning(
                 "operator_refused",
@@ -101,17 +114,6 @@
 
         return checked
 
-    def _is_operator(self, request: web.Request) -> bool:
-        header = request.headers.get("Authorization", "")
-        scheme, _, key = header.partition(" ")
-        if scheme.lower() != "bearer" or not key:
-            return False
-        digest = configuration.digest_key(key)
-        matches = [
-            hmac.compare_digest(digest, known) for known in self._key_digests
-        ]
-        return any(matches)
-
     async def _get_lists(self, _request: web.Request) -> web.Response:
         current = self._live.current
         content = current.lists.model_dump(mode="json") if current.lists else {}
@@ -184,6 +186,22 @@
         """Answers another host's request for this one's state."""
         return result.Success(messages.StateDump(json.dumps(self._dump())))
 
+    async def _get_metrics(self, _request: web.Request) -> web.Response:
+        return web.Response(
+            body=exposition.render(self._metrics),
+            headers={"Content-Type": exposition.CONTENT_TYPE},
+        )
+
+
+def _has_key(request: web.Request, digests: tuple[str, ...]) -> bool:
+    header = request.headers.get("Authorization", "")
+    scheme, _, key = header.partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return False
+    digest = configuration.digest_key(key)
+    matches = [hmac.compare_digest(digest, known) for known in digests]
+    return any(matches)
+
 
 def _respond(outcome: errors.Outcome[Any], status: int = 200) -> web.Response:
     if isinstance(outcome, result.Failure):
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -101,6 +101,8 @@
         roster_url: Base URL of the platform's host list.
         weights_url: Base URL of the weight store.
         operator_key_digests: SHA-256 digests of operators' keys.
+        metrics_key_digests: SHA-256 digests of keys that read `/metrics`
+            and nothing else.
         open_services: Plain services that need no key.
         heartbeat_ms: Interval between heartbeats.
         lease_ms: Length of a host's lease.
@@ -133,6 +135,7 @@
     roster_url: str
     weights_url: str
     operator_key_digests: tuple[str, ...] = ()
+    metrics_key_digests: tuple[str, ...] = ()
     open_services: tuple[str, ...] = ()
     heartbeat_ms: int = pydantic.Field(default=1000, ge=10)
     lease_ms: int = pydantic.Field(default=5000, ge=50)
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -49,6 +49,7 @@
         self.engines: dict[ids.TargetId, engine.EngineStandIn] = {}
         self.services: dict[ids.TargetId, service.ServiceStandIn] = {}
         self.operator_key = f"op-{secrets.token_urlsafe(_KEY_BYTES)}"
+        self.metrics_key = f"me-{secrets.token_urlsafe(_KEY_BYTES)}"
         self.keys: dict[ids.OrganisationId, tuple[ids.KeyId, str]] = {}
         self._stack = contextlib.AsyncExitStack()
 
@@ -85,6 +86,7 @@
             weights_url=self.roster.url,
             tls=self.tls,
             operator_key_digests=(configuration.digest_key(self.operator_key),),
+            metrics_key_digests=(configuration.digest_key(self.metrics_key),),
             load_poll_ms=100,
             heartbeat_ms=200,
             lease_ms=1500,
--- a/mangotally/util/logs.py
+++ b/mangotally/util/logs.py
@@ -47,4 +47,4 @@
     text = str(value)
     if text and all(char in _PLAIN for char in text):
         return text
-    return json.dumps(text, ensure_ascii=False)
+    return json.dumps(text)
