--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -163,7 +163,12 @@
         stream = settings.log.configuration_stream
         self.live = configuration.LiveConfiguration()
         self.configuration_reader = follower.Follower(
-            log, stream, self.live, self.clock, self.live.lose
+            log,
+            stream,
+            self.live,
+            self.clock,
+            self.live.lose,
+            skip=self.live.skip,
         )
         self.live.watch_age(
             self._configuration_age_ms,
--- a/mangotally/homes/configuration.py
+++ b/mangotally/homes/configuration.py
@@ -126,6 +126,16 @@
         for listener in self._listeners:
             listener()
 
+    def skip(self, data: bytes, offset: ids.Offset) -> bool:
+        """Returns whether an entry need not be read; see `Follower`."""
+        if not self.current.is_complete:
+            return False
+        header = records.peek_snapshot(data)
+        if header is None:
+            return False
+        self.current.note_snapshot(header, offset)
+        return True
+
     def lose(self, offset: ids.Offset, oldest_offset: ids.Offset) -> None:
         """Notes that records were gone before this host read them."""
         logger.warning(
--- a/mangotally/log/follower.py
+++ b/mangotally/log/follower.py
@@ -58,6 +58,7 @@
         clock: clock_lib.Clock,
         on_loss: Callable[[ids.Offset, ids.Offset], None] | None = None,
         window: Window | None = None,
+        skip: Callable[[bytes, ids.Offset], bool] | None = None,
     ) -> None:
         """Makes a follower; reading begins on entering it.
 
@@ -69,7 +70,9 @@
             on_loss: Called with the offset wanted and the oldest kept if
                 records aged out before they were read.
             window: How to follow only the end of the stream, or None.
+            skip: Returns whether an entry need not be decoded, or None.
         """
+        self._needless = skip
         self._window = window
         self._on_loss = on_loss
         self._log = log
@@ -131,8 +134,7 @@
         for entry in part.entries:
             if entry.offset < self._next_offset:
                 continue
-            for record in records.registry.decode_batch(entry.data):
-                self._consume(record, entry.offset)
+            self._read_entry(entry)
             self._next_offset = ids.Offset(entry.offset + 1)
         self._next_offset = max(self._next_offset, part.oldest_offset)
         if self._next_offset >= part.next_offset:
@@ -143,6 +145,12 @@
         async with self._moved:
             self._moved.notify_all()
 
+    def _read_entry(self, entry: base.Entry) -> None:
+        if self._needless and self._needless(entry.data, entry.offset):
+            return
+        for record in records.registry.decode_batch(entry.data):
+            self._consume(record, entry.offset)
+
     def _skip(self, part: base.Slice) -> None:
         lost = part.oldest_offset > self._next_offset
         if lost and self._on_loss is not None:
--- a/mangotally/policy/configuration.py
+++ b/mangotally/policy/configuration.py
@@ -52,6 +52,8 @@
         self._publications: collections.OrderedDict[int, ids.AttemptId]
         self._publications = collections.OrderedDict()
         self._last_offset = ids.Offset(-1)
+        # An entry that begins with a snapshot holds nothing else.
+        self._snapshot_offset = ids.Offset(-1)
         self._complete = True
         self._snapshot_wall_ms: int | None = None
 
@@ -101,8 +103,12 @@
         Returns:
             Whether the record took effect.
         """
+        if offset == self._snapshot_offset:
+            return False
         first_of_entry = offset != self._last_offset
         self._last_offset = offset
+        if first_of_entry and isinstance(record, records.ConfigurationSnapshot):
+            self._snapshot_offset = offset
         match record:
             case records.KeyWithdrawn():
                 return self._withdraw(record.key_id, offset)
@@ -126,6 +132,20 @@
         """
         self._complete = False
 
+    def note_snapshot(
+        self, header: records.SnapshotHeader, offset: ids.Offset
+    ) -> None:
+        """Notes a snapshot that need not be read.
+
+        Args:
+            header: What it says of itself.
+            offset: Its offset.
+        """
+        if header.read_to == offset and header.version == self._version:
+            self._snapshot_wall_ms = header.wall_ms
+        self._last_offset = offset
+        self._snapshot_offset = offset
+
     def snapshot(
         self, read_to: ids.Offset, wall_ms: int
     ) -> records.ConfigurationSnapshot | None:
@@ -234,6 +254,8 @@
     base: lists_lib.Lists, record: records.ConfigurationDelta
 ) -> lists_lib.Lists | None:
     """Returns a version with differences applied, or None if they clash."""
+    if record.uses is None:
+        return base.with_changes(record.organisations, record.removed)
     organisations = {item.id: item for item in base.plans.organisations}
     for name in record.removed:
         organisations.pop(name, None)
@@ -243,7 +265,7 @@
     try:
         return kind(
             plans=type(base.plans)(organisations=tuple(organisations.values())),
-            uses=record.uses or base.uses,
+            uses=record.uses,
         )
     except ValueError:
         return None
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import re
 
 from mangotally import ids
 from mangotally.settings import lists
@@ -11,6 +12,10 @@
 
 MEMBERS_STREAM = "members"
 CONFIGURATION_STREAM = "configuration"
+_SNAPSHOT_START = re.compile(
+    rb'\[\["ConfigurationSnapshot",\{"read_to":(\d{1,18}),'
+    rb'"wall_ms":(\d{1,18}),"version":(\d{1,18}),'
+)
 NO_ATTEMPT = ids.AttemptId("")
 
 registry = codec.Registry()
@@ -172,6 +177,34 @@
     withdrawn: tuple[WithdrawnKey, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class SnapshotHeader:
+    """The first fields of a snapshot.
+
+    Attributes:
+        read_to: The writer had read all records before this offset.
+        wall_ms: When it was written, since the Unix epoch.
+        version: Number of the version in force.
+    """
+
+    read_to: ids.Offset
+    wall_ms: int
+    version: int
+
+
+def peek_snapshot(data: bytes) -> SnapshotHeader | None:
+    """Returns the header of an entry that is a snapshot, or None.
+
+    A host that knows the configuration reads no more of a snapshot than
+    this, whatever its size.
+    """
+    match = _SNAPSHOT_START.match(data)
+    if match is None:
+        return None
+    read_to, wall_ms, version = (int(text) for text in match.groups())
+    return SnapshotHeader(ids.Offset(read_to), wall_ms, version)
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ChatMessage:
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import enum
+import functools
 import hashlib
 import re
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated
 
 import pydantic
 
@@ -18,6 +20,7 @@
 )
 MAX_NAME_LENGTH = 64
 MAX_PROBLEMS = 20
+_MODULUS = 1 << 256
 MAX_ORGANISATIONS = 100_000
 MAX_PLANS = 1000
 MAX_SERVICES = 1000
@@ -148,14 +151,29 @@
     services: tuple[Service, ...] = pydantic.Field(max_length=MAX_SERVICES)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Index:
+    """What is looked up in lists.
+
+    Attributes:
+        organisations: Organisations by id.
+        plans: Plans by name.
+        services: Services by id.
+        digest_sum: Sum of the organisations' digests, which the order of
+            the list leaves alone and a change corrects in place.
+    """
+
+    organisations: dict[str, Organisation]
+    plans: dict[str, Plan]
+    services: dict[str, Service]
+    digest_sum: int
+
+
 class Lists(_Strict):
     """Both lists, checked against each other."""
 
     plans: PlanList
     uses: UseList
-    _plans_by_name: dict[str, Plan] = pydantic.PrivateAttr(default_factory=dict)
-    _plan_names: dict[str, str] = pydantic.PrivateAttr(default_factory=dict)
-    _services: dict[str, Service] = pydantic.PrivateAttr(default_factory=dict)
 
     @pydantic.model_validator(mode="after")
     def _check(self) -> Lists:
@@ -164,36 +182,84 @@
             raise ValueError("; ".join(problems[:MAX_PROBLEMS]))
         return self
 
-    def model_post_init(self, _context: Any) -> None:
-        """Indexes the lists."""
-        self._plans_by_name = {plan.name: plan for plan in self.uses.plans}
-        self._plan_names = {
-            item.id: item.plan for item in self.plans.organisations
-        }
-        self._services = {item.id: item for item in self.uses.services}
+    @functools.cached_property
+    def index(self) -> _Index:
+        """Lookups, made on first use."""
+        organisations = {item.id: item for item in self.plans.organisations}
+        return _Index(
+            organisations,
+            {plan.name: plan for plan in self.uses.plans},
+            {item.id: item for item in self.uses.services},
+            sum(_number(item) for item in organisations.values()) % _MODULUS,
+        )
 
     def organisation_plan(
         self, organisation: ids.OrganisationId
     ) -> Plan | None:
         """Returns the plan of an organisation, or None if unknown."""
-        name = self._plan_names.get(organisation)
-        return None if name is None else self._plans_by_name[name]
+        found = self.index.organisations.get(organisation)
+        return None if found is None else self.index.plans[found.plan]
 
     def plan_name(self, organisation: str) -> str | None:
         """Returns the name of an organisation's plan, or None."""
-        return self._plan_names.get(organisation)
+        found = self.index.organisations.get(organisation)
+        return None if found is None else found.plan
 
     def service(self, service: str) -> Service | None:
         """Returns a service by its name, or None if unknown."""
-        return self._services.get(service)
+        return self.index.services.get(service)
 
     def digest(self) -> str:
         """Returns a digest that the order of organisations leaves alone."""
         found = hashlib.sha256(self.uses.model_dump_json().encode())
-        for name in sorted(self._plan_names):
-            found.update(f"\n{name} {self._plan_names[name]}".encode())
+        found.update(f"{self.index.digest_sum:064x}".encode())
         return found.hexdigest()
 
+    def with_changes(
+        self,
+        changed: tuple[Organisation, ...],
+        removed: tuple[ids.OrganisationId, ...],
+    ) -> Lists | None:
+        """Returns lists with some organisations changed.
+
+        Args:
+            changed: Organisations that are new or have another plan.
+            removed: Organisations that are taken off.
+
+        Returns:
+            The lists, or None if they would not be right.
+        """
+        index = self.index
+        if any(item.plan not in index.plans for item in changed):
+            return None
+        organisations = dict(index.organisations)
+        total = index.digest_sum
+        for name in removed:
+            before = organisations.pop(name, None)
+            total -= 0 if before is None else _number(before)
+        for item in changed:
+            before = organisations.get(item.id)
+            total -= 0 if before is None else _number(before)
+            organisations[item.id] = item
+            total += _number(item)
+        if len(organisations) > MAX_ORGANISATIONS:
+            return None
+        found = Lists.model_construct(
+            plans=PlanList.model_construct(
+                organisations=tuple(organisations.values())
+            ),
+            uses=self.uses,
+        )
+        found.__dict__["index"] = dataclasses.replace(
+            index, organisations=organisations, digest_sum=total % _MODULUS
+        )
+        return found
+
+
+def _number(organisation: Organisation) -> int:
+    text = f"{organisation.id} {organisation.plan}"
+    return int.from_bytes(hashlib.sha256(text.encode()).digest(), "big")
+
 
 def find_problems(plans: PlanList, uses: UseList) -> list[str]:
     """Returns what is wrong between both lists, one sentence each."""
--- a/tests/test_operators/fakes.py
+++ b/tests/test_operators/fakes.py
@@ -69,7 +69,12 @@
         self.log = log
         self.live = configuration.LiveConfiguration()
         self.reader = follower.Follower(
-            log, STREAM, self.live, time, self.live.lose
+            log,
+            STREAM,
+            self.live,
+            time,
+            self.live.lose,
+            skip=self.live.skip,
         )
         self.publisher = publisher.Publisher(
             log, STREAM, self.live, self.reader
--- a/tests/test_policy/test_configuration.py
+++ b/tests/test_policy/test_configuration.py
@@ -157,9 +157,23 @@
             reader.state.lose()
             reader.next_offset = self.oldest
         for offset in range(reader.next_offset, len(self.log))[:count]:
-            reader.state.apply(self.log[offset], ids.Offset(offset))
+            self.take(reader.state, self.log[offset], ids.Offset(offset))
             reader.next_offset = offset + 1
 
+    def take(
+        self,
+        state: configuration.Configuration,
+        record: Any,
+        offset: ids.Offset,
+    ) -> None:
+        """Has a reader take a record, as hosts do."""
+        data = records.registry.encode_batch([record])
+        header = records.peek_snapshot(data)
+        if header is not None and state.is_complete:
+            state.note_snapshot(header, offset)
+        else:
+            state.apply(record, offset)
+
     def snapshot_of(self, reader: Reader) -> Any:
         """Returns a reader's snapshot as it travels."""
         found = reader.state.snapshot(ids.Offset(reader.next_offset), 1)
@@ -347,6 +361,42 @@
         self.assertIsNone(starting.authenticate("d1"))
 
 
+class PeekTest(unittest.TestCase):
+    """Entries that a host which knows the configuration does not decode."""
+
+    def test_header_of_a_snapshot(self) -> None:
+        """The header is found without decoding the rest."""
+        state = configuration.Configuration()
+        state.apply(
+            records.ConfigurationVersion(1, 0, make_lists({})), ids.Offset(0)
+        )
+        found = state.snapshot(ids.Offset(1), 77)
+        data = records.registry.encode_batch([found])
+        header = records.peek_snapshot(data)
+        self.assertEqual(
+            header, records.SnapshotHeader(ids.Offset(1), 77, version=1)
+        )
+        other = records.registry.encode_batch(
+            [records.KeyWithdrawn(ids.KeyId("k"))]
+        )
+        self.assertIsNone(records.peek_snapshot(other))
+
+    def test_nothing_stands_beside_a_snapshot(self) -> None:
+        """What follows it in its entry is void for every reader."""
+        knowing = configuration.Configuration()
+        key = records.KeyGiven(
+            ids.KeyId("k"), ids.OrganisationId("org-a"), "d", ids.Offset(0)
+        )
+        knowing.apply(key, ids.Offset(0))
+        found = knowing.snapshot(ids.Offset(1), 0)
+        starting = configuration.Configuration()
+        starting.lose()
+        for state in (knowing, starting):
+            state.apply(found, ids.Offset(1))
+            state.apply(records.KeyWithdrawn(key.key_id), ids.Offset(1))
+            self.assertTrue(state.is_valid(key.key_id))
+
+
 class DeltaTest(unittest.TestCase):
     """Versions as differences."""
 
