--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
 from mangotally.settings import tls as tls_settings
 
 RPC_PORT_STEP = 1000
+Digest = Annotated[str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 OPERATOR_PORT_STEP = 2000
 
 
@@ -134,8 +135,8 @@
     log: LogSettings
     roster_url: str
     weights_url: str
-    operator_key_digests: tuple[str, ...] = ()
-    metrics_key_digests: tuple[str, ...] = ()
+    operator_key_digests: tuple[Digest, ...] = ()
+    metrics_key_digests: tuple[Digest, ...] = ()
     open_services: tuple[str, ...] = ()
     heartbeat_ms: int = pydantic.Field(default=1000, ge=10)
     lease_ms: int = pydantic.Field(default=5000, ge=50)
