Refuse deeply nested JSON of the log and of targets

Cause: the standard library's parser raises RecursionError, which is no ValueError: one such entry in a stream ended the reader of every host, and one such load report ended the poll of its target.

Change: the bounded parser of pydantic-core in both places.

--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
+import pydantic_core
 from returns import result
 
 from mangotally import errors, ids
@@ -169,7 +170,7 @@
         data += part
         if len(data) > MAX_CONTROL_BYTES:
             return _failed("an oversize answer")
-    return result.Success(json.loads(bytes(data)))
+    return result.Success(pydantic_core.from_json(bytes(data)))
 
 
 def fault_of(error: Exception) -> faults.Fault:
--- a/mangotally/util/codec.py
+++ b/mangotally/util/codec.py
@@ -7,6 +7,7 @@
 from typing import Any, TypeVar, cast
 
 import pydantic
+import pydantic_core
 from returns import result
 
 T = TypeVar("T")
@@ -56,7 +57,7 @@
     def decode_batch(self, data: bytes) -> list[result.Result[Any, str]]:
         """Returns the messages of a batch, each checked by itself."""
         try:
-            items = json.loads(data)
+            items = pydantic_core.from_json(data, allow_inf_nan=False)
         except ValueError:
             return [result.Failure("not JSON")]
         if not isinstance(items, list):
@@ -66,7 +67,7 @@
     def _decode_item(self, item: Any) -> result.Result[Any, str]:
         match item:
             case [str(name), dict(body)]:
-                return self.decode(name, json.dumps(body).encode())
+                return self.decode(name, pydantic_core.to_json(body))
             case _:
                 return result.Failure("a record is not [type, body]")
 
--- a/tests/test_engines/test_http.py
+++ b/tests/test_engines/test_http.py
@@ -184,7 +184,14 @@
 
     async def test_bad_load_reports(self) -> None:
         """A load report that is none fails."""
-        for body in (b"[]", b"{}", b'{"running": "x"}', b"nonsense", b"7"):
+        for body in (
+            b"[]",
+            b"{}",
+            b'{"running": "x"}',
+            b"nonsense",
+            b"7",
+            b"[" * 60_000,
+        ):
             with self.subTest(body):
 
                 async def act(
