--- a/mangotally/commands/replay.py
+++ b/mangotally/commands/replay.py
@@ -159,6 +159,8 @@
         kept = kept and not items[0].problems
         tables.append(items)
         _print_tables(items)
+    if len(sources) > 1:
+        print(report.totals(tables))
     took_s = time.monotonic() - started_s
     print(f"{len(sources)} traces in {took_s:.1f} s", file=sys.stderr)
     if request.plot is not None:
--- a/mangotally/policy/fairness.py
+++ b/mangotally/policy/fairness.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from mangotally import ids
 
+MAX_PASSED = 16
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Entry:
@@ -39,6 +41,21 @@
         self.lanes.clear()
 
 
+@dataclasses.dataclass(frozen=True)
+class Headroom:
+    """Slots that are kept free for organisations within their share.
+
+    Attributes:
+        fill: Share of a target's slots above which it is kept.
+        floor: Share of the pool's slots that any organisation may use.
+        average_ms: Time over which an organisation's calls are averaged.
+    """
+
+    fill: float = 0.75
+    floor: float = 0.15
+    average_ms: float = 30_000.0
+
+
 @dataclasses.dataclass(slots=True)
 class Account:
     """What an organisation has received.
@@ -49,6 +66,8 @@
         waiting: Its calls that wait.
         inside: Its calls that run.
         share: Weight of its plan.
+        average: Its calls that run, averaged over time.
+        updated_ms: When the average was updated.
     """
 
     tag: float = 0.0
@@ -56,14 +75,32 @@
     waiting: int = 0
     inside: int = 0
     share: float = 1.0
+    average: float = 0.0
+    updated_ms: float = 0.0
+
+    @property
+    def active(self) -> bool:
+        """Whether it has calls."""
+        return bool(self.waiting or self.inside)
+
+    def change_inside(self, by: int, average_ms: float, now_ms: float) -> None:
+        """Counts calls that begin or end to run."""
+        elapsed_ms = max(0.0, now_ms - self.updated_ms)
+        weight = elapsed_ms / (elapsed_ms + average_ms)
+        self.average += weight * (self.inside - self.average)
+        self.updated_ms = now_ms
+        self.inside += by
 
 
 class Shares:
     """Start-time fair queueing: virtual time of each organisation."""
 
-    def __init__(self) -> None:
+    def __init__(self, headroom: Headroom | None = None) -> None:
+        """Makes the shares of a pool without calls."""
         self.accounts: dict[ids.OrganisationId, Account] = {}
         self.now = 0.0
+        self._headroom = headroom
+        self._active_share = 0.0
 
     def enter(self, organisation: ids.OrganisationId, share: float) -> None:
         """Counts a call that begins to wait."""
@@ -71,6 +108,9 @@
         if account is None:
             account = Account()
             self.accounts[organisation] = account
+        if account.active:
+            self._active_share -= account.share
+        self._active_share += share
         account.share = share
         if not account.waiting:
             account.tag = max(account.tag, self.now)
@@ -81,7 +121,9 @@
         self.accounts[organisation].waiting -= 1
         self._forget(organisation)
 
-    def charge(self, organisation: ids.OrganisationId, tokens: float) -> None:
+    def charge(
+        self, organisation: ids.OrganisationId, tokens: float, now_ms: float
+    ) -> None:
         """Charges a call that is dispatched, by its expected cost."""
         account = self.accounts[organisation]
         self.now = max(self.now, account.tag)
@@ -89,12 +131,14 @@
         account.credit -= used
         account.tag += (tokens - used) / account.share
         account.waiting -= 1
-        account.inside += 1
+        account.change_inside(1, self._average_ms, now_ms)
 
-    def settle(self, organisation: ids.OrganisationId, change: float) -> None:
+    def settle(
+        self, organisation: ids.OrganisationId, change: float, now_ms: float
+    ) -> None:
         """Corrects the charge of a call that ended."""
         account = self.accounts[organisation]
-        account.inside -= 1
+        account.change_inside(-1, self._average_ms, now_ms)
         if change > 0:
             account.tag += change / account.share
         else:
@@ -105,10 +149,37 @@
         """Returns the virtual time of an organisation with calls."""
         return self.accounts[organisation].tag
 
+    def spares(self, load: int, slots: int) -> bool:
+        """Returns whether a target keeps its free slots."""
+        if self._headroom is None:
+            return False
+        return load >= self._headroom.fill * slots
+
+    def is_over(self, organisation: ids.OrganisationId, slots: int) -> bool:
+        """Returns whether an organisation runs more than its share.
+
+        Args:
+            organisation: An organisation with calls.
+            slots: Slots of the pool.
+        """
+        if self._headroom is None:
+            return False
+        account = self.accounts[organisation]
+        running = min(account.average, account.inside)
+        if running < self._headroom.floor * slots:
+            return False
+        return running * self._active_share >= account.share * slots
+
+    @property
+    def _average_ms(self) -> float:
+        return self._headroom.average_ms if self._headroom else 1.0
+
     def _forget(self, organisation: ids.OrganisationId) -> None:
         account = self.accounts[organisation]
-        idle = not account.waiting and not account.inside
-        if idle and account.tag <= self.now:
+        if account.active:
+            return
+        self._active_share -= account.share
+        if account.tag <= self.now:
             del self.accounts[organisation]
 
 
@@ -140,8 +211,25 @@
         entry.lanes.append(self)
         self.size += 1
 
-    def peek(self) -> Entry | None:
-        """Returns the first call of the organisation with the least tag."""
+    def peek(self, slots: int | None = None) -> Entry | None:
+        """Returns the first call of the organisation with the least tag.
+
+        Args:
+            slots: Slots of the pool, to pass over organisations above
+                their share of them; None to pass over none.
+        """
+        entry = self._peek()
+        if slots is None:
+            return entry
+        passed = []
+        while entry and self._shares.is_over(entry.call.organisation, slots):
+            passed.append(heapq.heappop(self._order))
+            entry = None if len(passed) == MAX_PASSED else self._peek()
+        for item in passed:
+            heapq.heappush(self._order, item)
+        return entry
+
+    def _peek(self) -> Entry | None:
         while self._order:
             tag, _, organisation = self._order[0]
             entry = self._first(organisation)
--- a/mangotally/policy/placement.py
+++ b/mangotally/policy/placement.py
@@ -17,7 +17,7 @@
 MS_PER_S = 1000.0
 LOAD_MEMORY = 64
 HEAP_SLACK = 64
-PREFILL_BURDEN = 0.4
+PREFILL_SLOWDOWN = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,6 +43,21 @@
         return self.decode_ms + calls * self.decode_ms_per_call
 
 
+@dataclasses.dataclass(frozen=True)
+class Weights:
+    """What placement weighs.
+
+    Attributes:
+        paused: Expected calls of a program that pauses at its target.
+        burden: Weight of the delay that a call causes to others.
+        recompute: Factor on the time to compute a prompt.
+    """
+
+    paused: float = 0.0
+    burden: float = 1.0
+    recompute: float = 1.0
+
+
 class Target:
     """One target as the scheduler sees it."""
 
@@ -51,6 +66,7 @@
         self.info = info
         self.inside = 0
         self.others = 0
+        self.resident = 0
         self.version = 0
         self.cache = prefixes.TargetCache()
         self.lane = fairness.Lane(shares)
@@ -93,10 +109,14 @@
 class Fleet:
     """The targets of a pool, the least loaded at hand."""
 
-    def __init__(self, shares: fairness.Shares, speeds: Speeds) -> None:
+    def __init__(
+        self, shares: fairness.Shares, speeds: Speeds, weights: Weights
+    ) -> None:
         """Makes a pool without targets."""
         self.targets: dict[ids.TargetId, Target] = {}
         self.speeds = speeds
+        self.slots = 0
+        self._weights = weights
         self._shares = shares
         self._heap: list[tuple[float, ids.TargetId, int]] = []
 
@@ -114,20 +134,22 @@
                 self.targets[name] = Target(info, self._shares)
             else:
                 found.info = info
+        self.slots = 0
         for target in self.targets.values():
+            self.slots += target.info.slots if target.live else 0
             self.touch(target)
         return gone
 
     def touch(self, target: Target) -> None:
         """Files a target again after a change of its load."""
         target.version += 1
-        entry = (float(target.load), target.info.target, target.version)
+        entry = (self._rank(target), target.info.target, target.version)
         heapq.heappush(self._heap, entry)
         if len(self._heap) > 4 * len(self.targets) + HEAP_SLACK:
             self._rebuild()
 
     def least(self, excluded: tuple[ids.TargetId, ...] = ()) -> Target | None:
-        """Returns the live target with the fewest calls inside.
+        """Returns the live target with the fewest calls to come.
 
         Args:
             excluded: Targets that must not be chosen.
@@ -155,23 +177,37 @@
     def finish_ms(
         self, target: Target, call: pools.PoolCall, answer_tokens: float
     ) -> float:
-        """Returns the expected time until a call would end at a target."""
+        """Returns the expected time until a call would end at a target.
+
+        The delay that it causes to the calls inside is part of it.
+
+        Args:
+            target: The target.
+            call: The call.
+            answer_tokens: Expected length of the answer.
+        """
+        weights = self._weights
+        speeds = self.speeds
+        slots = target.info.slots
         cached = min(call.prompt_tokens, target.cache.tokens(call.program))
-        fresh_ms = self.speeds.prefill_ms(call.prompt_tokens - cached)
         waiting = target.load + target.lane.size
-        token_ms = self.speeds.token_ms(min(waiting + 1, target.info.slots))
-        others = min(waiting, target.info.slots)
-        fresh_ms *= 1.0 + others * PREFILL_BURDEN
-        token_ms += others * self.speeds.decode_ms_per_call
+        burden = min(waiting, slots) * weights.burden
+        fresh_ms = speeds.prefill_ms(call.prompt_tokens - cached)
+        fresh_ms *= weights.recompute + burden * PREFILL_SLOWDOWN
+        token_ms = speeds.token_ms(min(waiting + 1, slots))
+        token_ms += burden * speeds.decode_ms_per_call
         run_ms = fresh_ms + answer_tokens * token_ms
-        over = waiting + 1 - target.info.slots
-        if over <= 0:
-            return run_ms
-        return run_ms * (1.0 + over / target.info.slots)
+        over = max(0, waiting + 1 - slots)
+        return run_ms * (1.0 + over / slots)
+
+    def _rank(self, target: Target) -> float:
+        """Returns the order in which targets take new programs."""
+        paused = max(0, target.resident - target.inside)
+        return target.load + self._weights.paused * paused
 
     def _rebuild(self) -> None:
         self._heap = [
-            (float(target.load), name, target.version)
+            (self._rank(target), name, target.version)
             for name, target in self.targets.items()
             if target.live
         ]
--- a/mangotally/policy/prefixes.py
+++ b/mangotally/policy/prefixes.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import heapq
 from typing import TYPE_CHECKING
 
+from mangotally import ids
 from mangotally.policy import pools
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from mangotally import ids
 
 RELEASE_RETRY_MS = 1000.0
 GONE_MEMORY = 4096
 EVENT_LATENESS_MS = 4000.0
+IDLE_MS = 2 * 3600 * 1000.0
 
 
 class TargetCache:
@@ -64,33 +66,78 @@
             self.total_tokens -= tokens
 
 
+@dataclasses.dataclass(slots=True)
+class Use:
+    """Where a program has run.
+
+    Attributes:
+        started_ms: When it ran first.
+        used_ms: When it ran last.
+        targets: Targets that may hold its prefix, the last one last.
+    """
+
+    started_ms: float
+    used_ms: float
+    targets: tuple[ids.TargetId, ...] = ()
+
+
 class Releases:
-    """Prefixes of programs that are gone, until targets confirm."""
+    """Prefixes of programs that are gone, until targets confirm.
+
+    A program that has not run for `IDLE_MS` counts as gone.
+    """
 
     def __init__(self) -> None:
-        self._used: dict[ids.ProgramId, tuple[ids.TargetId, ...]] = {}
+        self._uses: collections.OrderedDict[ids.ProgramId, Use] = (
+            collections.OrderedDict()
+        )
         self._gone: collections.OrderedDict[ids.ProgramId, None] = (
             collections.OrderedDict()
         )
         self._pending: dict[tuple[ids.TargetId, ids.ProgramId], float] = {}
         self._due: list[tuple[float, ids.TargetId, ids.ProgramId]] = []
 
-    def use(self, target: ids.TargetId, program: ids.ProgramId) -> None:
+    def use(
+        self, target: ids.TargetId, program: ids.ProgramId, now_ms: float
+    ) -> None:
         """Notes that a target may hold a prefix from now on."""
-        used = self._used.get(program, ())
-        if target not in used:
-            self._used[program] = (*used, target)
+        use = self._uses.get(program)
+        if use is None:
+            use = Use(now_ms, now_ms)
+            self._uses[program] = use
+            self._gone.pop(program, None)
+        use.used_ms = now_ms
+        self._uses.move_to_end(program)
+        if not use.targets or use.targets[-1] != target:
+            others = tuple(name for name in use.targets if name != target)
+            use.targets = (*others, target)
 
     def targets(self, program: ids.ProgramId) -> tuple[ids.TargetId, ...]:
-        """Returns the targets that may hold a program's prefix."""
-        return self._used.get(program, ())
+        """Returns the targets that may hold a prefix, the last one last."""
+        use = self._uses.get(program)
+        return use.targets if use else ()
+
+    def started_ms(self, program: ids.ProgramId) -> float | None:
+        """Returns when a program ran first, or None."""
+        use = self._uses.get(program)
+        return use.started_ms if use else None
+
+    def idle(self, now_ms: float) -> list[ids.ProgramId]:
+        """Returns programs that have not run for long."""
+        found = []
+        for program, use in self._uses.items():
+            if now_ms - use.used_ms < IDLE_MS:
+                break
+            found.append(program)
+        return found
 
     def end(self, program: ids.ProgramId, now_ms: float) -> None:
         """Begins to release a program's prefixes."""
         self._gone[program] = None
         while len(self._gone) > GONE_MEMORY:
             self._gone.popitem(last=False)
-        for target in self._used.pop(program, ()):
+        use = self._uses.pop(program, None)
+        for target in use.targets if use else ():
             self._schedule(target, program, now_ms)
 
     def stored(
--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -13,12 +13,12 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-AGE_TOKENS_PER_MS = 1.0
 DECODE_WEIGHT = 10.0
 ANSWER_WEIGHT = 0.1
 FIRST_ANSWER_TOKENS = 256.0
 COMPACT_SLACK = 1024
 DEFAULT_SPEEDS = placement.Speeds()
+DEFAULT_WEIGHTS = placement.Weights()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,11 +27,21 @@
 
     Attributes:
         speeds: What a target is expected to do.
+        weights: What placement weighs.
+        headroom: Slots kept for organisations within their share, or None.
         age_tokens_per_ms: Attained service that waiting one ms outweighs.
+        program_age: Whether age counts from the program's start, not from
+            the call's arrival.
+        move_after: A call may go elsewhere after waiting for so many times
+            the time to compute its prefix again.
     """
 
     speeds: placement.Speeds = DEFAULT_SPEEDS
-    age_tokens_per_ms: float = AGE_TOKENS_PER_MS
+    weights: placement.Weights = DEFAULT_WEIGHTS
+    headroom: fairness.Headroom | None = None
+    age_tokens_per_ms: float = 1.0
+    program_age: bool = False
+    move_after: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,8 +59,10 @@
     def __init__(self, tuning: Tuning | None = None) -> None:
         """Makes a scheduler of a pool without targets."""
         self._tuning = tuning or Tuning()
-        self._shares = fairness.Shares()
-        self._fleet = placement.Fleet(self._shares, self._tuning.speeds)
+        self._shares = fairness.Shares(self._tuning.headroom)
+        self._fleet = placement.Fleet(
+            self._shares, self._tuning.speeds, self._tuning.weights
+        )
         self._releases = prefixes.Releases()
         self._shared = fairness.Lane(self._shares)
         self._movable = fairness.Lane(self._shares)
@@ -77,7 +89,10 @@
 
     def submit(self, call: pools.PoolCall, now_ms: float) -> None:
         """Adds a call to the queue."""
-        key = call.attained_tokens + self._tuning.age_tokens_per_ms * now_ms
+        born_ms = now_ms
+        if self._tuning.program_age:
+            born_ms = self._started_ms(call.program, now_ms)
+        key = call.attained_tokens + self._tuning.age_tokens_per_ms * born_ms
         entry = fairness.Entry(call, key, now_ms)
         self._entries[call.call] = entry
         self._shares.enter(call.organisation, call.share)
@@ -101,10 +116,15 @@
 
     def end_program(self, program: ids.ProgramId, now_ms: float) -> None:
         """A program is gone; its prefixes are to be released."""
-        for name in self._releases.targets(program):
+        used = self._releases.targets(program)
+        for name in used:
             target = self._fleet.targets.get(name)
-            if target is not None:
-                target.cache.drop(program)
+            if target is None:
+                continue
+            target.cache.drop(program)
+            if name == used[-1]:
+                target.resident = max(0, target.resident - 1)
+                self._fleet.touch(target)
         self._releases.end(program, now_ms)
 
     def confirm_release(
@@ -139,6 +159,8 @@
 
     def advance(self, now_ms: float) -> list[pools.Action]:
         """Returns what has to be done now, in order."""
+        for program in self._releases.idle(now_ms):
+            self.end_program(program, now_ms)
         actions: list[pools.Action] = []
         actions += self._releases.due(self._fleet.targets, now_ms)
         self._expire(now_ms)
@@ -178,6 +200,7 @@
         if not call.excluded:
             cached = best.cache.tokens(call.program)
             worth_ms = self._tuning.speeds.prefill_ms(cached)
+            worth_ms *= self._tuning.move_after
             heapq.heappush(
                 self._moves, (now_ms + worth_ms, next(self._count), entry)
             )
@@ -231,19 +254,27 @@
             if target is None or not target.has_room:
                 del self._ready[name]
                 continue
-            own = target.lane.peek()
+            slots = self._spared(target)
+            own = target.lane.peek(slots)
             if own is None:
                 del self._ready[name]
                 continue
-            return target, self._first(own, self._shared.peek())
+            return target, self._first(own, self._shared.peek(slots))
         if not self._shared.size and not self._movable.size:
             return None
         least = self._fleet.least()
         if least is None or not least.has_room:
             return None
-        entry = self._shared.peek() or self._movable.peek()
+        slots = self._spared(least)
+        entry = self._shared.peek(slots) or self._movable.peek(slots)
         return None if entry is None else (least, entry)
 
+    def _spared(self, target: placement.Target) -> int | None:
+        """Returns the pool's slots if the target keeps its free ones."""
+        if self._shares.spares(target.load, target.info.slots):
+            return self._fleet.slots
+        return None
+
     def _first(
         self, own: fairness.Entry, other: fairness.Entry | None
     ) -> fairness.Entry:
@@ -269,15 +300,37 @@
         )
         answer_tokens = min(float(call.max_tokens), self._answer_tokens)
         cost = fresh + DECODE_WEIGHT * answer_tokens
-        self._shares.charge(call.organisation, cost)
+        self._shares.charge(call.organisation, cost, now_ms)
         name = target.info.target
         self._inside[call.call] = _Inside(call, name, cost)
-        self._releases.use(name, call.program)
+        self._settle_at(call.program, target, now_ms)
         target.cache.store(call.program, call.prompt_tokens, now_ms)
         target.change_inside(1, now_ms)
         self._changed(target)
         return pools.Dispatch(call.call, name, target.info.address)
 
+    def _settle_at(
+        self, program: ids.ProgramId, target: placement.Target, now_ms: float
+    ) -> None:
+        """Counts a program at the target where it runs."""
+        used = self._releases.targets(program)
+        name = target.info.target
+        if not used or used[-1] != name:
+            target.resident += 1
+            before = self._fleet.targets.get(used[-1]) if used else None
+            if before is not None:
+                before.resident = max(0, before.resident - 1)
+                self._fleet.touch(before)
+        self._releases.use(name, program, now_ms)
+
+    def _started_ms(self, program: ids.ProgramId, now_ms: float) -> float:
+        """Returns when the program, or the root of its tree, began."""
+        for name in (ids.root_of(program), program):
+            started_ms = self._releases.started_ms(name)
+            if started_ms is not None:
+                return started_ms
+        return now_ms
+
     def _end(
         self,
         call: ids.CallId,
@@ -298,11 +351,11 @@
         if report is None or not done:
             if target is not None:
                 target.cache.drop(program)
-            self._shares.settle(organisation, -inside.charged)
+            self._shares.settle(organisation, -inside.charged, now_ms)
             return
         fresh = inside.call.prompt_tokens - report.cached_tokens
         cost = fresh + DECODE_WEIGHT * report.generated_tokens
-        self._shares.settle(organisation, cost - inside.charged)
+        self._shares.settle(organisation, cost - inside.charged, now_ms)
         self._answer_tokens += ANSWER_WEIGHT * (
             report.generated_tokens - self._answer_tokens
         )
--- a/mangotally/replay/report.py
+++ b/mangotally/replay/report.py
@@ -22,6 +22,10 @@
     f"{'p99 s':>9}{'worst min s':>12}{'wasted tokens':>15}"
     f"{'refused':>9}{'wrongful':>9}"
 )
+TOTALS = (
+    f"{'means over traces':<16}{'':<17}{'p50 s':>9}{'p99 s':>9}"
+    f"{'worst served s':>16}{'wasted tokens':>15}"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,6 +91,43 @@
     return "\n".join(lines)
 
 
+def totals(traces: Sequence[Sequence[Checked]]) -> str:
+    """Returns means over the traces of each deployment and policy.
+
+    Organisations over their rate and programs without an end of their own
+    are left out.
+    """
+    groups: dict[tuple[str, str], list[Checked]] = {}
+    for items in traces:
+        for item in items:
+            key = (item.header.deployment, item.run.policy)
+            groups.setdefault(key, []).append(item)
+    lines = [TOTALS]
+    for (deployment, policy), group in groups.items():
+        found = [_inside_rate(item) for item in group]
+        count = len(group)
+        p50_ms = sum(results.percentile(x, 50.0) for x in found) / count
+        p99_ms = sum(results.percentile(x, 99.0) for x in found) / count
+        worst_ms = sum(
+            worst_served(item.header, results.rows(item.run)).worst_minute_ms
+            for item in group
+        )
+        wasted = sum(sum(item.run.wasted_tokens.values()) for item in group)
+        lines.append(
+            f"{deployment:<16}{policy:<18}{_s(p50_ms):>9}{_s(p99_ms):>9}"
+            f"{_s(worst_ms / count):>16}{wasted:>15}"
+        )
+    return "\n".join(lines)
+
+
+def _inside_rate(item: Checked) -> list[float]:
+    return [
+        program.latency_ms
+        for program in item.run.programs
+        if program.organisation != item.header.offender and not program.loop
+    ]
+
+
 def _matrix(items: Sequence[Checked]) -> str:
     tables = [results.rows(item.run) for item in items]
     names = "".join(f"{item.run.policy:>18}" for item in items)
