Weigh what a recomputed prompt costs the calls beside it

Cause: a call left its cached target whenever it would end a little sooner itself; the prompt computed again slowed the whole batch of the other. Change: computing a prompt again weighs five times its time, and the delay to the calls inside one and a half times.

--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -18,7 +18,7 @@
 FIRST_ANSWER_TOKENS = 256.0
 COMPACT_SLACK = 1024
 DEFAULT_SPEEDS = placement.Speeds()
-DEFAULT_WEIGHTS = placement.Weights(paused=0.5)
+DEFAULT_WEIGHTS = placement.Weights(paused=0.5, burden=1.5, recompute=5.0)
 
 
 @dataclasses.dataclass(frozen=True)
