Let a waiting call leave its target later

Cause: under overload every call waits longer than its prompt takes, so that all of them gave up their prefixes at once. Change: a call may go elsewhere after ten times that time.

--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -41,7 +41,7 @@
     headroom: fairness.Headroom | None = None
     age_tokens_per_ms: float = 1.0
     program_age: bool = False
-    move_after: float = 1.0
+    move_after: float = 10.0
 
 
 @dataclasses.dataclass(slots=True)
