Count ageing from the start of the program

Cause: ageing began anew with each call, so that least attained service put long programs last at every turn; only whole programs count. Change: age counts from the program's start (a sub-agent's from its root's).

--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -40,7 +40,7 @@
     weights: placement.Weights = DEFAULT_WEIGHTS
     headroom: fairness.Headroom | None = None
     age_tokens_per_ms: float = 1.0
-    program_age: bool = False
+    program_age: bool = True
     move_after: float = 10.0
 
 
