Keep slots free for organisations within their share

Cause: fair queueing orders only what waits; an organisation that fills every slot while others pause slows their calls by the size of the batch. Change: an organisation whose calls of the last half minute are above its share may not fill a target beyond three quarters.

--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -18,6 +18,7 @@
 FIRST_ANSWER_TOKENS = 256.0
 COMPACT_SLACK = 1024
 DEFAULT_SPEEDS = placement.Speeds()
+DEFAULT_HEADROOM = fairness.Headroom()
 DEFAULT_WEIGHTS = placement.Weights(paused=0.5, burden=1.5, recompute=5.0)
 
 
@@ -38,7 +39,7 @@
 
     speeds: placement.Speeds = DEFAULT_SPEEDS
     weights: placement.Weights = DEFAULT_WEIGHTS
-    headroom: fairness.Headroom | None = None
+    headroom: fairness.Headroom | None = DEFAULT_HEADROOM
     age_tokens_per_ms: float = 1.0
     program_age: bool = True
     move_after: float = 10.0
