--- a/mangotally/homes/sweeper.py
+++ b/mangotally/homes/sweeper.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 from typing import TYPE_CHECKING, Any, Self
 
 from returns import result
 
-from mangotally import ids
-from mangotally.policy import programs, records, snapshots
+from mangotally.policy import calls, programs, records, snapshots
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mangotally import ids
     from mangotally.homes import partitions as partitions_lib
     from mangotally.homes import programs as program_home
     from mangotally.log import partition as partition_log
@@ -24,6 +27,7 @@
 SWEEP_MS = 1000
 SNAPSHOT_AGE_SHARE = 0.5
 MAX_CLOSES = 256
+MAX_SNAPSHOTS = 64
 
 
 class Sweeper:
@@ -106,27 +110,41 @@
     async def _take_snapshots(self, partition: partition_log.Partition) -> None:
         age_ms = int(self._settings.log.retention_ms * SNAPSHOT_AGE_SHARE)
         now_ms = self._clock.wall_ms()
-        for root in snapshots.aging_roots(partition.ledger, now_ms, age_ms):
-            await self._append(
-                partition,
-                lambda as_of, root=root: snapshots.make(
-                    partition.ledger, root, as_of, now_ms
-                ),
-            )
-        for key in partition.ledger.calls.aging(now_ms, age_ms):
-            await self._append(
-                partition,
-                lambda as_of, key=key: partition.ledger.calls.snapshot(
-                    key, as_of, now_ms
-                ),
-            )
+        roots = snapshots.aging_roots(partition.ledger, now_ms, age_ms)
+        keys = partition.ledger.calls.aging(now_ms, age_ms)
+        makers: list[Callable[[ids.Offset], Any]] = [
+            functools.partial(_tree, partition, root, now_ms) for root in roots
+        ]
+        makers += [
+            functools.partial(_call, partition, key, now_ms) for key in keys
+        ]
+        await asyncio.gather(
+            *(self._append(partition, make) for make in makers[:MAX_SNAPSHOTS])
+        )
 
     async def _append(
-        self, partition: partition_log.Partition, make: Any
+        self,
+        partition: partition_log.Partition,
+        make: Callable[[ids.Offset], Any],
     ) -> None:
-        made = make(ids.Offset(0))
-        if made is None:
-            return
         outcome = await partition.append_snapshot(make)
         if isinstance(outcome, result.Failure):
             logger.warning("snapshot_failed")
+
+
+def _tree(
+    partition: partition_log.Partition,
+    root: programs.ProgramKey,
+    now_wall_ms: int,
+    as_of: ids.Offset,
+) -> records.TreeSnapshot:
+    return snapshots.make(partition.ledger, root, as_of, now_wall_ms)
+
+
+def _call(
+    partition: partition_log.Partition,
+    key: calls.CallKey,
+    now_wall_ms: int,
+    as_of: ids.Offset,
+) -> records.CallSnapshot | None:
+    return partition.ledger.calls.snapshot(key, as_of, now_wall_ms)
--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -37,8 +37,9 @@
     """A record on its way to the log.
 
     Attributes:
-        make: Returns the record for the offset that it should land on.
-        alone: Whether it needs a batch of its own.
+        make: Returns the record, given the offset of the first record that
+            the ledger has not read.
+        remade: Whether it is made again each time it is sent.
         kept: Whether it is written even if nobody waits for it any more.
         future: Whether the record took effect.
         record: The record as last sent.
@@ -47,7 +48,7 @@
     """
 
     make: Callable[[ids.Offset], Any]
-    alone: bool
+    remade: bool
     kept: bool
     future: asyncio.Future[bool]
     record: Any
@@ -57,7 +58,7 @@
 
     def prepare(self, offset: ids.Offset) -> None:
         """Makes the record again if it depends on its offset."""
-        if not self.alone:
+        if not self.remade:
             return
         made = self.make(offset)
         if made is not None:
@@ -168,13 +169,16 @@
     async def append_snapshot(
         self, make: Callable[[ids.Offset], Any]
     ) -> errors.Outcome[bool]:
-        """Appends a record that is void unless it lands where it should.
+        """Appends a snapshot; void if it has grown old on its way.
 
         Args:
-            make: Returns the record for the offset that it should land on.
+            make: Returns the snapshot, given the offset of the first record
+                that the ledger has not read.
         """
         record = make(self._next_offset)
-        return await self._submit(make, record, False, WAIT_MS, alone=True)
+        if record is None:
+            return result.Success(False)
+        return await self._submit(make, record, False, WAIT_MS, remade=True)
 
     async def _submit(
         self,
@@ -182,13 +186,13 @@
         record: Any,
         kept: bool,
         wait_ms: float,
-        alone: bool = False,
+        remade: bool = False,
     ) -> errors.Outcome[bool]:
         data = records.registry.encode_item(record)
         if not self._may_queue(len(data), kept):
             return _unavailable()
         future = asyncio.get_running_loop().create_future()
-        write = _Write(make, alone, kept, future, record, data)
+        write = _Write(make, remade, kept, future, record, data)
         self._pending.append(write)
         self._pending_bytes += len(data)
         if self._writer is None or self._writer.done():
@@ -225,8 +229,6 @@
     def _next_batch(self) -> None:
         size_bytes = 0
         while self._pending and size_bytes < MAX_BATCH_BYTES:
-            if self._sent and (self._pending[0].alone or self._sent[0].alone):
-                return
             write = self._pending.pop(0)
             self._sent.append(write)
             size_bytes += len(write.data)
@@ -311,7 +313,7 @@
                 "history_aged_out",
                 extra={"stream": self._stream, "offset": self._next_offset},
             )
-        self.ledger = programs.Ledger(self._call_lifetime_ms)
+        self.ledger = programs.Ledger(self._call_lifetime_ms, offset)
         self._next_offset = offset
 
     def _apply_entry(self, entry: base.Entry) -> None:
--- a/mangotally/policy/calls.py
+++ b/mangotally/policy/calls.py
@@ -126,7 +126,7 @@
             )
         return result.Success(Repeat(found.result))
 
-    def apply(self, record: object, offset: ids.Offset) -> bool:
+    def apply(self, record: object) -> bool:
         """Applies one record; returns whether it took effect."""
         match record:
             case records.CallIntent():
@@ -135,11 +135,18 @@
                 return self._drop(record)
             case records.CallResult():
                 return self._keep(record)
-            case records.CallSnapshot():
-                return self._restore(record, offset)
             case _:
                 return False
 
+    def restore(self, record: records.CallSnapshot) -> bool:
+        """Puts a snapshot in place of what is known of its call."""
+        key = (record.intent.organisation, record.intent.key)
+        call = self.calls.setdefault(key, Call())
+        call.intent = record.intent
+        call.result = record.result
+        call.anchored_wall_ms = record.wall_ms
+        return True
+
     def forget(self, now_wall_ms: int) -> None:
         """Drops calls that are older than the lifetime of a key."""
         old = [
@@ -205,18 +212,6 @@
         call.result = record
         return True
 
-    def _restore(
-        self, record: records.CallSnapshot, offset: ids.Offset
-    ) -> bool:
-        if record.as_of != offset:
-            return False
-        key = (record.intent.organisation, record.intent.key)
-        call = self.calls.setdefault(key, Call())
-        call.intent = record.intent
-        call.result = record.result
-        call.anchored_wall_ms = record.wall_ms
-        return True
-
 
 def _begun_wall_ms(call: Call) -> int:
     return call.intent.begun_wall_ms if call.intent else call.anchored_wall_ms
--- a/mangotally/policy/programs.py
+++ b/mangotally/policy/programs.py
@@ -15,6 +15,8 @@
     from collections.abc import Sequence
 
 DAY_MS = 86_400_000
+SNAPSHOT_SPAN_OFFSETS = 1000
+_FIRST_OFFSET = ids.Offset(0)
 _CHARGE_CHARS = 16
 
 
@@ -151,17 +153,50 @@
     read the same records agree on which of them took effect.
     """
 
-    def __init__(self, call_lifetime_ms: int = DAY_MS) -> None:
+    def __init__(
+        self,
+        call_lifetime_ms: int = DAY_MS,
+        start_offset: ids.Offset = _FIRST_OFFSET,
+    ) -> None:
         """Makes an empty ledger.
 
         Args:
             call_lifetime_ms: How long an idempotency key names one call.
+            start_offset: Offset of the first record that it will read.
         """
         self.programs: dict[ProgramKey, Program] = {}
         self.calls = calls.CallLedger(call_lifetime_ms)
+        self._start_offset = start_offset
+        self._touched: dict[tuple[str, ...], ids.Offset] = {}
 
     def apply(self, record: object, offset: ids.Offset) -> bool:
-        """Applies one record; returns whether it took effect."""
+        """Applies one record; returns whether it took effect.
+
+        A snapshot takes effect if nothing else was written of its subject
+        since the offset that it was made at, and if this ledger has read
+        all records from there on.
+        """
+        subject = _subject(record)
+        match record:
+            case records.TreeSnapshot():
+                if self._is_whole(subject, record.as_of, offset):
+                    return self._restore(record)
+                return False
+            case records.CallSnapshot():
+                if self._is_whole(subject, record.as_of, offset):
+                    return self.calls.restore(record)
+                return False
+        self._touched[subject] = offset
+        return self._apply(record)
+
+    def _is_whole(
+        self, subject: tuple[str, ...], as_of: ids.Offset, offset: ids.Offset
+    ) -> bool:
+        is_recent = offset - as_of <= SNAPSHOT_SPAN_OFFSETS
+        touched = self._touched.get(subject, -1)
+        return is_recent and as_of >= self._start_offset and touched < as_of
+
+    def _apply(self, record: object) -> bool:
         match record:
             case records.ProgramOpened():
                 return self._open(record)
@@ -175,10 +210,8 @@
                 return self._charge(record)
             case records.ProgramClosed():
                 return self._close(record)
-            case records.TreeSnapshot():
-                return self._restore(record, offset)
             case _:
-                return self.calls.apply(record, offset)
+                return self.calls.apply(record)
 
     def find(
         self, organisation: ids.OrganisationId, program: ids.ProgramId
@@ -283,6 +316,12 @@
             if (key[0], ids.root_of(key[1])) in old:
                 del self.programs[key]
         self.calls.forget(now_wall_ms)
+        newest = max(self._touched.values(), default=0)
+        self._touched = {
+            subject: offset
+            for subject, offset in self._touched.items()
+            if newest - offset <= SNAPSHOT_SPAN_OFFSETS
+        }
 
     def _ancestry(self, program: Program) -> list[Program]:
         found = [program]
@@ -381,15 +420,15 @@
             item.closed_wall_ms = item.closed_wall_ms or record.wall_ms
         return True
 
-    def _restore(
-        self, record: records.TreeSnapshot, offset: ids.Offset
-    ) -> bool:
-        if record.as_of != offset:
+    def _restore(self, record: records.TreeSnapshot) -> bool:
+        if not record.programs:
             return False
+        root = record.programs[0].opened
+        for item in self.tree(root.organisation, root.program):
+            del self.programs[(root.organisation, item.opened.program)]
         for state in record.programs:
             key = (state.opened.organisation, state.opened.program)
-            if key not in self.programs:
-                self._restore_program(key, state)
+            self._restore_program(key, state)
             self.programs[key].anchored_wall_ms = record.wall_ms
         return True
 
@@ -433,6 +472,31 @@
     )
 
 
+def _subject(record: object) -> tuple[str, ...]:
+    """Returns what a record is about: a tree of programs, or a call."""
+    match record:
+        case records.TreeSnapshot(programs=(first, *_)):
+            opened = first.opened
+            return ("tree", opened.organisation, opened.program)
+        case records.CallSnapshot(intent=intent):
+            return ("call", intent.organisation, intent.key)
+        case (
+            records.CallIntent() | records.CallDropped() | records.CallResult()
+        ):
+            return ("call", record.organisation, record.key)
+        case (
+            records.ProgramOpened()
+            | records.TurnBegun()
+            | records.TurnDone()
+            | records.TurnDropped()
+            | records.CallCharged()
+            | records.ProgramClosed()
+        ):
+            root = ids.root_of(record.program)
+            return ("tree", record.organisation, root)
+    return ()
+
+
 def _unknown() -> errors.Outcome[Any]:
     return errors.failed(errors.Reason.NOT_FOUND, "There is no such program.")
 
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -425,7 +425,8 @@
     """A whole tree of programs, appended before its records age out.
 
     Attributes:
-        as_of: The offset it has to land on; it is void elsewhere.
+        as_of: All records before this offset are in it; it is void if a
+            later one of the tree stands before it.
         programs: The programs, each after its parent.
         wall_ms: When the snapshot was made, since the Unix epoch.
     """
@@ -441,7 +442,8 @@
     """A call's intent and result, appended again before they age out.
 
     Attributes:
-        as_of: The offset it has to land on; it is void elsewhere.
+        as_of: All records before this offset are in it; it is void if a
+            later one of the call stands before it.
         intent: The intent that counts.
         result: The result, or None.
         wall_ms: When the snapshot was made, since the Unix epoch.
