Make the history machine meet the faults it is for

Change: rules that send one turn or call through all hosts, through an outage, and to a host that slept past the retention; a smaller budget.

--- a/tests/test_homes/test_histories.py
+++ b/tests/test_homes/test_histories.py
@@ -28,7 +28,7 @@
 PROGRAMS = tuple(ids.ProgramId(name) for name in ("p", "p.1", "p.2"))
 PARENTS = {PROGRAMS[1]: PROGRAMS[0], PROGRAMS[2]: PROGRAMS[1]}
 KEYS = ("k1", "k2")
-TOKENS, CALLS = 1500, 24
+TOKENS, CALLS = 900, 24
 LEASE_MS = 5000
 RETENTION_MS = 60_000
 WALL_MS = 36_000_000
@@ -320,6 +320,64 @@
         """Sends a call with an idempotency key."""
         self._start(self._call(host, organisation, key, program))
 
+    @stateful.rule(
+        organisation=st.sampled_from(ORGANISATIONS),
+        programs=st.tuples(*(st.sampled_from(PROGRAMS) for _ in HOSTS)),
+        gap_ms=st.sampled_from((0, 1, 3, 8)),
+    )
+    def turn_everywhere(
+        self, organisation: Any, programs: Any, gap_ms: int
+    ) -> None:
+        """Sends a turn through each host, of the same program or others."""
+        for host, program in zip(HOSTS, programs, strict=True):
+            self.turn(host, organisation, program, 0)
+            self._advance(gap_ms)
+        self._advance(20)
+
+    @stateful.rule(
+        hosts=st.permutations(HOSTS), program=st.sampled_from(PROGRAMS)
+    )
+    def sleep_long(self, hosts: list[str], program: Any) -> None:
+        """A host stops until what it has read has left the log."""
+        self.heal()
+        self.hosts[hosts[0]].gate.set_open(False)
+        self.converse(hosts[1], program, 1)
+        self.age(70)
+        self.converse(hosts[1], program, 1)
+        self.hosts[hosts[0]].gate.set_open(True)
+        self.converse(hosts[0], program, 1)
+
+    @stateful.rule(
+        organisation=st.sampled_from(ORGANISATIONS),
+        key=st.sampled_from(KEYS),
+        gap_ms=st.sampled_from((0, 1, 3, 8)),
+    )
+    def call_everywhere(self, organisation: Any, key: str, gap_ms: int) -> None:
+        """Sends a call through all hosts, one shortly after the other."""
+        for host in HOSTS:
+            self.call(host, organisation, key, None)
+            self._advance(gap_ms)
+
+    @stateful.rule(
+        hosts=st.permutations(HOSTS),
+        organisation=st.sampled_from(ORGANISATIONS),
+        key=st.sampled_from(KEYS),
+    )
+    def call_in_outage(
+        self, hosts: list[str], organisation: Any, key: str
+    ) -> None:
+        """Sends a call while the log is down, and elsewhere after it."""
+        self.log.down = True
+        self.call(hosts[0], organisation, key, None)
+        self._advance(LEASE_MS)
+        self.log.down = False
+        self.call(hosts[1], organisation, key, None)
+        self._advance(LEASE_MS)
+        self.log.down = True
+        self.call(hosts[2], organisation, key, None)
+        self._advance(LEASE_MS)
+        self.log.down = False
+
     @stateful.rule(time_ms=st.sampled_from((1, 2, 3, 5, 8, 20, 100, 2000)))
     def advance(self, time_ms: int) -> None:
         """Lets some time pass."""
