--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from mangotally.callers import chat, limits, server, services
+from mangotally.callers import chat, limits, readiness, server, services
 from mangotally.callers import programs as program_routes
 from mangotally.engines import channels as channels_lib
 from mangotally.engines import http as http_engine
@@ -17,11 +17,13 @@
     admission,
     calls,
     configuration,
+    leaving,
     membership,
     organisations,
     partitions,
     pools,
     programs,
+    quarantine,
     slots,
     snapshots,
     sweeper,
@@ -33,7 +35,7 @@
 from mangotally.log import http as http_log
 from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
-from mangotally.policy import faults, scheduler
+from mangotally.policy import faults, records, scheduler
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
@@ -64,6 +66,7 @@
         self.clock = clock or clock_lib.SystemClock()
         self.limits = _make_limits(settings)
         self._stack = contextlib.AsyncExitStack()
+        self._has_stopped = False
 
     async def __aenter__(self) -> Self:
         """Starts the host; it serves on return."""
@@ -74,7 +77,15 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Stops the host, in reverse order of its start."""
+        """Leaves the fleet, then stops in reverse order of the start."""
+        if self._has_stopped:
+            return
+        await self._leaving.run()
+        await self.stop_at_once()
+
+    async def stop_at_once(self) -> None:
+        """Stops in reverse order of the start, whatever is under way."""
+        self._has_stopped = True
         await self._stack.aclose()
         logger.info("host_stopped", extra={"host": self.settings.host_id})
 
@@ -98,6 +109,7 @@
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
+            "quarantine": self.quarantine.dump(),
         }
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
@@ -112,9 +124,11 @@
         log = http_log.HttpLog(session, self.settings.log.url)
         handlers = router.Router()
         await self._start_configuration(stack, log)
-        await stack.enter_async_context(
-            link.Server(handlers, self.settings.rpc_address, credentials)
+        self.readiness = readiness.Readiness()
+        self.server = link.Server(
+            handlers, self.settings.rpc_address, credentials
         )
+        await stack.enter_async_context(self.server)
         self.members = membership.Membership(self.settings, log, self.clock)
         self.peers = peers.Peers(self.members, handlers, credentials)
         await stack.enter_async_context(self.peers)
@@ -122,10 +136,12 @@
             certificates.client_context(tls.targets_ca_file)
         )
         await stack.enter_async_context(channels)
+        await self._start_quarantine(stack, log)
         self.slots = slots.SlotClient(self.members, self.peers, self.clock)
         await stack.enter_async_context(self.slots)
         self._make_homes(session, log, channels)
         for home in (
+            self.slots,
             self.organisations,
             self.pools,
             self.programs,
@@ -140,6 +156,13 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
+        self._leaving = leaving.Leaving(
+            self.readiness,
+            self.members,
+            (self.programs, self.server, self.slots),
+            self.settings.notice_ms,
+            self.settings.shutdown_ms,
+        )
         await stack.enter_async_context(
             self._operator_server(
                 log,
@@ -191,6 +214,18 @@
             if getattr(tls, name) is None:
                 logger.warning("tls_off", extra={"towards": name})
 
+    async def _start_quarantine(
+        self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
+    ) -> None:
+        keep_ms = self.settings.targets.quarantine_ms
+        self.quarantine = quarantine.LiveQuarantine(log, keep_ms, self.clock)
+        reader = follower.Follower(
+            log, records.QUARANTINE_STREAM, self.quarantine, self.clock
+        )
+        await stack.enter_async_context(reader)
+        await reader.wait_caught_up()
+        await stack.enter_async_context(self.quarantine)
+
     def _make_homes(
         self,
         session: aiohttp.ClientSession,
@@ -206,6 +241,7 @@
             targets.between_tokens_ms,
         )
         engine = http_engine.HttpEngineClient(channels, limits)
+        service = service_client.ServiceClient(channels, targets.connect_ms)
         roster = http_roster.HttpRoster(session, settings.roster_url)
         self.organisations = organisations.OrganisationHome(
             self.members,
@@ -221,10 +257,13 @@
             settings,
             self.members,
             self.live,
+            self.quarantine,
             roster,
             engine,
+            service,
             scheduler.FairScheduler,
             self.clock,
+            random.random,
         )
         self.partitions = self._make_partitions(log)
         self.programs = programs.ProgramHome(
@@ -232,6 +271,7 @@
             turns.TurnRunner(
                 self.slots,
                 engine,
+                self.quarantine,
                 targets.retry_share,
                 self.clock,
                 random.random,
@@ -244,7 +284,8 @@
             service_runner.ServiceRunner(
                 self.slots,
                 self.live,
-                service_client.ServiceClient(channels, targets.connect_ms),
+                service,
+                self.quarantine,
                 targets.retry_share,
                 self.clock,
                 random.random,
@@ -300,6 +341,7 @@
             self.limits,
             settings.shutdown_ms,
             context,
+            self.readiness,
         )
 
     def _operator_server(
--- /dev/null
+++ b/mangotally/callers/readiness.py
@@ -0,0 +1,115 @@
+"""Whether this host takes requests, for the balancer and for callers.
+
+GET /live  -> 200 for as long as the process runs
+GET /ready -> 200, or 503 once the host is leaving
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from mangotally import errors
+from mangotally.callers import problems
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+LIVE_PATH = "/live"
+READY_PATH = "/ready"
+RETRY_AFTER_MS = 1000
+
+
+class ServingState(enum.Enum):
+    """What becomes of new requests."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    REFUSING = "refusing"
+
+
+class Readiness:
+    """Counts requests under way, and refuses new ones at the end."""
+
+    def __init__(self) -> None:
+        self.state = ServingState.SERVING
+        self._under_way = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def under_way(self) -> int:
+        """Requests under way."""
+        return self._under_way
+
+    def attach(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        app.router.add_get(LIVE_PATH, self._live)
+        app.router.add_get(READY_PATH, self._ready)
+
+    def leave(self) -> None:
+        """Tells the balancer to send no more requests."""
+        self.state = ServingState.LEAVING
+
+    def refuse(self) -> None:
+        """Refuses new requests; those under way go on."""
+        self.state = ServingState.REFUSING
+
+    async def wait_idle(self) -> None:
+        """Waits until no request is under way."""
+        await self._idle.wait()
+
+    @web.middleware
+    async def middleware(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Counts a request, or refuses it."""
+        if request.path in (LIVE_PATH, READY_PATH):
+            return await handler(request)
+        if self.state is ServingState.REFUSING:
+            response: web.StreamResponse = _refuse()
+        else:
+            response = await self._count(request, handler)
+        if self.state is not ServingState.SERVING and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _count(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self._under_way += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        finally:
+            self._under_way -= 1
+            if self._under_way == 0:
+                self._idle.set()
+
+    async def _live(self, _request: web.Request) -> web.Response:
+        return web.json_response({"live": True})
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        is_ready = self.state is ServingState.SERVING
+        return web.json_response(
+            {"ready": is_ready, "state": self.state.value},
+            status=200 if is_ready else 503,
+        )
+
+
+def _refuse() -> web.Response:
+    return problems.response_of(
+        errors.Failure(
+            errors.Reason.SHUTTING_DOWN,
+            "This host is shutting down; send the request again.",
+            errors.Ran.NOT_RUN,
+            RETRY_AFTER_MS,
+        )
+    )
--- a/mangotally/callers/server.py
+++ b/mangotally/callers/server.py
@@ -18,6 +18,8 @@
     import ssl
     from collections.abc import Awaitable, Callable, Sequence
 
+    from mangotally.callers import readiness as readiness_lib
+
 logger = logging.getLogger(__name__)
 
 MAX_LINE_BYTES = 8190
@@ -45,6 +47,7 @@
         limits: limits_lib.Limits,
         shutdown_ms: float,
         tls: ssl.SSLContext | None = None,
+        readiness: readiness_lib.Readiness | None = None,
     ) -> None:
         """Makes a server; it listens on entering it."""
         self._address = address
@@ -52,11 +55,15 @@
         self.port = port
         self._tls = tls
         self._limits = limits
+        middlewares = [_answer_errors, self._watch]
+        if readiness is not None:
+            middlewares.insert(0, readiness.middleware)
         self._app = web.Application(
-            client_max_size=limits.bounds.body_bytes,
-            middlewares=[_answer_errors, self._watch],
+            client_max_size=limits.bounds.body_bytes, middlewares=middlewares
         )
         self._app[limits_lib.KEY] = limits
+        if readiness is not None:
+            readiness.attach(self._app)
         for group in routes:
             group.attach(self._app)
         self._shutdown_ms = shutdown_ms
--- a/mangotally/engines/client.py
+++ b/mangotally/engines/client.py
@@ -20,19 +20,23 @@
 
     Attributes:
         call: Id of the call; the engine's chunks carry it back.
+        organisation: Who pays; part of the cached prefix's name.
         program: Names the cached prefix.
         model: The model's name.
         messages: The whole conversation.
         max_tokens: Longest answer.
+        timeout_ms: Longest time for the answer.
         prompt_tokens: Estimated length of the conversation.
         options: Further fields as a JSON object, or empty.
     """
 
     call: ids.CallId
+    organisation: ids.OrganisationId
     program: ids.ProgramId
     model: ids.ServiceId
     messages: tuple[records.ChatMessage, ...]
     max_tokens: int
+    timeout_ms: float
     prompt_tokens: int = 0
     options: str = ""
 
@@ -70,13 +74,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class CachedPrefix:
-    """A prefix in an engine's cache, or a call under way there.
+    """A prefix in an engine's cache.
 
     Attributes:
+        organisation: The program's organisation.
         program: The program that it was made for.
         tokens: Its length.
     """
 
+    organisation: ids.OrganisationId
     program: ids.ProgramId
     tokens: int
 
@@ -122,7 +128,10 @@
         """Returns the engine's load."""
 
     async def release(
-        self, address: str, program: ids.ProgramId
+        self,
+        address: str,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
     ) -> errors.Outcome[None]:
         """Has the engine drop a program's cached prefix."""
 
--- a/mangotally/engines/events.py
+++ b/mangotally/engines/events.py
@@ -59,10 +59,12 @@
         self._usage: dict[str, Any] | None = None
         self._rest = b""
         self._lines: collections.deque[bytes] = collections.deque()
+        self._end_s = 0.0
         self._bytes_left = request.max_tokens * MAX_TOKEN_BYTES + SPARE_BYTES
 
     async def read(self, source: Source) -> AsyncIterator[client.ChatEvent]:
         """Yields pieces and then the end, or a fault as the last item."""
+        self._end_s = self._due_s(self._request.timeout_ms)
         due_s = self._due_s(self._limits.first_ms(self._request.prompt_tokens))
         while True:
             data = await self._next_data(source, due_s)
@@ -91,9 +93,13 @@
         if data is not None:
             return data
         try:
-            async with asyncio.timeout_at(due_s):
+            async with asyncio.timeout_at(min(due_s, self._end_s)):
                 return await self._read_data(source)
         except TimeoutError:
+            if self._end_s <= due_s:
+                return faults.Fault(
+                    faults.FaultKind.DEADLINE, "the time is over"
+                )
             return faults.Fault(
                 faults.FaultKind.STALLED, "the answer made no progress"
             )
--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -75,12 +75,14 @@
         return outcome.bind(_parse_load)
 
     async def release(
-        self, address: str, program: ids.ProgramId
+        self,
+        address: str,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
     ) -> errors.Outcome[None]:
         """Has the engine drop a program's cached prefix."""
-        outcome = await self._control(
-            "POST", f"{address}/release", {"cache_key": program}
-        )
+        body = {"cache_key": cache_key(organisation, program)}
+        outcome = await self._control("POST", f"{address}/release", body)
         return outcome.map(lambda _: None)
 
     async def holdings(self, address: str) -> errors.Outcome[client.Holdings]:
@@ -199,6 +201,8 @@
         return None
     if status in _DECLINED:
         return faults.Fault(kinds.REFUSED, detail, parse_retry_after(headers))
+    if status == 410:
+        return faults.Fault(kinds.CANCELLED, "the call was cancelled")
     if status == 404 and response.method == "GET":
         return faults.Fault(kinds.LOST, detail)
     if 400 <= status < 500:
@@ -214,6 +218,17 @@
     return None
 
 
+def cache_key(organisation: ids.OrganisationId, program: ids.ProgramId) -> str:
+    """Returns the name of a program's prefix at an engine."""
+    return f"{organisation}/{program}"
+
+
+def split_cache_key(key: str) -> tuple[ids.OrganisationId, ids.ProgramId]:
+    """Returns the organisation and program of a prefix."""
+    organisation, _, program = key.partition("/")
+    return ids.OrganisationId(organisation), ids.ProgramId(program)
+
+
 def _request_body(request: client.ChatRequest) -> dict[str, Any]:
     return {
         "model": request.model,
@@ -221,7 +236,7 @@
         "max_tokens": request.max_tokens,
         "stream": True,
         "stream_options": {"include_usage": True},
-        "cache_key": request.program,
+        "cache_key": cache_key(request.organisation, request.program),
         **(json.loads(request.options) if request.options else {}),
     }
 
@@ -254,7 +269,7 @@
     try:
         prefixes = tuple(
             client.CachedPrefix(
-                ids.ProgramId(str(item["cache_key"])), int(item["tokens"])
+                *split_cache_key(str(item["cache_key"])), int(item["tokens"])
             )
             for item in body["prefixes"]
         )
@@ -273,7 +288,7 @@
                 pools.CacheEvent(
                     int(item["sequence"]),
                     pools.CacheEventKind(item["kind"]),
-                    ids.ProgramId(str(item["cache_key"])),
+                    split_cache_key(str(item["cache_key"]))[1],
                     int(item["tokens"]),
                 )
                 for item in body["events"]
--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -51,6 +51,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._leaving: list[Callable[[], Awaitable[None]]] = []
         self._joined = asyncio.Event()
+        self._has_left = False
         self._follower = follower.Follower(
             log,
             records.MEMBERS_STREAM,
@@ -89,7 +90,24 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Leaves the fleet, after what `on_leave` asked for."""
+        """Leaves the fleet and stops to follow it."""
+        await self.leave()
+        await self._follower.__aexit__()
+
+    def abandon(self) -> None:
+        """Stops the heartbeats without a word, as a killed process does."""
+        self._has_left = True
+        for task in self._tasks:
+            task.cancel()
+
+    async def leave(self) -> None:
+        """Leaves the fleet, after what `on_leave` asked for.
+
+        The view is followed on.
+        """
+        if self._has_left:
+            return
+        self._has_left = True
         for leave in self._leaving:
             await leave()
         for task in self._tasks:
@@ -97,7 +115,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.lease.lapse()
         await self._append_leave()
-        await self._follower.__aexit__()
         logger.info("host_left", extra={"host": self.host})
 
     def on_change(self, listener: Callable[[], None]) -> None:
--- a/mangotally/homes/pools.py
+++ b/mangotally/homes/pools.py
@@ -1,83 +1,35 @@
-"""Pools of targets at their home: queues, load reports, releases."""
+"""Pools of targets at their home: grants, polls of targets, releases."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
 import logging
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Any, Self
 
 from returns import result
 
 from mangotally import errors, ids
+from mangotally.homes import pool as pool_lib
 from mangotally.hosts import messages
-from mangotally.policy import homes, pools
+from mangotally.policy import breaker, homes, load, pools
 from mangotally.roster import base as roster_base
 from mangotally.settings import lists as list_settings
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from mangotally.engines import client as engine_client
     from mangotally.homes import configuration, membership
+    from mangotally.homes import quarantine as live_quarantine
     from mangotally.hosts import router
+    from mangotally.services import client as service_client
     from mangotally.settings import host as host_settings
 
 logger = logging.getLogger(__name__)
 
-RELEASE_RETRY_MS = 1000
-
-
-class Pool:
-    """One service's targets and the calls that wait for them."""
-
-    def __init__(
-        self, scheduler: pools.Scheduler, clock: clock_lib.Clock
-    ) -> None:
-        self.scheduler = scheduler
-        self.targets: dict[ids.TargetId, pools.TargetInfo] = {}
-        self.releases: set[tuple[ids.TargetId, ids.ProgramId]] = set()
-        self._clock = clock
-        self._waiting: dict[ids.CallId, asyncio.Future[pools.Action]] = {}
-
-    def advance(self) -> None:
-        """Carries out what the scheduler wants done now."""
-        for action in self.scheduler.advance(self._clock.now_ms()):
-            match action:
-                case pools.Release():
-                    self.releases.add((action.target, action.program))
-                case pools.Dispatch() | pools.Refuse():
-                    future = self._waiting.pop(action.call, None)
-                    if future is not None and not future.done():
-                        future.set_result(action)
-
-    async def acquire(self, call: pools.PoolCall) -> pools.Action:
-        """Waits for a target for a call."""
-        future: asyncio.Future[pools.Action]
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[call.call] = future
-        self.scheduler.submit(call, self._clock.now_ms())
-        self.advance()
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self._waiting.pop(call.call, None)
-            self.scheduler.cancel(call.call, self._clock.now_ms())
-            self.advance()
-            raise
-
-    def finish(self, report: pools.CallReport) -> None:
-        """Takes the report of a call that ended or was given up."""
-        now_ms = self._clock.now_ms()
-        future = self._waiting.pop(report.call, None)
-        if future is not None:
-            future.cancel()
-        if report.end is pools.CallEnd.CANCELLED:
-            self.scheduler.cancel(report.call, now_ms)
-        else:
-            self.scheduler.finish(report, now_ms)
-        self.advance()
+MAX_CONTROL_CALLS = 64
 
 
 class PoolHome:
@@ -88,22 +40,30 @@
         settings: host_settings.HostSettings,
         members: membership.Membership,
         live: configuration.LiveConfiguration,
+        quarantine: live_quarantine.LiveQuarantine,
         roster: roster_base.Roster,
         engine: engine_client.EngineClient,
+        services: service_client.ServiceClient,
         make_scheduler: Callable[[], pools.Scheduler],
         clock: clock_lib.Clock,
+        random: Callable[[], float],
     ) -> None:
         """Makes the home; entering it starts its polls."""
         self._settings = settings
         self._members = members
         self._live = live
+        self._quarantine = quarantine
         self._roster = roster
         self._engine = engine
+        self._services = services
         self._make_scheduler = make_scheduler
         self._clock = clock
+        self._random = random
         self._entries: tuple[roster_base.RosterEntry, ...] = ()
-        self._pools: dict[ids.ServiceId, Pool] = {}
+        self._pools: dict[ids.ServiceId, pool_lib.Pool] = {}
+        self._events: dict[ids.TargetId, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        members.on_change(self._drop_moved)
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this home's handlers."""
@@ -130,74 +90,121 @@
         self, message: messages.AcquireSlot
     ) -> errors.Outcome[messages.SlotGranted]:
         """Answers when there is a target for the call."""
-        if not self._members.is_home(homes.pool_key(message.service)):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
+        if not self.is_home(message.service):
+            return _moved()
+        pool = self.pool(message.service)
+        for crash in message.crashes:
+            pool.note_crash(message.call.digest, crash.target, crash.call)
         due_ms = self._clock.now_ms() + message.call.deadline_ms
         call = dataclasses.replace(message.call, deadline_ms=due_ms)
-        action = await self._pool(message.service).acquire(call)
-        match action:
-            case pools.Dispatch():
-                return result.Success(
-                    messages.SlotGranted(action.target, action.address)
-                )
-            case pools.Refuse():
-                return errors.failed(errors.Reason.UNAVAILABLE, action.detail)
-            case _:
-                raise errors.InvariantError("a release is no answer")
+        return await pool.acquire(call, message.host)
 
     async def release(
         self, message: messages.ReleaseSlot
     ) -> errors.Outcome[messages.Done]:
         """Takes the report of a call that ended."""
-        if not self._members.is_home(homes.pool_key(message.service)):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
-        pool = self._pool(message.service)
-        pool.finish(message.report)
+        if not self.is_home(message.service):
+            return _moved()
+        self.pool(message.service).finish(message)
         return result.Success(messages.Done())
 
     async def end_program(
         self, message: messages.EndProgram
     ) -> errors.Outcome[messages.Done]:
         """Has a gone program's prefixes released."""
-        if not self._members.is_home(homes.pool_key(message.service)):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
-        pool = self._pool(message.service)
-        pool.scheduler.end_program(message.program, self._clock.now_ms())
-        pool.advance()
+        if not self.is_home(message.service):
+            return _moved()
+        pool = self.pool(message.service)
+        pool.end_program(message.program, message.organisation)
         return result.Success(messages.Done())
 
+    def is_home(self, service: ids.ServiceId) -> bool:
+        """Returns whether this host is the home of a service's pool."""
+        return self._members.is_home(homes.pool_key(service))
+
+    def is_model(self, service: ids.ServiceId) -> bool:
+        """Returns whether the targets of a service are model engines."""
+        lists = self._live.current.lists
+        found = lists.service(service) if lists else None
+        kind = found.kind if found is not None else None
+        return kind is list_settings.ServiceKind.MODEL
+
+    def model_pools(self) -> list[pool_lib.Pool]:
+        """Returns the pools of model engines that are at home here.
+
+        Makes those that nobody has called yet, so that what their targets
+        hold from before is released.
+        """
+        lists = self._live.current.lists
+        services = lists.uses.services if lists else ()
+        return [
+            self.pool(ids.ServiceId(item.id))
+            for item in services
+            if item.kind is list_settings.ServiceKind.MODEL
+            and self.is_home(ids.ServiceId(item.id))
+        ]
+
     def targets_of(
         self, service: ids.ServiceId
     ) -> list[roster_base.RosterEntry]:
         """Returns the live targets of a service, as the list has them."""
         return [
             entry
-            for entry in self._entries
-            if entry.kind is roster_base.EntryKind.TARGET
-            and entry.service == service
-            and entry.state is roster_base.EntryState.LIVE
+            for entry in self._entries_of(service)
+            if entry.state is roster_base.EntryState.LIVE
         ]
 
+    def pool(self, service: ids.ServiceId) -> pool_lib.Pool:
+        """Returns a pool, made on first use."""
+        found = self._pools.get(service)
+        if found is None:
+            found = pool_lib.Pool(
+                service,
+                self._make_scheduler(),
+                self._quarantine,
+                self._clock,
+                self._random,
+            )
+            self._pools[service] = found
+            found.set_targets(self._infos(service))
+        return found
+
     def dump(self) -> dict[str, object]:
         """Returns the pools' state, for the state dump."""
         return {
-            service: {
-                "targets": {
-                    info.target: info.state.value
-                    for info in pool.targets.values()
-                },
-                "releases": len(pool.releases),
-            }
+            service: pool.dump()
             for service, pool in sorted(self._pools.items())
         }
 
-    def _pool(self, service: ids.ServiceId) -> Pool:
-        pool = self._pools.get(service)
-        if pool is None:
-            pool = Pool(self._make_scheduler(), self._clock)
-            self._pools[service] = pool
-            self._refresh(service, pool)
-        return pool
+    def _drop_moved(self) -> None:
+        for service in list(self._pools):
+            if not self.is_home(service):
+                self._pools.pop(service).close()
+
+    def _entries_of(
+        self, service: ids.ServiceId
+    ) -> Iterable[roster_base.RosterEntry]:
+        return (
+            entry
+            for entry in self._entries
+            if entry.kind is roster_base.EntryKind.TARGET
+            and entry.service == service
+        )
+
+    def _infos(self, service: ids.ServiceId) -> list[pools.TargetInfo]:
+        lists = self._live.current.lists
+        found = lists.service(service) if lists else None
+        slots = found.worker_calls if found else 1
+        return [
+            pools.TargetInfo(
+                ids.TargetId(entry.id),
+                entry.address,
+                entry.place,
+                pools.TargetState(entry.state.value),
+                slots,
+            )
+            for entry in self._entries_of(service)
+        ]
 
     async def _poll_roster(self) -> None:
         while True:
@@ -211,73 +218,110 @@
             case result.Success(entries):
                 self._entries = entries
                 for service, pool in self._pools.items():
-                    self._refresh(service, pool)
+                    pool.set_targets(self._infos(service))
             case _:
                 logger.warning("roster_unavailable")
 
-    def _refresh(self, service: ids.ServiceId, pool: Pool) -> None:
-        lists = self._live.current.lists
-        found = lists.service(service) if lists else None
-        slots = found.worker_calls if found else 1
-        infos = [
-            pools.TargetInfo(
-                ids.TargetId(entry.id),
-                entry.address,
-                entry.place,
-                pools.TargetState(entry.state.value),
-                slots,
-            )
-            for entry in self._entries
-            if entry.kind is roster_base.EntryKind.TARGET
-            and entry.service == service
-        ]
-        pool.targets = {info.target: info for info in infos}
-        pool.scheduler.set_targets(infos, self._clock.now_ms())
-        pool.advance()
-
     async def _poll_targets(self) -> None:
         while True:
             await asyncio.sleep(
                 clock_lib.to_seconds(self._settings.load_poll_ms)
             )
             for service, pool in list(self._pools.items()):
-                if not self._members.is_home(homes.pool_key(service)):
-                    continue
-                if self._is_model(service):
+                if self.is_home(service):
                     await self._poll_pool(pool)
 
-    def _is_model(self, service: ids.ServiceId) -> bool:
-        lists = self._live.current.lists
-        found = lists.service(service) if lists else None
-        return (
-            found is not None and found.kind is list_settings.ServiceKind.MODEL
-        )
+    async def _poll_pool(self, pool: pool_lib.Pool) -> None:
+        limit = asyncio.Semaphore(MAX_CONTROL_CALLS)
 
-    async def _poll_pool(self, pool: Pool) -> None:
-        await asyncio.gather(
-            *(self._poll_target(pool, info) for info in pool.targets.values())
-        )
-        for target, program in list(pool.releases):
-            await self._release_prefix(pool, target, program)
-        pool.advance()
+        async def limited(work: Awaitable[None]) -> None:
+            async with limit:
+                await work
 
-    async def _poll_target(self, pool: Pool, info: pools.TargetInfo) -> None:
+        polls = [self._poll_target(pool, i) for i in pool.targets.values()]
+        releases = [
+            self._release_prefix(pool, target, program)
+            for target, program in pool.releases
+        ]
+        cancels = [
+            self._cancel_call(pool, target, call)
+            for target, call in pool.cancels
+        ]
+        work = (*polls, *releases, *cancels)
+        await asyncio.gather(*(limited(item) for item in work))
+        pool.update()
+
+    async def _poll_target(
+        self, pool: pool_lib.Pool, info: pools.TargetInfo
+    ) -> None:
+        state = pool.breaker(info.target)
+        is_probe = state.begin_probe(self._clock.now_ms())
+        if not is_probe and state.state is breaker.BreakerState.OPEN:
+            return
+        is_ok = await self._read_load(pool, info)
+        now_ms = self._clock.now_ms()
+        if is_probe:
+            state.end_probe(is_ok, now_ms, self._random())
+        else:
+            state.note_poll(is_ok, now_ms, self._random())
+
+    async def _read_load(
+        self, pool: pool_lib.Pool, info: pools.TargetInfo
+    ) -> bool:
+        if not self.is_model(pool.service):
+            return await self._services.probe(info.address) is None
         match await self._engine.load(info.address):
             case result.Success(report):
-                pool.scheduler.observe_load(
-                    info.target, report, self._clock.now_ms()
+                granted_ms = (
+                    item.granted_ms
+                    for item in pool.granted.values()
+                    if item.target == info.target
+                )
+                now_ms = self._clock.now_ms()
+                pool.observe_load(
+                    info.target, load.correct(report, granted_ms, now_ms)
                 )
+                await self._read_events(pool, info)
+                return True
+        return False
+
+    async def _read_events(
+        self, pool: pool_lib.Pool, info: pools.TargetInfo
+    ) -> None:
+        after = self._events.get(info.target, 0)
+        match await self._engine.cache_events(info.address, after):
+            case result.Success(events) if events:
+                self._events[info.target] = events[-1].sequence
+                pool.observe_cache(info.target, events)
 
     async def _release_prefix(
-        self, pool: Pool, target: ids.TargetId, program: ids.ProgramId
+        self,
+        pool: pool_lib.Pool,
+        target: ids.TargetId,
+        program: ids.ProgramId,
     ) -> None:
         info = pool.targets.get(target)
-        if info is None:
-            pool.releases.discard((target, program))
+        organisation = pool.organisations.get(program)
+        if info is None or organisation is None:
+            pool.confirm_release(target, program)
             return
-        outcome = await self._engine.release(info.address, program)
+        outcome = await self._engine.release(
+            info.address, organisation, program
+        )
         if isinstance(outcome, result.Success):
-            pool.releases.discard((target, program))
-            pool.scheduler.confirm_release(
-                target, program, self._clock.now_ms()
-            )
+            pool.confirm_release(target, program)
+
+    async def _cancel_call(
+        self, pool: pool_lib.Pool, target: ids.TargetId, call: ids.CallId
+    ) -> None:
+        info = pool.targets.get(target)
+        if info is None or not self.is_model(pool.service):
+            pool.cancels.discard((target, call))
+            return
+        outcome = await self._engine.cancel(info.address, call)
+        if isinstance(outcome, result.Success):
+            pool.cancels.discard((target, call))
+
+
+def _moved() -> errors.Outcome[Any]:
+    return errors.failed(errors.Reason.MOVED, "The home has moved.")
--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -205,6 +205,11 @@
         """Returns whether a turn of a program is under way here."""
         return (organisation, program) in self._running
 
+    async def wait_idle(self) -> None:
+        """Waits until the turns under way are done and kept."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
     def dump(self) -> dict[str, object]:
         """Returns the partitions' state, for the state dump."""
         loaded = self._partitions.loaded()
--- a/mangotally/homes/slots.py
+++ b/mangotally/homes/slots.py
@@ -19,6 +19,7 @@
     from collections.abc import AsyncIterator, Coroutine
 
     from mangotally.hosts import peers as peers_lib
+    from mangotally.hosts import router
 
 logger = logging.getLogger(__name__)
 
@@ -93,11 +94,20 @@
 
     async def __aexit__(self, *_exc: object) -> None:
         """Waits until the reports under way are delivered or given up."""
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.wait_idle()
+
+    async def wait_idle(self) -> None:
+        """Waits until the reports under way are delivered or given up."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
 
     @contextlib.asynccontextmanager
     async def slot(
-        self, service: ids.ServiceId, call: pools.PoolCall, left_ms: float
+        self,
+        service: ids.ServiceId,
+        call: pools.PoolCall,
+        left_ms: float,
+        crashes: tuple[messages.CrashedCall, ...] = (),
     ) -> AsyncIterator[Slot]:
         """Holds a place at a target for a call.
 
@@ -105,11 +115,15 @@
             service: The service.
             call: The call; its `deadline_ms` is the time left.
             left_ms: Longest time to wait.
+            crashes: Earlier attempts under which a target crashed.
         """
+        message = messages.AcquireSlot(
+            service, call, self._directory.host, crashes
+        )
         target: ids.TargetId | None = None
         slot: Slot | None = None
         try:
-            granted = await self._acquire(service, call, left_ms)
+            granted = await self._acquire(message, left_ms)
             slot = Slot(call, granted, self._clock.now_ms())
             if isinstance(granted, result.Success):
                 target = granted.unwrap().target
@@ -125,31 +139,48 @@
                 else pools.CallReport(call.call, pools.CallEnd.CANCELLED)
             )
             fault = slot.fault if slot is not None else None
-            message = messages.ReleaseSlot(
+            ended = messages.ReleaseSlot(
                 service, report, target, call.digest, fault
             )
-            self._spawn(self._deliver(service, message))
+            self._spawn(self._deliver(service, ended))
 
     def end_program(
-        self, service: ids.ServiceId, program: ids.ProgramId
+        self,
+        service: ids.ServiceId,
+        program: ids.ProgramId,
+        organisation: ids.OrganisationId | None = None,
     ) -> None:
         """Tells a pool's home that a program is gone, until it knows."""
-        message = messages.EndProgram(service, program)
+        message = messages.EndProgram(service, program, organisation)
         self._spawn(self._deliver(service, message))
 
-    def running(self) -> tuple[messages.RunningCall, ...]:
-        """Returns the calls that this host has under way at targets."""
-        return tuple(self._running.values())
+    def attach(self, handlers: router.Router) -> None:
+        """Adds this host's handler."""
+        handlers.add_unary(messages.DescribeCalls, self.describe)
+
+    async def describe(
+        self, message: messages.DescribeCalls
+    ) -> errors.Outcome[messages.CallsDescribed]:
+        """Returns the calls that this host has under way in a pool."""
+        return result.Success(
+            messages.CallsDescribed(
+                tuple(
+                    call
+                    for call in self._running.values()
+                    if call.service == message.service
+                )
+            )
+        )
 
     async def _acquire(
-        self, service: ids.ServiceId, call: pools.PoolCall, left_ms: float
+        self, message: messages.AcquireSlot, left_ms: float
     ) -> errors.Outcome[messages.SlotGranted]:
         start_ms = self._clock.now_ms()
         hold_ms = min(left_ms, HOLD_MS)
-        message = messages.AcquireSlot(service, call, self._directory.host)
+        key = homes.pool_key(message.service)
         while True:
             spent_ms = self._clock.now_ms() - start_ms
-            home = self._directory.home_of(homes.pool_key(service))
+            home = self._directory.home_of(key)
             granted = await self._peers.call(
                 home, message, max(1.0, left_ms - spent_ms)
             )
@@ -165,6 +196,8 @@
     async def _deliver(self, service: ids.ServiceId, message: Any) -> None:
         for _ in range(REPORT_TRIES):
             home = self._directory.home_of(homes.pool_key(service))
+            if home is None:
+                break
             outcome = await self._peers.call(home, message)
             if isinstance(outcome, result.Success):
                 return
--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -13,13 +13,22 @@
 
 from mangotally import errors, ids
 from mangotally.engines import client as engine_client
+from mangotally.homes import pool as pool_lib
 from mangotally.hosts import messages
-from mangotally.policy import faults, pools, programs, records, retries
+from mangotally.policy import (
+    faults,
+    pools,
+    programs,
+    quarantine,
+    records,
+    retries,
+)
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
 
+    from mangotally.homes import quarantine as live_quarantine
     from mangotally.homes import slots as slot_client
 
 logger = logging.getLogger(__name__)
@@ -45,7 +54,7 @@
         permit: Called before a byte goes to a target, or None.
         permitted: Whether the last permit still covers the next attempt.
         attempt: Number of the attempt under way.
-        crashes: Targets whose process ended under it.
+        crashes: Its attempts under which a target crashed.
         sent_text: Whether a piece of the answer has reached the caller.
     """
 
@@ -56,9 +65,15 @@
     permit: Callable[[], Awaitable[errors.Outcome[Any]]] | None = None
     permitted: bool = False
     attempt: int = 0
-    crashes: int = 0
+    crashes: tuple[messages.CrashedCall, ...] = ()
     sent_text: bool = False
 
+    def ran(self) -> errors.Ran:
+        """Returns whether an earlier attempt may have run."""
+        if self.attempt > 1:
+            return errors.Ran.MAY_HAVE_RUN
+        return errors.Ran.NOT_RUN
+
 
 class TurnRunner:
     """Runs turns on targets; knows nothing of their history."""
@@ -67,6 +82,7 @@
         self,
         slots: slot_client.SlotClient,
         engine: engine_client.EngineClient,
+        quarantine: live_quarantine.LiveQuarantine,
         retry_share: float,
         clock: clock_lib.Clock,
         random: Callable[[], float],
@@ -76,12 +92,14 @@
         Args:
             slots: Gets targets from the pools' homes.
             engine: Speaks to engines.
+            quarantine: Requests that are refused.
             retry_share: Retries per turn, as a share of the turns.
             clock: The host's clock.
             random: Returns numbers from 0 to 1.
         """
         self._slots = slots
         self._engine = engine
+        self._quarantine = quarantine
         self._share = retry_share
         self._clock = clock
         self._random = random
@@ -134,6 +152,9 @@
         budget.earn()
         while True:
             turn.attempt += 1
+            if self._is_quarantined(turn):
+                yield result.Failure(pool_lib.refusal(turn.ran()))
+                return
             attempt = self._attempt(turn)
             fault: faults.Fault | None = None
             async with contextlib.aclosing(attempt) as events:
@@ -151,10 +172,13 @@
             await asyncio.sleep(clock_lib.to_seconds(again.delay_ms))
 
     async def end_program(
-        self, service: ids.ServiceId, program: ids.ProgramId
+        self,
+        service: ids.ServiceId,
+        program: ids.ProgramId,
+        organisation: ids.OrganisationId | None = None,
     ) -> None:
         """Has a gone program's calls cancelled and its prefixes released."""
-        self._slots.end_program(service, program)
+        self._slots.end_program(service, program, organisation)
 
     def dump(self) -> dict[str, object]:
         """Returns the retry budgets, for the state dump."""
@@ -163,6 +187,11 @@
             for service, budget in sorted(self._budgets.items())
         }
 
+    def _is_quarantined(self, turn: _Turn) -> bool:
+        if len(turn.crashes) >= quarantine.MAX_CRASHES:
+            return True
+        return self._quarantine.is_refused(turn.call.digest)
+
     def _budget(self, service: ids.ServiceId) -> retries.RetryBudget:
         found = self._budgets.get(service)
         if found is None:
@@ -191,7 +220,9 @@
             turn.call, call=ids.new_call_id(), deadline_ms=left_ms
         )
         service = turn.message.service
-        async with self._slots.slot(service, turn.call, left_ms) as slot:
+        async with self._slots.slot(
+            service, turn.call, left_ms, turn.crashes
+        ) as slot:
             if isinstance(slot.granted, result.Failure):
                 yield _refusal_of(turn, slot.granted.failure())
                 return
@@ -225,10 +256,12 @@
         """Yields an answer, resumed at the same target when it breaks off."""
         request = engine_client.ChatRequest(
             turn.call.call,
+            turn.call.organisation,
             turn.call.program,
             turn.message.service,
             turn.prompt,
             turn.message.max_tokens,
+            turn.due_ms - self._clock.now_ms(),
             turn.call.prompt_tokens,
             turn.message.options,
         )
@@ -258,6 +291,9 @@
                 yield result.Failure(fault)
                 return
             first = fault
+            request = dataclasses.replace(
+                request, timeout_ms=turn.due_ms - self._clock.now_ms()
+            )
             events = self._engine.resume(grant.address, request, last)
         assert first is not None
         yield result.Failure(first)
@@ -266,7 +302,8 @@
         self, turn: _Turn, target: ids.TargetId, fault: faults.Fault
     ) -> None:
         if fault.kind is faults.FaultKind.CRASHED:
-            turn.crashes += 1
+            crash = messages.CrashedCall(target, turn.call.call)
+            turn.crashes = (*turn.crashes, crash)
         if fault.ran is not errors.Ran.NOT_RUN:
             turn.permitted = False
         excluded = turn.call.excluded
@@ -303,17 +340,15 @@
 
 def _refusal_of(turn: _Turn, failure: errors.Failure) -> errors.Outcome[Any]:
     """Returns why no target was found, after earlier attempts or none."""
-    if turn.attempt == 1:
-        return result.Failure(failure)
-    return result.Failure(
-        dataclasses.replace(failure, ran=errors.Ran.MAY_HAVE_RUN)
-    )
+    return result.Failure(dataclasses.replace(failure, ran=turn.ran()))
 
 
 def _failure_of(turn: _Turn, fault: faults.Fault) -> errors.Failure:
-    ran = fault.ran
-    if turn.attempt > 1:
-        ran = errors.Ran.MAY_HAVE_RUN
+    ran = fault.ran if turn.attempt == 1 else turn.ran()
+    if fault.kind is faults.FaultKind.DEADLINE:
+        return errors.Failure(
+            errors.Reason.DEADLINE, "The turn's time is over.", ran
+        )
     if turn.sent_text:
         return errors.Failure(
             errors.Reason.TARGET_FAILED,
--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -37,6 +37,9 @@
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
     ("grpc.so_reuseport", 0),
 )
+_FINISHED_AT_SHUTDOWN = frozenset(
+    {messages.RunTurn.__name__, messages.RunCall.__name__}
+)
 _END = object()
 
 
@@ -62,6 +65,12 @@
             while not self._queue.empty() and len(frames) < MAX_BATCH_FRAMES:
                 frames.append(self._queue.get_nowait())
             await self._write(hosts_pb2.Batch(frames=frames))
+            for _ in frames:
+                self._queue.task_done()
+
+    async def flush(self) -> None:
+        """Waits until all frames have been written."""
+        await self._queue.join()
 
 
 class Link:
@@ -223,6 +232,15 @@
         self._address = address
         self._credentials = credentials
         self._server: grpc.aio.Server | None = None
+        self._writers: set[FrameWriter] = set()
+        self._finishing: set[asyncio.Task[None]] = set()
+
+    async def wait_idle(self) -> None:
+        """Waits until the turns and calls of other hosts are answered."""
+        while self._finishing:
+            await asyncio.wait(self._finishing)
+        for writer in list(self._writers):
+            await writer.flush()
 
     async def __aenter__(self) -> Self:
         """Starts to listen."""
@@ -254,12 +272,14 @@
             )
         writer = FrameWriter(context.write)
         writing = asyncio.create_task(writer.run())
+        self._writers.add(writer)
         tasks: dict[int, asyncio.Task[None]] = {}
         try:
             async for batch in request_iterator:
                 for frame in batch.frames:
                     self._accept(frame, writer, tasks)
         finally:
+            self._writers.discard(writer)
             writing.cancel()
             for task in list(tasks.values()):
                 task.cancel()
@@ -279,6 +299,9 @@
         task = asyncio.create_task(self._serve(frame, writer))
         tasks[call_id] = task
         task.add_done_callback(lambda _: tasks.pop(call_id, None))
+        if frame.type in _FINISHED_AT_SHUTDOWN:
+            self._finishing.add(task)
+            task.add_done_callback(self._finishing.discard)
 
     async def _serve(self, frame: Any, writer: FrameWriter) -> None:
         item = hosts_pb2.Frame.ITEM
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -190,6 +190,15 @@
     replayed: bool
 
 
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CrashedCall:
+    """A target crashed while it ran a call."""
+
+    target: ids.TargetId
+    call: ids.CallId
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class AcquireSlot:
@@ -199,11 +208,13 @@
         service: The service.
         call: The call; its `deadline_ms` is the time left when it was sent.
         host: The host that asks, or None if it is not known.
+        crashes: Earlier attempts under which a target crashed.
     """
 
     service: ids.ServiceId
     call: pools.PoolCall
     host: ids.HostId | None = None
+    crashes: tuple[CrashedCall, ...] = ()
 
 
 @registry.register
@@ -277,10 +288,42 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class EndProgram:
-    """Tells a pool's home that a program is gone."""
+    """Tells a pool's home that a program is gone.
+
+    Attributes:
+        service: The service.
+        program: The program.
+        organisation: Its organisation, or None if the home knows it.
+    """
 
     service: ids.ServiceId
     program: ids.ProgramId
+    organisation: ids.OrganisationId | None = None
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramName:
+    """An organisation's program."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class FindGonePrograms:
+    """Asks the home of some programs which of them are gone."""
+
+    programs: tuple[ProgramName, ...]
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class GonePrograms:
+    """Those programs that have ended or were never opened."""
+
+    programs: tuple[ProgramName, ...]
 
 
 @registry.register
--- a/mangotally/policy/faults.py
+++ b/mangotally/policy/faults.py
@@ -25,6 +25,8 @@
         MALFORMED: The answer cannot be read.
         OVERSIZE: The answer is longer than the call allows.
         LOST: The target no longer knows the call that is to be resumed.
+        CANCELLED: The target was told to end the call.
+        DEADLINE: The call's time is over.
     """
 
     UNREACHABLE = "unreachable"
@@ -39,6 +41,8 @@
     MALFORMED = "malformed"
     OVERSIZE = "oversize"
     LOST = "lost"
+    CANCELLED = "cancelled"
+    DEADLINE = "deadline"
 
 
 _NOT_RUN = frozenset(
@@ -61,7 +65,10 @@
 _ENDS = {
     FaultKind.STALLED: pools.CallEnd.STALLED,
     FaultKind.CRASHED: pools.CallEnd.CRASHED,
+    FaultKind.CANCELLED: pools.CallEnd.CANCELLED,
+    FaultKind.DEADLINE: pools.CallEnd.CANCELLED,
 }
+_FINAL = frozenset({FaultKind.STALLED, FaultKind.CANCELLED, FaultKind.DEADLINE})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,6 +133,6 @@
     """
     if second.kind in _PROCESS_GONE:
         return Fault(FaultKind.CRASHED, first.detail)
-    if second.kind is FaultKind.STALLED:
+    if second.kind in _FINAL:
         return second
     return first
--- a/mangotally/policy/pools.py
+++ b/mangotally/policy/pools.py
@@ -44,10 +44,17 @@
 
 
 class TargetState(enum.Enum):
-    """Whether a target takes new work."""
+    """Whether a target takes new work.
+
+    Attributes:
+        LIVE: It does.
+        LEAVING: It never will again; calls under way go on.
+        BLOCKED: It does not at present, because it has failed.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
+    BLOCKED = "blocked"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -12,6 +12,8 @@
 MEMBERS_STREAM = "members"
 CONFIGURATION_STREAM = "configuration"
 NO_ATTEMPT = ids.AttemptId("")
+QUARANTINE_STREAM = "quarantine"
+ORDERS_STREAM = "orders"
 
 registry = codec.Registry()
 
@@ -451,3 +453,41 @@
     intent: CallIntent
     result: CallResult | None
     wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RequestCrashed:
+    """A target crashed while it ran a request.
+
+    Attributes:
+        digest: Digest of the request.
+        service: The service.
+        target: The target.
+        call: The call that ran the request there.
+        wall_ms: When it crashed, since the Unix epoch.
+        until_wall_ms: When the record is void, since the Unix epoch.
+    """
+
+    digest: str
+    service: ids.ServiceId
+    target: ids.TargetId
+    call: ids.CallId
+    wall_ms: int
+    until_wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RequestCleared:
+    """A request that was suspected got a whole answer."""
+
+    digest: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class QuarantineLifted:
+    """An operator lets a request in again."""
+
+    digest: str
--- a/mangotally/policy/retries.py
+++ b/mangotally/policy/retries.py
@@ -10,7 +10,13 @@
 BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 2000.0
 RESERVE = 10.0
-_NEVER_AGAIN = frozenset({faults.FaultKind.REJECTED})
+_NEVER_AGAIN = frozenset(
+    {
+        faults.FaultKind.REJECTED,
+        faults.FaultKind.CANCELLED,
+        faults.FaultKind.DEADLINE,
+    }
+)
 
 
 class RetryBudget:
--- a/mangotally/services/client.py
+++ b/mangotally/services/client.py
@@ -20,6 +20,8 @@
 
     from mangotally.engines import channels as channels_lib
 
+PROBE_PATH = "/.well-known/live"
+PROBE_TIMEOUT_MS = 2000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 _IDENTITY = {"Accept-Encoding": "identity"}
 _REFUSALS = frozenset({429, 503})
@@ -81,6 +83,26 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return result.Failure(http_engine.fault_of(error))
 
+    async def examine(self, address: str, fault: faults.Fault) -> faults.Fault:
+        """Tells a crash of a target from a broken connection."""
+        if fault.kind is not faults.FaultKind.BROKEN:
+            return fault
+        probed = await self.probe(address)
+        if probed is None:
+            return fault
+        return faults.after_resume(fault, probed)
+
+    async def probe(self, address: str) -> faults.Fault | None:
+        """Tries a new connection to a target; any answer will do."""
+        timeout = aiohttp.ClientTimeout(clock_lib.to_seconds(PROBE_TIMEOUT_MS))
+        try:
+            async with self._channels.fresh.get(
+                f"{address}{PROBE_PATH}", timeout=timeout, allow_redirects=False
+            ):
+                return None
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return http_engine.fault_of(error)
+
     @contextlib.asynccontextmanager
     async def _session(
         self, address: str, is_repeatable: bool
--- a/mangotally/services/runner.py
+++ b/mangotally/services/runner.py
@@ -11,14 +11,16 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.policy import faults, pools, retries
+from mangotally.homes import pool as pool_lib
+from mangotally.hosts import messages
+from mangotally.policy import faults, pools, quarantine, retries
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from mangotally.homes import configuration, slots
-    from mangotally.hosts import messages
+    from mangotally.homes import quarantine as live_quarantine
     from mangotally.services import client as service_client
 
 logger = logging.getLogger(__name__)
@@ -41,19 +43,38 @@
     return digest.hexdigest()
 
 
-@dataclasses.dataclass(frozen=True)
-class _Limits:
-    """How a call may run.
+@dataclasses.dataclass
+class _Run:
+    """A call and what has become of it so far.
 
     Attributes:
+        message: The call.
+        call: The call as its pool sees it; each attempt has its own id.
         is_repeatable: Whether running it twice does no harm.
-        share: Weight of the organisation's plan.
         due_ms: When its time is over.
+        attempt: Number of the attempt under way.
+        crashes: Its attempts under which a target crashed.
+        ran: Whether an attempt may have run.
     """
 
+    message: messages.RunCall
+    call: pools.PoolCall
     is_repeatable: bool
-    share: float
     due_ms: float
+    attempt: int = 0
+    crashes: tuple[messages.CrashedCall, ...] = ()
+    ran: errors.Ran = errors.Ran.NOT_RUN
+
+    def note(self, target: ids.TargetId, fault: faults.Fault) -> None:
+        """Takes in a failed attempt."""
+        if fault.ran is not errors.Ran.NOT_RUN:
+            self.ran = fault.ran
+        if fault.kind is faults.FaultKind.CRASHED:
+            crash = messages.CrashedCall(target, self.call.call)
+            self.crashes = (*self.crashes, crash)
+        self.call = dataclasses.replace(
+            self.call, excluded=(*self.call.excluded, target)
+        )
 
 
 class ServiceRunner:
@@ -64,6 +85,7 @@
         slots: slots.SlotClient,
         live: configuration.LiveConfiguration,
         client: service_client.ServiceClient,
+        quarantine: live_quarantine.LiveQuarantine,
         retry_share: float,
         clock: clock_lib.Clock,
         random: Callable[[], float],
@@ -74,6 +96,7 @@
             slots: Gets targets from the pools' homes.
             live: The lists in force.
             client: Speaks to plain services.
+            quarantine: Requests that are refused.
             retry_share: Retries per call, as a share of the calls.
             clock: The host's clock.
             random: Returns numbers from 0 to 1.
@@ -81,6 +104,7 @@
         self._slots = slots
         self._live = live
         self._client = client
+        self._quarantine = quarantine
         self._share = retry_share
         self._clock = clock
         self._random = random
@@ -98,69 +122,71 @@
             The answer. A failure says `not-run` only if no byte of the
             call was written to any target.
         """
-        limits = self._limits(message)
+        run = self._start(message)
         budget = self._budgets.setdefault(
             message.service, retries.RetryBudget(self._share)
         )
         budget.earn()
-        call = self._call(message, limits)
-        ran = errors.Ran.NOT_RUN
-        number = 0
         while True:
-            number += 1
-            left_ms = limits.due_ms - self._clock.now_ms()
-            call = dataclasses.replace(
-                call, call=ids.new_call_id(), deadline_ms=left_ms
-            )
-            async with self._slots.slot(message.service, call, left_ms) as slot:
-                if isinstance(slot.granted, result.Failure):
-                    failure = slot.granted.failure()
-                    return result.Failure(dataclasses.replace(failure, ran=ran))
-                grant = slot.granted.unwrap()
-                answer = await self._client.call(
-                    grant.address,
-                    message,
-                    limits.is_repeatable,
-                    max(1.0, limits.due_ms - self._clock.now_ms()),
-                )
-                if isinstance(answer, result.Success):
-                    slot.done()
-                    return result.Success(answer.unwrap())
-                fault = answer.failure()
-                slot.failed(fault)
-            _log(message, grant.target, fault)
-            if fault.ran is not errors.Ran.NOT_RUN:
-                ran = fault.ran
+            run.attempt += 1
+            if self._is_quarantined(run):
+                return result.Failure(pool_lib.refusal(run.ran))
+            answer = await self._attempt(run)
+            if not isinstance(answer, faults.Fault):
+                return answer
             attempt = retries.Attempt(
-                number,
-                limits.is_repeatable or fault.ran is errors.Ran.NOT_RUN,
-                limits.due_ms - self._clock.now_ms(),
+                run.attempt,
+                run.is_repeatable or answer.ran is errors.Ran.NOT_RUN,
+                run.due_ms - self._clock.now_ms(),
             )
-            again = retries.decide(fault, attempt, budget, self._random())
+            again = retries.decide(answer, attempt, budget, self._random())
             if isinstance(again, retries.GiveUp):
-                return _failed(fault, ran)
-            call = dataclasses.replace(
-                call, excluded=(*call.excluded, grant.target)
-            )
+                return _failed(answer, run)
             await asyncio.sleep(clock_lib.to_seconds(again.delay_ms))
 
-    def _limits(self, message: messages.RunCall) -> _Limits:
+    async def _attempt(
+        self, run: _Run
+    ) -> errors.Outcome[messages.CallAnswer] | faults.Fault:
+        left_ms = run.due_ms - self._clock.now_ms()
+        run.call = dataclasses.replace(
+            run.call, call=ids.new_call_id(), deadline_ms=left_ms
+        )
+        message = run.message
+        async with self._slots.slot(
+            message.service, run.call, left_ms, run.crashes
+        ) as slot:
+            if isinstance(slot.granted, result.Failure):
+                failure = slot.granted.failure()
+                return result.Failure(dataclasses.replace(failure, ran=run.ran))
+            grant = slot.granted.unwrap()
+            answer = await self._client.call(
+                grant.address,
+                message,
+                run.is_repeatable,
+                max(1.0, run.due_ms - self._clock.now_ms()),
+            )
+            if isinstance(answer, result.Success):
+                slot.done()
+                return result.Success(answer.unwrap())
+            fault = await self._client.examine(grant.address, answer.failure())
+            slot.failed(fault)
+        run.note(grant.target, fault)
+        _log(message, grant.target, fault)
+        return fault
+
+    def _is_quarantined(self, run: _Run) -> bool:
+        if len(run.crashes) >= quarantine.MAX_CRASHES:
+            return True
+        return self._quarantine.is_refused(run.call.digest)
+
+    def _start(self, message: messages.RunCall) -> _Run:
         current = self._live.current.lists
         found = current.service(message.service) if current else None
         plan = (
             current.organisation_plan(message.organisation) if current else None
         )
         path = message.path.partition("?")[0]
-        return _Limits(
-            found is not None and found.may_repeat(message.method, path),
-            plan.share if plan is not None else 1.0,
-            self._clock.now_ms() + message.timeout_ms,
-        )
-
-    def _call(
-        self, message: messages.RunCall, limits: _Limits
-    ) -> pools.PoolCall:
-        return pools.PoolCall(
+        call = pools.PoolCall(
             call=ids.new_call_id(),
             organisation=message.organisation,
             program=_PROGRAM,
@@ -168,10 +194,16 @@
             prompt_tokens=0,
             max_tokens=1,
             attained_tokens=0,
-            share=limits.share,
-            deadline_ms=limits.due_ms,
+            share=plan.share if plan is not None else 1.0,
+            deadline_ms=float(message.timeout_ms),
             digest=digest_call(message),
         )
+        return _Run(
+            message,
+            call,
+            found is not None and found.may_repeat(message.method, path),
+            self._clock.now_ms() + message.timeout_ms,
+        )
 
 
 def _log(
@@ -189,11 +221,11 @@
 
 
 def _failed(
-    fault: faults.Fault, ran: errors.Ran
+    fault: faults.Fault, run: _Run
 ) -> errors.Outcome[messages.CallAnswer]:
     return errors.failed(
         errors.Reason.TARGET_FAILED,
         f"The target failed ({fault.detail}).",
-        ran,
+        run.ran,
         fault.retry_after_ms,
     )
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -107,6 +107,8 @@
         roster_poll_ms: Interval between reads of the host list.
         load_poll_ms: Interval between reads of a target's load.
         shutdown_ms: Longest time for calls under way at shutdown.
+        notice_ms: How long the balancer and the other hosts take to find
+            out that this host is leaving.
         max_body_bytes: Largest request body.
         targets: Limits of targets.
         callers: What callers may hold of this host.
@@ -139,6 +141,7 @@
     roster_poll_ms: int = pydantic.Field(default=1000, ge=10)
     load_poll_ms: int = pydantic.Field(default=500, ge=10)
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
+    notice_ms: int = pydantic.Field(default=2000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
     callers: CallerSettings = CallerSettings()
--- a/mangotally/standins/engine.py
+++ b/mangotally/standins/engine.py
@@ -1,19 +1,36 @@
-"""Stand-in for a model engine: continuous batching and a prefix cache."""
+"""Stand-in for a model engine: continuous batching and a prefix cache.
+
+POST /v1/chat/completions           chat with server-sent events
+GET  /v1/streams/{call}?after=n     the rest of an answer
+POST /cancel {"call"}               ends a call
+GET  /load                          load, as of some time ago
+GET  /cache                         {"prefixes", "calls"}
+GET  /cache/events?after=n          {"events"}, late and with gaps
+POST /release {"cache_key"}         drops a prefix
+GET  /export?cache_key=k            a prefix, to import it elsewhere
+POST /import {"cache_key", "tokens"}
+GET  /state                         models, adapters, version, role
+POST /orders {"fencing", "state"}   changes the state
+POST /faults {...}                  sets fields of `EngineFaults`
+"""
 
 from __future__ import annotations
 
 import asyncio
 import collections
 import dataclasses
-import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
-from mangotally.standins import server
+from mangotally.standins import faults, server, streams
 from mangotally.util import clock as clock_lib
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CHARS_PER_TOKEN = 4
+MAX_EVENTS = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,12 +42,14 @@
         decode_ms: Time between tokens with an empty batch.
         decode_ms_per_call: Added to that for each call in the batch.
         cache_tokens: Size of the prefix cache.
+        resume_ms: How long a call whose reader is gone runs on.
     """
 
     prefill_ms_per_token: float = 0.02
     decode_ms: float = 1.0
     decode_ms_per_call: float = 0.1
     cache_tokens: int = 200_000
+    resume_ms: float = 3000.0
 
 
 @dataclasses.dataclass
@@ -39,112 +58,335 @@
 
     Attributes:
         refuse: Answers 503 to every new call.
-        hang: Accepts calls and sends nothing.
+        refuse_status: Status of these answers.
+        retry_after_s: `Retry-After` of these answers; 0 for none.
+        hang: Accepts calls and sends nothing, for good.
+        slow_ms: Added to the time of each token.
         cross: Sends chunks under another call's id.
+        malformed: Sends chunks that are no JSON.
+        endless: Ignores `max_tokens`.
+        silent_after: Streams go silent after so many pieces; their calls
+            run on and can be resumed.
+        break_after: Connections close after so many pieces, likewise.
+        crash_on: Crashes at a call whose messages contain this text.
+        load_lag_ms: Age of the load reports.
+        lie: Reports no load at all.
+        event_lag_ms: How late cache events show.
+        lose_events: Every n-th cache event is lost; 0 for none.
+        ignore_release: Answers releases with an error, counted down.
+        ignore_cancel: Answers cancels with an error, counted down.
+        ignore_fencing: Obeys orders with an old fencing number.
     """
 
     refuse: bool = False
+    refuse_status: int = 503
+    retry_after_s: int = 0
     hang: bool = False
+    slow_ms: float = 0.0
     cross: bool = False
+    malformed: bool = False
+    endless: bool = False
+    silent_after: int = 0
+    break_after: int = 0
+    crash_on: str = ""
+    load_lag_ms: float = 0.0
+    lie: bool = False
+    event_lag_ms: float = 0.0
+    lose_events: int = 0
+    ignore_release: int = 0
+    ignore_cancel: int = 0
+    ignore_fencing: bool = False
 
 
 class EngineStandIn(server.StandIn):
     """Answers chats with words that depend on the conversation only."""
 
-    def __init__(self, name: str, speed: EngineSpeed | None = None) -> None:
-        """Makes an idle engine."""
+    def __init__(
+        self,
+        name: str,
+        speed: EngineSpeed | None = None,
+        crashed: Callable[[EngineStandIn], None] | None = None,
+    ) -> None:
+        """Makes an idle engine.
+
+        Args:
+            name: Its name.
+            speed: How fast it is.
+            crashed: Called when a request has crashed it.
+        """
         super().__init__()
         self.name = name
         self.speed = speed or EngineSpeed()
         self.faults = EngineFaults()
-        self.running = 0
+        self.crashes = 0
+        self.began = asyncio.Event()
         self.seen: list[dict[str, Any]] = []
         self.headers: list[dict[str, str]] = []
         self.cache: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self.state: dict[str, Any] = {"role": "both"}
+        self.fencing = -1
+        self.orders: list[dict[str, Any]] = []
+        self._crashed = crashed
+        self._streams: dict[str, streams.Stream] = {}
+        self._cancelled: set[str] = set()
+        self._events: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=MAX_EVENTS)
+        )
+        self._sequence = 0
+        self._loads: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=MAX_EVENTS)
+        )
+
+    @property
+    def running(self) -> int:
+        """Calls in the batch."""
+        return sum(not item.is_done for item in self._streams.values())
 
     def application(self) -> web.Application:
         """Returns the application to serve."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_get("/v1/streams/{call}", self._resume)
+        app.router.add_post("/cancel", self._cancel)
         app.router.add_get("/load", self._load)
+        app.router.add_get("/cache", self._list_cache)
+        app.router.add_get("/cache/events", self._list_events)
         app.router.add_post("/release", self._release)
+        app.router.add_get("/export", self._export)
+        app.router.add_post("/import", self._import)
+        app.router.add_get("/state", self._get_state)
+        app.router.add_post("/orders", self._order)
+        faults.attach(app, lambda: self.faults)
         return app
 
+    async def __aexit__(self, *exc: object) -> None:
+        """Stops to listen and ends all calls."""
+        for stream in self._streams.values():
+            stream.stop()
+        await super().__aexit__(*exc)
+
+    async def crash(self) -> None:
+        """Loses everything and drops all connections; listens no longer."""
+        self.crashes += 1
+        self.cache.clear()
+        found, self._streams = self._streams, {}
+        for stream in found.values():
+            stream.stop()
+        await self.stop()
+        if self._crashed is not None:
+            self._crashed(self)
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
-        if self.faults.refuse:
-            return web.Response(status=503)
+        shown = self.faults
+        if shown.refuse:
+            headers = {}
+            if shown.retry_after_s:
+                headers["Retry-After"] = str(shown.retry_after_s)
+            return web.Response(status=shown.refuse_status, headers=headers)
         body = await request.json()
         self.seen.append(body)
         self.headers.append(dict(request.headers))
-        self.running += 1
-        try:
-            return await self._generate(request, body)
-        finally:
-            self.running -= 1
+        self.began.set()
+        call = request.headers.get("X-Request-Id", "none")
+        if shown.crash_on and shown.crash_on in str(body["messages"]):
+            crash = asyncio.create_task(self.crash())
+            await asyncio.shield(crash)
+        stream = streams.Stream(call)
+        self._streams[call] = stream
+        stream.task = asyncio.create_task(self._generate(stream, body))
+        return await self._send(request, stream, after=0)
 
-    async def _generate(
-        self, request: web.Request, body: dict[str, Any]
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        call = request.match_info["call"]
+        if call in self._cancelled:
+            return web.Response(status=410)
+        stream = self._streams.get(call)
+        if stream is None:
+            return web.Response(status=404)
+        after = int(request.query.get("after", "0"))
+        return await self._send(request, stream, after, is_resumed=True)
+
+    async def _send(
+        self,
+        request: web.Request,
+        stream: streams.Stream,
+        after: int,
+        is_resumed: bool = False,
     ) -> web.StreamResponse:
-        call = request.headers.get("X-Request-Id", "none")
+        shown = dataclasses.replace(self.faults)
+        if is_resumed:
+            shown.silent_after = shown.break_after = 0
         response = web.StreamResponse(
             headers={"Content-Type": "text/event-stream"}
         )
-        await response.prepare(request)
-        if self.faults.hang:
-            await asyncio.Event().wait()
+        stream.readers += 1
+        try:
+            await response.prepare(request)
+            if shown.hang:
+                await asyncio.Event().wait()
+            async for number, data in stream.follow(after):
+                if shown.silent_after and number > shown.silent_after:
+                    await asyncio.Event().wait()
+                if shown.break_after and number > shown.break_after:
+                    assert request.transport is not None
+                    request.transport.close()
+                    return response
+                await response.write(self._spoil(shown, data))
+            await response.write_eof()
+            return response
+        finally:
+            stream.readers -= 1
+            if stream.readers == 0:
+                asyncio.get_running_loop().call_later(
+                    clock_lib.to_seconds(self.speed.resume_ms),
+                    self._forget,
+                    stream,
+                )
+
+    def _spoil(self, shown: EngineFaults, data: bytes) -> bytes:
+        if shown.malformed:
+            return data.replace(b"{", b"[", 1)
+        if shown.cross:
+            return data.replace(b'"id": "', b'"id": "x', 1)
+        return data
+
+    def _forget(self, stream: streams.Stream) -> None:
+        if stream.readers == 0:
+            stream.stop()
+            if self._streams.get(stream.call) is stream:
+                del self._streams[stream.call]
+
+    async def _generate(
+        self, stream: streams.Stream, body: dict[str, Any]
+    ) -> None:
         prompt = sum(
             1 + len(item["content"]) // CHARS_PER_TOKEN
             for item in body["messages"]
         )
-        key = body.get("cache_key", call)
+        key = body.get("cache_key", stream.call)
         cached = min(prompt, self.cache.get(key, 0))
         fresh_ms = (prompt - cached) * self.speed.prefill_ms_per_token
         await asyncio.sleep(clock_lib.to_seconds(fresh_ms))
-        words = _answer(body["messages"])[: body["max_tokens"]]
-        shown = f"{call}-crossed" if self.faults.cross else call
+        self._store(key, prompt)
+        words = _answer(body["messages"])
+        while self.faults.endless and len(words) <= body["max_tokens"]:
+            words += words
+        if not self.faults.endless:
+            words = words[: body["max_tokens"]]
         for word in words:
             await asyncio.sleep(clock_lib.to_seconds(self._token_ms()))
-            await _send(response, _chunk(shown, word))
+            await stream.put(word)
         self._store(key, prompt + len(words))
-        usage = {
-            "prompt_tokens": prompt,
-            "completion_tokens": len(words),
-            "prompt_tokens_details": {"cached_tokens": cached},
-        }
-        await _send(response, {"id": shown, "choices": [], "usage": usage})
-        await response.write(b"data: [DONE]\n\n")
-        await response.write_eof()
-        return response
+        await stream.finish(prompt, cached, len(words))
 
     def _token_ms(self) -> float:
-        return (
-            self.speed.decode_ms + self.running * self.speed.decode_ms_per_call
-        )
+        batch_ms = self.running * self.speed.decode_ms_per_call
+        return self.speed.decode_ms + batch_ms + self.faults.slow_ms
 
     def _store(self, key: str, tokens: int) -> None:
         self.cache[key] = tokens
         self.cache.move_to_end(key)
+        self._note_event("stored", key, tokens)
         while sum(self.cache.values()) > self.speed.cache_tokens:
-            self.cache.popitem(last=False)
+            evicted, size = self.cache.popitem(last=False)
+            self._note_event("evicted", evicted, size)
+
+    def _note_event(self, kind: str, key: str, tokens: int) -> None:
+        self._sequence += 1
+        lost = self.faults.lose_events
+        if lost and self._sequence % lost == 0:
+            return
+        event = {
+            "sequence": self._sequence,
+            "kind": kind,
+            "cache_key": key,
+            "tokens": tokens,
+        }
+        self._events.append((_now_ms(), event))
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        if self.faults.ignore_cancel > 0:
+            self.faults.ignore_cancel -= 1
+            return web.Response(status=500)
+        call = str((await request.json())["call"])
+        stream = self._streams.pop(call, None)
+        if stream is not None:
+            self._cancelled.add(call)
+            stream.stop()
+        return web.json_response({"cancelled": stream is not None})
 
     async def _load(self, _request: web.Request) -> web.Response:
-        return web.json_response(
-            {
-                "running": self.running,
-                "waiting": 0,
-                "cached_tokens": sum(self.cache.values()),
-                "cache_capacity_tokens": self.speed.cache_tokens,
-                "age_ms": 0,
-            }
-        )
+        now_ms = _now_ms()
+        report = {
+            "running": 0 if self.faults.lie else self.running,
+            "waiting": 0,
+            "cached_tokens": sum(self.cache.values()),
+            "cache_capacity_tokens": self.speed.cache_tokens,
+        }
+        self._loads.append((now_ms, report))
+        made_ms = now_ms - self.faults.load_lag_ms
+        while len(self._loads) > 1 and self._loads[1][0] <= made_ms:
+            self._loads.popleft()
+        shown_ms, shown = self._loads[0]
+        return web.json_response({**shown, "age_ms": now_ms - shown_ms})
+
+    async def _list_cache(self, _request: web.Request) -> web.Response:
+        prefixes = [
+            {"cache_key": key, "tokens": tokens}
+            for key, tokens in self.cache.items()
+        ]
+        calls = [
+            call for call, item in self._streams.items() if not item.is_done
+        ]
+        return web.json_response({"prefixes": prefixes, "calls": calls})
+
+    async def _list_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        shown_ms = _now_ms() - self.faults.event_lag_ms
+        events = [
+            event
+            for made_ms, event in self._events
+            if made_ms <= shown_ms and event["sequence"] > after
+        ]
+        return web.json_response({"events": events})
 
     async def _release(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        self.cache.pop(body["cache_key"], None)
+        if self.faults.ignore_release > 0:
+            self.faults.ignore_release -= 1
+            return web.Response(status=500)
+        key = (await request.json())["cache_key"]
+        size = self.cache.pop(key, None)
+        if size is not None:
+            self._note_event("evicted", key, size)
         return web.json_response({"released": True})
 
+    async def _export(self, request: web.Request) -> web.Response:
+        key = request.query["cache_key"]
+        if key not in self.cache:
+            return web.Response(status=404)
+        return web.json_response({"cache_key": key, "tokens": self.cache[key]})
+
+    async def _import(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self._store(str(body["cache_key"]), int(body["tokens"]))
+        return web.json_response({"imported": True})
+
+    async def _get_state(self, _request: web.Request) -> web.Response:
+        return web.json_response({"fencing": self.fencing, "state": self.state})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        fencing = int(body["fencing"])
+        is_old = fencing < self.fencing
+        if is_old and not self.faults.ignore_fencing:
+            return web.json_response({"fencing": self.fencing}, status=409)
+        self.fencing = fencing
+        self.orders.append(body)
+        self.state = {**self.state, **body["state"]}
+        return await self._get_state(request)
+
 
 def _answer(messages: list[dict[str, Any]]) -> list[str]:
     turns = sum(1 for item in messages if item["role"] == "user")
@@ -154,15 +396,5 @@
     ]
 
 
-def _chunk(call: str, text: str) -> dict[str, Any]:
-    return {
-        "id": call,
-        "object": "chat.completion.chunk",
-        "choices": [
-            {"index": 0, "delta": {"content": text}, "finish_reason": None}
-        ],
-    }
-
-
-async def _send(response: web.StreamResponse, body: dict[str, Any]) -> None:
-    await response.write(f"data: {json.dumps(body)}\n\n".encode())
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * clock_lib.MS_PER_S
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -88,6 +88,7 @@
             load_poll_ms=100,
             heartbeat_ms=200,
             lease_ms=1500,
+            notice_ms=0,
         )
 
     async def _start_worker(
--- a/mangotally/standins/server.py
+++ b/mangotally/standins/server.py
@@ -24,6 +24,11 @@
 
     async def __aenter__(self) -> Self:
         """Starts to listen and sets `url`."""
+        await self.start()
+        return self
+
+    async def start(self) -> None:
+        """Starts to listen, on the same port as before if there was one."""
         runner = web.AppRunner(
             self.application(),
             access_log=None,
@@ -37,8 +42,11 @@
         host, port = runner.addresses[0][:2]
         self._port = port
         self.url = f"http://{host}:{port}"
-        return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to listen."""
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Closes all connections; `start` listens again."""
         await self._stack.aclose()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -93,3 +93,13 @@
         return await self.request(
             "POST", "/v1/chat/completions", body, entry, headers
         )
+
+    async def stop(self, number: int) -> None:
+        """Stops a host as SIGTERM does."""
+        await self.local.hosts[number].__aexit__()
+
+    async def kill(self, number: int) -> None:
+        """Stops a host's heartbeats and connections without a leave."""
+        host = self.local.hosts[number]
+        host.members.abandon()
+        await host.stop_at_once()
--- /dev/null
+++ b/tests/test_application/test_shutdown.py
@@ -0,0 +1,102 @@
+"""Tests of the shutdown of hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+from unittest import mock
+
+from mangotally.callers import readiness
+from tests import fleet as fleet_lib
+
+_WORDS = " ".join(f"w{n}" for n in range(60))
+_SLOW_MS = 10.0
+
+
+async def _slow(fleet: fleet_lib.Fleet) -> None:
+    for item in fleet.engines():
+        item.faults.slow_ms = _SLOW_MS
+
+
+async def _until_running(fleet: fleet_lib.Fleet) -> None:
+    waits = [asyncio.create_task(e.began.wait()) for e in fleet.engines()]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """A host leaves while streams are open."""
+
+    async def test_streams_through_the_leaving_host(self) -> None:
+        """Streams end whole, some of whose callers are at that host."""
+        await self._stop_under_streams(entries=(0, 1, 2))
+
+    async def test_streams_at_the_leaving_host(self) -> None:
+        """Streams end whole whose programs only are at home there."""
+        await self._stop_under_streams(entries=(0, 2))
+
+    async def _stop_under_streams(self, entries: tuple[int, ...]) -> None:
+        async with fleet_lib.Fleet() as fleet:
+            await _slow(fleet)
+            programs = [await fleet.open_program() for _ in range(6)]
+            turns = [
+                asyncio.create_task(
+                    fleet.turn(program, 1, _WORDS, entry, stream=True)
+                )
+                for program, entry in zip(
+                    programs, itertools.cycle(entries), strict=False
+                )
+            ]
+            await _until_running(fleet)
+            await fleet.stop(1)
+            for status, text in await asyncio.gather(*turns):
+                self.assertEqual(status, 200)
+                self.assertTrue(text.endswith("data: [DONE]\n\n"), text)
+                self.assertIn("w59", text)
+            for number, program in enumerate(programs):
+                entry = 2 * (number % 2)
+                status, answer = await fleet.turn(program, 2, "more", entry)
+                self.assertEqual(status, 200, answer)
+                content = answer["choices"][0]["message"]["content"]
+                self.assertIn("turn 2 of 3", content)
+
+    async def test_refuses_new_work_truthfully(self) -> None:
+        """A leaving host is not ready, then says that nothing has run."""
+        async with fleet_lib.Fleet(hosts=2) as fleet:
+            await _slow(fleet)
+            program = await fleet.open_program()
+            first = asyncio.create_task(fleet.turn(program, 1, _WORDS))
+            await _until_running(fleet)
+            self.assertEqual((await fleet.request("GET", "/ready"))[0], 200)
+            gate = fleet.local.hosts[0].readiness
+            is_refusing = asyncio.Event()
+
+            def refuse() -> None:
+                readiness.Readiness.refuse(gate)
+                is_refusing.set()
+
+            with mock.patch.object(gate, "refuse", refuse):
+                stopping = asyncio.create_task(fleet.stop(0))
+                await is_refusing.wait()
+            self.assertEqual((await fleet.request("GET", "/ready"))[0], 503)
+            self.assertEqual((await fleet.request("GET", "/live"))[0], 200)
+            status, answer = await fleet.turn(program, 2, "more")
+            self.assertEqual(status, 503)
+            self.assertEqual(answer["ran"], "not-run")
+            self.assertEqual((await first)[0], 200)
+            await stopping
+
+    async def test_killed_home_loses_nothing(self) -> None:
+        """The next turn finds the history after its home died."""
+        async with fleet_lib.Fleet() as fleet:
+            programs = [await fleet.open_program() for _ in range(6)]
+            for program in programs:
+                await fleet.turn(program, 1, "hello")
+            await fleet.kill(1)
+            for program in programs:
+                status, answer = await fleet.turn(program, 2, "more", 2)
+                self.assertEqual(status, 200, answer)
+                content = answer["choices"][0]["message"]["content"]
+                self.assertIn("turn 2 of 3", content)
--- a/tests/test_engines/test_http.py
+++ b/tests/test_engines/test_http.py
@@ -23,10 +23,12 @@
 def _request(max_tokens: int = 8) -> client.ChatRequest:
     return client.ChatRequest(
         _CALL,
+        ids.OrganisationId("escola"),
         ids.ProgramId("p1"),
         ids.ServiceId("assistente"),
         (records.ChatMessage("user", "hi"),),
         max_tokens,
+        5000,
     )
 
 
--- a/tests/test_homes/fakes.py
+++ b/tests/test_homes/fakes.py
@@ -11,7 +11,8 @@
 from mangotally import errors, ids
 from mangotally.engines import client
 from mangotally.hosts import messages
-from mangotally.policy import faults, pools
+from mangotally.log import base
+from mangotally.policy import faults, pools, records
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -114,7 +115,10 @@
         return self._control(address, self.cancelled, call)
 
     async def release(
-        self, address: str, program: ids.ProgramId
+        self,
+        address: str,
+        organisation: ids.OrganisationId,
+        program: ids.ProgramId,
     ) -> errors.Outcome[None]:
         """Notes a release."""
         return self._control(address, self.released, program)
@@ -143,3 +147,29 @@
             return errors.failed(errors.Reason.TARGET_FAILED, "down")
         notes.append((address, item))
         return result.Success(None)
+
+
+class FakeLog:
+    """Keeps what is appended, unless it is down."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.records: list[Any] = []
+        self.appended = asyncio.Event()
+
+    async def append(
+        self, stream: str, data: bytes
+    ) -> errors.Outcome[ids.Offset]:
+        """Appends records."""
+        if self.is_down:
+            return errors.failed(errors.Reason.LOG_UNAVAILABLE, "down")
+        for item in records.registry.decode_batch(data):
+            self.records.append(item.unwrap())
+        self.appended.set()
+        return result.Success(ids.Offset(len(self.records)))
+
+    async def read(
+        self, stream: str, offset: ids.Offset, wait_ms: int = 0
+    ) -> errors.Outcome[base.Slice]:
+        """Returns nothing."""
+        return result.Success(base.Slice((), offset, offset))
--- a/tests/test_homes/test_turns.py
+++ b/tests/test_homes/test_turns.py
@@ -9,9 +9,10 @@
 from returns import result
 
 from mangotally import errors, ids
+from mangotally.homes import quarantine as live_quarantine
 from mangotally.homes import slots, turns
 from mangotally.hosts import messages
-from mangotally.policy import faults, pools, records
+from mangotally.policy import faults, pools, programs, records
 from mangotally.util import clock as clock_lib
 from tests.test_homes import fakes
 
@@ -33,8 +34,11 @@
         self.slots = slots.SlotClient(
             fakes.FakeDirectory(), cast("Any", self.peers), clock
         )
+        self.quarantine = live_quarantine.LiveQuarantine(
+            fakes.FakeLog(), 60_000, clock
+        )
         self.runner = turns.TurnRunner(
-            self.slots, engine, share, clock, lambda: 0.0
+            self.slots, engine, self.quarantine, share, clock, lambda: 0.0
         )
 
     async def _run(
@@ -160,6 +164,35 @@
         ]
         self.assertEqual(await self._run(), ("ok.", None))
 
+    async def test_two_crashes(self) -> None:
+        """A request that crashes two targets is not sent to a third."""
+        crash: list[fakes.Script] = [[K.BROKEN], [K.CONNECTION_REFUSED]]
+        engine = fakes.FakeEngine(t1=crash, t2=list(crash), t3=list(crash))
+        self._make(engine)
+        _, failure = await self._run()
+        assert failure is not None
+        self.assertIs(failure.reason, errors.Reason.QUARANTINED)
+        self.assertIs(failure.ran, errors.Ran.MAY_HAVE_RUN)
+        self.assertEqual({t for _, t, _ in engine.asked}, {"t1", "t2"})
+
+    async def test_quarantined_request(self) -> None:
+        """A quarantined request is refused before it asks for a slot."""
+        self._make(fakes.FakeEngine(t1=[["ok", True]]))
+        prompt = [records.ChatMessage("user", "hi")]
+        digest = programs.digest_messages(ids.ServiceId("assistente"), prompt)
+        for name in ("t1", "t2"):
+            self.quarantine.note_crash(
+                digest,
+                ids.ServiceId("assistente"),
+                ids.TargetId(name),
+                ids.CallId(name),
+            )
+        _, failure = await self._run()
+        assert failure is not None
+        self.assertEqual(failure.status, 422)
+        self.assertIs(failure.ran, errors.Ran.NOT_RUN)
+        self.assertEqual(self.peers.sent, [])
+
     async def test_refused_permit(self) -> None:
         """Without a permit no byte goes to a target."""
 
