--- a/mangotally/callers/server.py
+++ b/mangotally/callers/server.py
@@ -19,6 +19,8 @@
     import ssl
     from collections.abc import Awaitable, Callable, Sequence
 
+    from mangotally.callers import readiness as readiness_lib
+
 logger = logging.getLogger(__name__)
 
 MAX_LINE_BYTES = 8190
@@ -47,6 +49,7 @@
         shutdown_ms: float,
         tls: ssl.SSLContext | None = None,
         measurements: recorder.Recorder | None = None,
+        readiness: readiness_lib.Readiness | None = None,
     ) -> None:
         """Makes a server; it listens on entering it."""
         self._recorder = measurements or recorder.NullRecorder()
@@ -55,12 +58,16 @@
         self.port = port
         self._tls = tls
         self._limits = limits
+        middlewares = [self._count, _answer_errors, self._watch]
+        if readiness is not None:
+            middlewares.insert(1, readiness.middleware)
         self._app = web.Application(
-            client_max_size=limits.bounds.body_bytes,
-            middlewares=[self._count, _answer_errors, self._watch],
+            client_max_size=limits.bounds.body_bytes, middlewares=middlewares
         )
         self._app[limits_lib.KEY] = limits
         self._app[recorder.KEY] = self._recorder
+        if readiness is not None:
+            readiness.attach(self._app)
         for group in routes:
             group.attach(self._app)
         self._shutdown_ms = shutdown_ms
