--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from mangotally.callers import chat, limits, server, services
+from mangotally.callers import chat, limits, readiness, server, services
 from mangotally.callers import programs as program_routes
 from mangotally.engines import channels as channels_lib
 from mangotally.engines import http as http_engine
@@ -17,29 +17,37 @@
     admission,
     calls,
     configuration,
+    leaving,
     membership,
     organisations,
     partitions,
     pools,
     programs,
+    quarantine,
     slots,
     snapshots,
     sweeper,
     turns,
 )
+from mangotally.hosts import credentials as credentials_lib
 from mangotally.hosts import link, messages, peers, router
 from mangotally.log import follower, pacer
 from mangotally.log import http as http_log
+from mangotally.metrics import store
 from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
-from mangotally.policy import faults, scheduler
+from mangotally.policy import faults, records, scheduler
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
+from mangotally.util import certificates
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    import ssl
+
     from mangotally.settings import host as host_settings
+    from mangotally.settings import tls as tls_settings
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +66,9 @@
         self.settings = settings
         self.clock = clock or clock_lib.SystemClock()
         self.limits = _make_limits(settings)
+        self.metrics = store.MetricsStore()
         self._stack = contextlib.AsyncExitStack()
+        self._has_stopped = False
 
     async def __aenter__(self) -> Self:
         """Starts the host; it serves on return."""
@@ -69,7 +79,15 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Stops the host, in reverse order of its start."""
+        """Leaves the fleet, then stops in reverse order of the start."""
+        if self._has_stopped:
+            return
+        await self._leaving.run()
+        await self.stop_at_once()
+
+    async def stop_at_once(self) -> None:
+        """Stops in reverse order of the start, whatever is under way."""
+        self._has_stopped = True
         await self._stack.aclose()
         logger.info("host_stopped", extra={"host": self.settings.host_id})
 
@@ -90,28 +108,43 @@
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
             "configuration": self.live.dump(),
             "callers": self.limits.dump(),
+            "metrics": self.metrics.dump(),
             "organisations": self.organisations.dump(),
             "pools": self.pools.dump(),
             "programs": self.programs.dump(),
+            "quarantine": self.quarantine.dump(),
         }
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
-        session = await stack.enter_async_context(_client_session())
+        self._check_plain_connections()
+        tls = self.settings.tls
+        credentials = (
+            credentials_lib.HostCredentials(tls.hosts) if tls.hosts else None
+        )
+        session = await stack.enter_async_context(
+            _client_session(tls.platform_ca_file)
+        )
         log = http_log.HttpLog(session, self.settings.log.url)
         handlers = router.Router()
         await self._start_configuration(stack, log)
-        await stack.enter_async_context(
-            link.Server(handlers, self.settings.rpc_address)
+        self.readiness = readiness.Readiness()
+        self.server = link.Server(
+            handlers, self.settings.rpc_address, credentials
         )
+        await stack.enter_async_context(self.server)
         self.members = membership.Membership(self.settings, log, self.clock)
-        self.peers = peers.Peers(self.members, handlers)
+        self.peers = peers.Peers(self.members, handlers, credentials)
         await stack.enter_async_context(self.peers)
-        channels = channels_lib.Channels()
+        channels = channels_lib.Channels(
+            certificates.client_context(tls.targets_ca_file)
+        )
         await stack.enter_async_context(channels)
+        await self._start_quarantine(stack, log)
         self.slots = slots.SlotClient(self.members, self.peers, self.clock)
         await stack.enter_async_context(self.slots)
         self._make_homes(session, log, channels)
         for home in (
+            self.slots,
             self.organisations,
             self.pools,
             self.programs,
@@ -120,14 +153,32 @@
             home.attach(handlers)
         await stack.enter_async_context(self.pools)
         await stack.enter_async_context(self.members)
+        await stack.enter_async_context(self.organisations)
         await stack.enter_async_context(self.partitions)
         await stack.enter_async_context(
             sweeper.Sweeper(
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
-        await stack.enter_async_context(self._operator_server(log, handlers))
-        await stack.enter_async_context(self._caller_server())
+        self._leaving = leaving.Leaving(
+            self.readiness,
+            self.members,
+            (self.programs, self.server, self.slots),
+            self.settings.notice_ms,
+            self.settings.shutdown_ms,
+        )
+        await stack.enter_async_context(
+            self._operator_server(
+                log,
+                handlers,
+                await _enter_tls(stack, self.settings.tls.operators),
+            )
+        )
+        await stack.enter_async_context(
+            self._caller_server(
+                await _enter_tls(stack, self.settings.tls.callers)
+            )
+        )
 
     async def _start_configuration(
         self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
@@ -136,7 +187,12 @@
         stream = settings.log.configuration_stream
         self.live = configuration.LiveConfiguration()
         self.configuration_reader = follower.Follower(
-            log, stream, self.live, self.clock, self.live.lose
+            log,
+            stream,
+            self.live,
+            self.clock,
+            self.live.lose,
+            skip=self.live.skip,
         )
         self.live.watch_age(
             self._configuration_age_ms,
@@ -161,6 +217,24 @@
         read_ms = self.configuration_reader.read_ms
         return None if read_ms is None else self.clock.now_ms() - read_ms
 
+    def _check_plain_connections(self) -> None:
+        tls = self.settings.tls
+        for name in ("hosts", "callers", "operators"):
+            if getattr(tls, name) is None:
+                logger.warning("tls_off", extra={"towards": name})
+
+    async def _start_quarantine(
+        self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
+    ) -> None:
+        keep_ms = self.settings.targets.quarantine_ms
+        self.quarantine = quarantine.LiveQuarantine(log, keep_ms, self.clock)
+        reader = follower.Follower(
+            log, records.QUARANTINE_STREAM, self.quarantine, self.clock
+        )
+        await stack.enter_async_context(reader)
+        await reader.wait_caught_up()
+        await stack.enter_async_context(self.quarantine)
+
     def _make_homes(
         self,
         session: aiohttp.ClientSession,
@@ -176,6 +250,7 @@
             targets.between_tokens_ms,
         )
         engine = http_engine.HttpEngineClient(channels, limits)
+        service = service_client.ServiceClient(channels, targets.connect_ms)
         roster = http_roster.HttpRoster(session, settings.roster_url)
         self.organisations = organisations.OrganisationHome(
             self.members,
@@ -191,10 +266,13 @@
             settings,
             self.members,
             self.live,
+            self.quarantine,
             roster,
             engine,
+            service,
             scheduler.FairScheduler,
             self.clock,
+            random.random,
         )
         self.partitions = self._make_partitions(log)
         self.programs = programs.ProgramHome(
@@ -202,6 +280,7 @@
             turns.TurnRunner(
                 self.slots,
                 engine,
+                self.quarantine,
                 targets.retry_share,
                 self.clock,
                 random.random,
@@ -214,7 +293,8 @@
             service_runner.ServiceRunner(
                 self.slots,
                 self.live,
-                service_client.ServiceClient(channels, targets.connect_ms),
+                service,
+                self.quarantine,
                 targets.retry_share,
                 self.clock,
                 random.random,
@@ -239,7 +319,9 @@
             settings.call_lifetime_ms,
         )
 
-    def _caller_server(self) -> server.HttpServer:
+    def _caller_server(
+        self, context: ssl.SSLContext | None
+    ) -> server.HttpServer:
         settings = self.settings
         return server.HttpServer(
             settings.address,
@@ -267,10 +349,16 @@
             ],
             self.limits,
             settings.shutdown_ms,
+            context,
+            self.metrics,
+            self.readiness,
         )
 
     def _operator_server(
-        self, log: http_log.HttpLog, handlers: router.Router
+        self,
+        log: http_log.HttpLog,
+        handlers: router.Router,
+        context: ssl.SSLContext | None,
     ) -> server.HttpServer:
         settings = self.settings
         routes = operator_server.OperatorRoutes(
@@ -284,6 +372,8 @@
             ),
             self.dump,
             self.peers,
+            self.metrics,
+            settings.metrics_key_digests,
         )
         handlers.add_unary(messages.DumpState, routes.dump_state)
         return server.HttpServer(
@@ -292,9 +382,20 @@
             [routes],
             limits.Limits(self.limits.bounds),
             shutdown_ms=0,
+            tls=context,
         )
 
 
+async def _enter_tls(
+    stack: contextlib.AsyncExitStack, settings: tls_settings.Certificate | None
+) -> ssl.SSLContext | None:
+    if settings is None:
+        return None
+    found = certificates.ServerContext(settings)
+    await stack.enter_async_context(found)
+    return found.context
+
+
 def _make_limits(settings: host_settings.HostSettings) -> limits.Limits:
     found = settings.callers
     return limits.Limits(
@@ -309,8 +410,12 @@
     )
 
 
-def _client_session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False)
+def _client_session(ca_file: str | None) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        use_dns_cache=False,
+        ssl=certificates.client_context(ca_file) or True,
+    )
     return aiohttp.ClientSession(
         connector=connector, auto_decompress=False, trust_env=False
     )
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mangotally import errors, ids
-from mangotally.policy import faults, limits, pools, records
+from mangotally.policy import allowance, faults, limits, pools, records
 from mangotally.util import codec
 
 registry = codec.Registry()
@@ -28,10 +28,23 @@
     Attributes:
         organisation: The organisation.
         count: Calls to admit.
+        spare: Tokens that the host could use soon after.
+        returned: The batch that the host has used before, or None.
     """
 
     organisation: ids.OrganisationId
     count: int
+    spare: int = 0
+    returned: allowance.Returned | None = None
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ReturnTokens:
+    """Gives an organisation's home back what was not used of a batch."""
+
+    organisation: ids.OrganisationId
+    returned: allowance.Returned
 
 
 @registry.register
@@ -41,9 +54,13 @@
 
     Attributes:
         held_ms: How long the home has held them.
+        batch: Number of a batch of tokens for further calls.
+        batch_tokens: Its tokens, 0 if there is none.
     """
 
     held_ms: float
+    batch: int = 0
+    batch_tokens: float = 0
 
 
 @registry.register
@@ -190,6 +207,15 @@
     replayed: bool
 
 
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class CrashedCall:
+    """A target crashed while it ran a call."""
+
+    target: ids.TargetId
+    call: ids.CallId
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class AcquireSlot:
@@ -199,11 +225,13 @@
         service: The service.
         call: The call; its `deadline_ms` is the time left when it was sent.
         host: The host that asks, or None if it is not known.
+        crashes: Earlier attempts under which a target crashed.
     """
 
     service: ids.ServiceId
     call: pools.PoolCall
     host: ids.HostId | None = None
+    crashes: tuple[CrashedCall, ...] = ()
 
 
 @registry.register
@@ -277,10 +305,42 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class EndProgram:
-    """Tells a pool's home that a program is gone."""
+    """Tells a pool's home that a program is gone.
+
+    Attributes:
+        service: The service.
+        program: The program.
+        organisation: Its organisation, or None if the home knows it.
+    """
 
     service: ids.ServiceId
     program: ids.ProgramId
+    organisation: ids.OrganisationId | None = None
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ProgramName:
+    """An organisation's program."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class FindGonePrograms:
+    """Asks the home of some programs which of them are gone."""
+
+    programs: tuple[ProgramName, ...]
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class GonePrograms:
+    """Those programs that have ended or were never opened."""
+
+    programs: tuple[ProgramName, ...]
 
 
 @registry.register
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import re
 
 from mangotally import ids
 from mangotally.settings import lists
@@ -11,7 +12,13 @@
 
 MEMBERS_STREAM = "members"
 CONFIGURATION_STREAM = "configuration"
+_SNAPSHOT_START = re.compile(
+    rb'\[\["ConfigurationSnapshot",\{"read_to":(\d{1,18}),'
+    rb'"wall_ms":(\d{1,18}),"version":(\d{1,18}),'
+)
 NO_ATTEMPT = ids.AttemptId("")
+QUARANTINE_STREAM = "quarantine"
+ORDERS_STREAM = "orders"
 
 registry = codec.Registry()
 
@@ -172,6 +179,34 @@
     withdrawn: tuple[WithdrawnKey, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class SnapshotHeader:
+    """The first fields of a snapshot.
+
+    Attributes:
+        read_to: The writer had read all records before this offset.
+        wall_ms: When it was written, since the Unix epoch.
+        version: Number of the version in force.
+    """
+
+    read_to: ids.Offset
+    wall_ms: int
+    version: int
+
+
+def peek_snapshot(data: bytes) -> SnapshotHeader | None:
+    """Returns the header of an entry that is a snapshot, or None.
+
+    A host that knows the configuration reads no more of a snapshot than
+    this, whatever its size.
+    """
+    match = _SNAPSHOT_START.match(data)
+    if match is None:
+        return None
+    read_to, wall_ms, version = (int(text) for text in match.groups())
+    return SnapshotHeader(ids.Offset(read_to), wall_ms, version)
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class ChatMessage:
@@ -425,7 +460,8 @@
     """A whole tree of programs, appended before its records age out.
 
     Attributes:
-        as_of: The offset it has to land on; it is void elsewhere.
+        as_of: All records before this offset are in it; it is void if a
+            later one of the tree stands before it.
         programs: The programs, each after its parent.
         wall_ms: When the snapshot was made, since the Unix epoch.
     """
@@ -441,7 +477,8 @@
     """A call's intent and result, appended again before they age out.
 
     Attributes:
-        as_of: The offset it has to land on; it is void elsewhere.
+        as_of: All records before this offset are in it; it is void if a
+            later one of the call stands before it.
         intent: The intent that counts.
         result: The result, or None.
         wall_ms: When the snapshot was made, since the Unix epoch.
@@ -451,3 +488,41 @@
     intent: CallIntent
     result: CallResult | None
     wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RequestCrashed:
+    """A target crashed while it ran a request.
+
+    Attributes:
+        digest: Digest of the request.
+        service: The service.
+        target: The target.
+        call: The call that ran the request there.
+        wall_ms: When it crashed, since the Unix epoch.
+        until_wall_ms: When the record is void, since the Unix epoch.
+    """
+
+    digest: str
+    service: ids.ServiceId
+    target: ids.TargetId
+    call: ids.CallId
+    wall_ms: int
+    until_wall_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RequestCleared:
+    """A request that was suspected got a whole answer."""
+
+    digest: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class QuarantineLifted:
+    """An operator lets a request in again."""
+
+    digest: str
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
+from mangotally.settings import tls as tls_settings
+
 RPC_PORT_STEP = 1000
+Digest = Annotated[str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 OPERATOR_PORT_STEP = 2000
 
 
@@ -99,15 +102,21 @@
         roster_url: Base URL of the platform's host list.
         weights_url: Base URL of the weight store.
         operator_key_digests: SHA-256 digests of operators' keys.
+        metrics_key_digests: SHA-256 digests of keys that read `/metrics`
+            and nothing else.
         open_services: Plain services that need no key.
         heartbeat_ms: Interval between heartbeats.
         lease_ms: Length of a host's lease.
         roster_poll_ms: Interval between reads of the host list.
         load_poll_ms: Interval between reads of a target's load.
         shutdown_ms: Longest time for calls under way at shutdown.
+        notice_ms: How long the balancer and the other hosts take to find
+            out that this host is leaving.
         max_body_bytes: Largest request body.
         targets: Limits of targets.
         callers: What callers may hold of this host.
+        tls: Certificates; between hosts they may be left out only on the
+            loopback.
         configuration_max_age_ms: How old the configuration may become
             before `on_stale` says what happens.
         on_stale: Whether calls are refused past that age, or go on.
@@ -128,16 +137,19 @@
     log: LogSettings
     roster_url: str
     weights_url: str
-    operator_key_digests: tuple[str, ...] = ()
+    operator_key_digests: tuple[Digest, ...] = ()
+    metrics_key_digests: tuple[Digest, ...] = ()
     open_services: tuple[str, ...] = ()
     heartbeat_ms: int = pydantic.Field(default=1000, ge=10)
     lease_ms: int = pydantic.Field(default=5000, ge=50)
     roster_poll_ms: int = pydantic.Field(default=1000, ge=10)
     load_poll_ms: int = pydantic.Field(default=500, ge=10)
     shutdown_ms: int = pydantic.Field(default=120_000, ge=0)
+    notice_ms: int = pydantic.Field(default=2000, ge=0)
     max_body_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     targets: TargetSettings = TargetSettings()
     callers: CallerSettings = CallerSettings()
+    tls: tls_settings.TlsSettings = tls_settings.TlsSettings()
     configuration_max_age_ms: int = pydantic.Field(default=60_000, ge=1000)
     on_stale: Literal["refuse", "continue"] = "refuse"
     configuration_snapshot_ms: int = pydantic.Field(default=3_600_000, ge=1000)
@@ -148,6 +160,15 @@
         ipaddress.ip_address(value)
         return value
 
+    @pydantic.model_validator(mode="after")
+    def _check_tls(self) -> HostSettings:
+        address = ipaddress.ip_address(self.address)
+        if self.tls.hosts is None and not address.is_loopback:
+            raise ValueError(
+                "tls.hosts is missing, and the address is not on the loopback"
+            )
+        return self
+
     @property
     def rpc_address(self) -> str:
         """Address for other hosts as `ip:port`."""
--- a/tests/test_engines/test_http.py
+++ b/tests/test_engines/test_http.py
@@ -23,10 +23,12 @@
 def _request(max_tokens: int = 8) -> client.ChatRequest:
     return client.ChatRequest(
         _CALL,
+        ids.OrganisationId("escola"),
         ids.ProgramId("p1"),
         ids.ServiceId("assistente"),
         (records.ChatMessage("user", "hi"),),
         max_tokens,
+        5000,
     )
 
 
@@ -184,7 +186,14 @@
 
     async def test_bad_load_reports(self) -> None:
         """A load report that is none fails."""
-        for body in (b"[]", b"{}", b'{"running": "x"}', b"nonsense", b"7"):
+        for body in (
+            b"[]",
+            b"{}",
+            b'{"running": "x"}',
+            b"nonsense",
+            b"7",
+            b"[" * 60_000,
+        ):
             with self.subTest(body):
 
                 async def act(
