Give each free port once, below the ports of outgoing connections

Cause: a run of the tests failed with a dump answered by another server ('There is no such route'): a host's port, free when it was chosen, was taken before the host's process bound it. Change: ports are chosen at random below the ephemeral range, and a process gives each only once.

--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -21,6 +21,8 @@
     from mangotally.standins import deployments
 
 _KEY_BYTES = 24
+_SERVER_PORTS = range(10_000, 32_768)
+_given_ports: set[int] = set()
 SPEED_SPREAD = 0.1
 
 
@@ -151,9 +153,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns free TCP ports of the loopback."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
+    """Returns free TCP ports of the loopback, each of them only once.
+
+    They lie below the ports that the system gives to outgoing connections,
+    so that none is taken between this call and its use.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = secrets.choice(_SERVER_PORTS)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
