--- a/tests/test_commands/test_cli.py
+++ b/tests/test_commands/test_cli.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -97,6 +98,21 @@
         self.assertNotIn("FIRE_METADATA", text)
 
 
+class ProcessTest(unittest.TestCase):
+    """The command as a process."""
+
+    def test_exit_code(self) -> None:
+        """The code reaches the shell, and the reason standard error."""
+        found = subprocess.run(
+            [sys.executable, "-m", "mangotally", "nope"],
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual(found.returncode, arguments.EXIT_BAD_USE)
+        self.assertEqual(found.stdout, b"")
+        self.assertIn(b"nope", found.stderr)
+
+
 class FleetCommandTest(unittest.IsolatedAsyncioTestCase):
     """Commands against a running fleet."""
 
@@ -111,32 +127,24 @@
         self.enterContext(mock.patch.dict(os.environ, variables))
 
     async def run_command(self, *words: str) -> tuple[int, Any, str]:
-        """Runs a command beside the fleet."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "mangotally",
-            *words,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-        )
-        out, err = await process.communicate()
-        assert process.returncode is not None
-        return process.returncode, yaml.safe_load(out), err.decode()
+        """Runs a command in a thread beside the fleet."""
+        code, out, err = await asyncio.to_thread(run, *words)
+        return code, yaml.safe_load(out), err
 
     async def test_commands(self) -> None:
         """Keys, lists and dumps through one host for the whole fleet."""
         give = ("key", "give", "--organisation", "escola-braga")
-        results = await asyncio.gather(
-            self.run_command(*give),
-            self.run_command("dump", "h2"),
-            self.run_command("dump", "h9"),
-            self.run_command("publish", "--plans", PLANS, "--uses", USES),
-            self.run_command(
-                "publish",
-                *("--plans", PLANS, "--uses", USES, "--predecessor", "7"),
-            ),
-        )
+        lists = ("--plans", PLANS, "--uses", USES)
+        results = [
+            await self.run_command(*words)
+            for words in (
+                give,
+                ("dump", "h2"),
+                ("dump", "h9"),
+                ("publish", *lists),
+                ("publish", *lists, "--predecessor", "7"),
+            )
+        ]
         codes = [code for code, _, _ in results]
         self.assertEqual(codes, [0, 0, 1, 0, 1], results)
         self.assertEqual(set(results[0][1]), {"key_id", "key"})
