Stop a process that is starting, and name ports that are taken

Cause: SIGTERM was not heeded while a host waited for the log, a taken port for hosts ended in a traceback, and `--set tls.callers.key_file=F` was refused over a file that says `callers: null`.

Change: the start runs beside the signal; a taken port is an OSError with its address; a null on the way of an override becomes a mapping; a host that waits for its configuration says so every two seconds.

Seen before: `serve` ran on after SIGTERM until killed.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import logging
 import random
@@ -51,6 +52,8 @@
 
 logger = logging.getLogger(__name__)
 
+START_REMINDER_MS = 2000
+
 HISTORY_APPEND_SHARE = 0.8
 
 
@@ -200,7 +203,7 @@
             configuration.OnStale(settings.on_stale),
         )
         await stack.enter_async_context(self.configuration_reader)
-        await self.configuration_reader.wait_caught_up()
+        await self._wait_for_configuration()
         await stack.enter_async_context(
             snapshots.SnapshotWriter(
                 log,
@@ -213,6 +216,15 @@
             )
         )
 
+    async def _wait_for_configuration(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    clock_lib.to_seconds(START_REMINDER_MS)
+                ):
+                    return await self.configuration_reader.wait_caught_up()
+            logger.warning("configuration_unread")
+
     def _configuration_age_ms(self) -> float | None:
         read_ms = self.configuration_reader.read_ms
         return None if read_ms is None else self.clock.now_ms() - read_ms
--- a/mangotally/commands/process.py
+++ b/mangotally/commands/process.py
@@ -22,9 +22,7 @@
 Opener = Callable[[], AbstractAsyncContextManager[object]]
 
 
-def run_until_stopped(
-    open_service: Opener,
-) -> None:
+def run_until_stopped(open_service: Opener) -> None:
     """Runs a service until SIGTERM or SIGINT, then closes it in order."""
     with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
         loop.run_until_complete(_serve(open_service))
@@ -36,11 +34,21 @@
         loop.run_until_complete(work)
 
 
-async def _serve(
-    open_service: Opener,
-) -> None:
-    async with _stop_signal() as stopped, open_service():
-        await stopped.wait()
+async def _serve(open_service: Opener) -> None:
+    async with _stop_signal() as stopped, contextlib.AsyncExitStack() as stack:
+        waiting = asyncio.ensure_future(stopped.wait())
+        stack.callback(waiting.cancel)
+        starting = asyncio.ensure_future(
+            stack.enter_async_context(open_service())
+        )
+        await asyncio.wait(
+            {starting, waiting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not starting.done():
+            starting.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await starting
+            await waiting
 
 
 @contextlib.asynccontextmanager
--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -246,10 +246,10 @@
         """Starts to listen."""
         server = grpc.aio.server(options=OPTIONS)
         hosts_pb2_grpc.add_HostsServicer_to_server(self, server)
-        if self._credentials is None:
-            server.add_insecure_port(self._address)
-        else:
-            server.add_secure_port(self._address, self._credentials.server())
+        try:
+            self._add_port(server)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {self._address}") from error
         await server.start()
         self._server = server
         return self
@@ -259,6 +259,12 @@
         if self._server is not None:
             await self._server.stop(grace=None)
 
+    def _add_port(self, server: grpc.aio.Server) -> None:
+        if self._credentials is None:
+            server.add_insecure_port(self._address)
+        else:
+            server.add_secure_port(self._address, self._credentials.server())
+
     async def Exchange(  # noqa: N802
         self, request_iterator: Any, context: Any
     ) -> None:
--- a/mangotally/settings/loader.py
+++ b/mangotally/settings/loader.py
@@ -80,7 +80,9 @@
 
 def _set(content: dict[str, Any], path: list[str], value: Any) -> bool:
     for part in path[:-1]:
-        content = content.setdefault(part, {})
+        if content.get(part) is None:
+            content[part] = {}
+        content = content[part]
         if not isinstance(content, dict):
             return False
     content[path[-1]] = value
--- a/tests/test_operators/test_keys.py
+++ b/tests/test_operators/test_keys.py
@@ -8,6 +8,8 @@
 import unittest
 from typing import TYPE_CHECKING, Any
 
+from mangotally import application, ids
+from mangotally.policy import records
 from mangotally.standins import engine as engine_standin
 from mangotally.util import logs
 from tests import fleet as fleet_lib
@@ -105,6 +107,36 @@
                 self.assertEqual((status, answer["ran"]), (401, "not-run"))
             await self._check_no_key(fleet, (key, other_key))
 
+    async def test_another_key_gets_the_answer(self) -> None:
+        """A turn outlives the key that asked for it, and runs once."""
+        async with fleet_lib.Fleet() as fleet:
+            self._set_speed(fleet, FIRST_TOKEN_MS)
+            operator = Operator(fleet)
+            _, given = await operator.request(
+                "POST",
+                "/admin/keys",
+                {"organisation": fleet_lib.ORGANISATION},
+            )
+            async with asyncio.timeout(WITHDRAWAL_MS / 1000):
+                await self._wait_for_key(fleet, given["key"])
+            program = await fleet.open_program()
+            headers = {
+                "Authorization": f"Bearer {given['key']}",
+                "Mangotally-Program": program,
+                "Mangotally-Turn": "1",
+            }
+            stream = await self._open_stream(fleet, 1, headers)
+            path = f"/admin/keys/{given['key_id']}"
+            await operator.request("DELETE", path)
+            async with asyncio.timeout(WITHDRAWAL_MS / 1000):
+                end = (await stream.read()).decode()
+            self.assertIn("may-have-run", end)
+            self.assertNotIn("[DONE]", end)
+            status, answer = await fleet.turn(program, 1, "hi", entry=2)
+            self.assertEqual(status, 200, answer)
+            runs = sum(len(item.seen) for item in fleet.engines())
+            self.assertEqual(runs, 1)
+
     def _set_speed(self, fleet: fleet_lib.Fleet, decode_ms: float) -> None:
         for engine in fleet.engines():
             engine.speed = engine_standin.EngineSpeed(decode_ms=decode_ms)
@@ -182,6 +214,33 @@
             )
             self.assertEqual(status, 401)
 
+    async def test_restart_from_a_truncated_stream(self) -> None:
+        """A new host starts from the snapshot, or refuses callers."""
+        async with fleet_lib.Fleet(hosts=2) as fleet:
+            platform = fleet.local.platform
+            host = fleet.local.hosts[0]
+            stream = platform.log.stream(records.CONFIGURATION_STREAM)
+            key_id = platform.keys[fleet_lib.ORGANISATION][0]
+            await Operator(fleet).request("DELETE", f"/admin/keys/{key_id}")
+            found = host.live.current.snapshot(
+                ids.Offset(stream.next_offset), host.clock.wall_ms()
+            )
+            stream.age_out(stream.next_offset)
+            async with application.Application(
+                platform.host_settings(8)
+            ) as unknowing:
+                self.assertFalse(unknowing.dump()["configuration"]["complete"])
+                self.assertIsNotNone(unknowing.live.refusal())
+            stream.records.append(records.registry.encode_batch([found]))
+            async with application.Application(
+                platform.host_settings(9)
+            ) as started:
+                state = started.live.current
+                self.assertIsNone(started.live.refusal())
+                self.assertEqual(state.version, 1)
+                self.assertFalse(state.is_valid(key_id))
+                self.assertEqual(len(state.working_keys()), 7)
+
     async def test_publish_takes_effect(self) -> None:
         """An organisation that is taken off the list is refused."""
         async with fleet_lib.Fleet(hosts=1) as fleet:
--- a/tests/test_settings/test_files.py
+++ b/tests/test_settings/test_files.py
@@ -99,6 +99,14 @@
             host.HostSettings, path, {"log.url": "http://x", "port": 5}
         ).unwrap()
         self.assertEqual((loaded.log.url, loaded.port), ("http://x", 5))
+        files = {
+            "tls.callers.certificate_file": "c",
+            "tls.callers.key_file": "k",
+        }
+        text = SETTINGS.replace("  targets_ca", "  callers: null\n  targets_ca")
+        nested = loader.load(host.HostSettings, self.write(text), files)
+        tls = nested.unwrap().tls.callers
+        self.assertEqual(tls and tls.key_file, "k")
         bad = loader.load(host.HostSettings, path, {"port.x": 5})
         self.assertIn("--set port.x", bad.failure())
         for text in ("port", "=5", "port=[", "port=" + "[" * 5000):
