--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -110,6 +110,10 @@
             },
             "lease_ms": max(0, int(self.members.lease.expires_ms - now_ms)),
             "configuration": self.live.dump(),
+            "connections": {
+                "callers": self.caller_server.connections(),
+                "hosts": self.peers.dump(),
+            },
             "callers": self.limits.dump(),
             "metrics": self.metrics.dump(),
             "organisations": self.organisations.dump(),
@@ -170,6 +174,9 @@
             self.settings.notice_ms,
             self.settings.shutdown_ms,
         )
+        self.caller_server = self._caller_server(
+            await _enter_tls(stack, self.settings.tls.callers)
+        )
         await stack.enter_async_context(
             self._operator_server(
                 log,
@@ -177,11 +184,7 @@
                 await _enter_tls(stack, self.settings.tls.operators),
             )
         )
-        await stack.enter_async_context(
-            self._caller_server(
-                await _enter_tls(stack, self.settings.tls.callers)
-            )
-        )
+        await stack.enter_async_context(self.caller_server)
 
     async def _start_configuration(
         self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
--- a/mangotally/callers/server.py
+++ b/mangotally/callers/server.py
@@ -107,8 +107,7 @@
 
     def connections(self) -> int:
         """Returns how many connections are open."""
-        assert self._runner is not None
-        server = self._runner.server
+        server = self._runner.server if self._runner is not None else None
         return len(server.connections) if server is not None else 0
 
     def _open(self) -> _Connection:
--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -103,6 +103,11 @@
         """Closes the stream; calls under way fail."""
         await self._close()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream to the host is open."""
+        return self._writer is not None
+
     async def stream(self, message: Any) -> AsyncIterator[errors.Outcome[Any]]:
         """Sends a message and yields its answers."""
         writer = self._connect()
--- a/mangotally/hosts/peers.py
+++ b/mangotally/hosts/peers.py
@@ -61,6 +61,12 @@
         """Closes all links."""
         await self._stack.aclose()
 
+    def dump(self) -> list[str]:
+        """Returns the addresses of the open links, for the state dump."""
+        return sorted(
+            address for address, found in self._links.items() if found.is_open
+        )
+
     def knows(self, host: ids.HostId) -> bool:
         """Returns whether a host is in the view."""
         return self._directory.address_of(host) is not None
--- a/tests/test_commands/test_cli.py
+++ b/tests/test_commands/test_cli.py
@@ -148,7 +148,12 @@
         codes = [code for code, _, _ in results]
         self.assertEqual(codes, [0, 0, 1, 0, 1], results)
         self.assertEqual(set(results[0][1]), {"key_id", "key"})
-        self.assertEqual(results[1][1]["host"], "h2")
+        dump = results[1][1]
+        self.assertEqual(
+            (dump["host"], set(dump["view"])), ("h2", {"h1", "h2"})
+        )
+        for name in ("connections", "configuration", "lease_ms", "pools"):
+            self.assertIn(name, dump)
         self.assertEqual(results[3][1], {"version": 2, "predecessor": 1})
         self.assertIn("status 409", results[4][2])
         key_id = results[0][1]["key_id"]
