--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -103,6 +103,11 @@
         """Closes the stream; calls under way fail."""
         await self._close()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream to the host is open."""
+        return self._writer is not None
+
     async def stream(self, message: Any) -> AsyncIterator[errors.Outcome[Any]]:
         """Sends a message and yields its answers."""
         writer = self._connect()
@@ -246,10 +251,10 @@
         """Starts to listen."""
         server = grpc.aio.server(options=OPTIONS)
         hosts_pb2_grpc.add_HostsServicer_to_server(self, server)
-        if self._credentials is None:
-            server.add_insecure_port(self._address)
-        else:
-            server.add_secure_port(self._address, self._credentials.server())
+        try:
+            self._add_port(server)
+        except RuntimeError as error:
+            raise OSError(f"cannot listen on {self._address}") from error
         await server.start()
         self._server = server
         return self
@@ -259,6 +264,12 @@
         if self._server is not None:
             await self._server.stop(grace=None)
 
+    def _add_port(self, server: grpc.aio.Server) -> None:
+        if self._credentials is None:
+            server.add_insecure_port(self._address)
+        else:
+            server.add_secure_port(self._address, self._credentials.server())
+
     async def Exchange(  # noqa: N802
         self, request_iterator: Any, context: Any
     ) -> None:
