Test organisations' homes over several hosts and a log in memory

Orderly leave, joins, a crash of the home and a home cut off from the log: the bucket stays the same, calls are held and not refused.

--- /dev/null
+++ b/tests/test_homes/test_organisations.py
@@ -0,0 +1,88 @@
+"""Tests of admission over several hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from returns import result
+
+from mangotally import errors
+from mangotally.util import clock as clock_lib
+from tests.test_homes import fleet as fleet_lib
+
+
+def admitted(outcomes: list[errors.Outcome[None]]) -> int:
+    """Returns how many calls were admitted."""
+    return sum(isinstance(item, result.Success) for item in outcomes)
+
+
+class HandOverTest(unittest.IsolatedAsyncioTestCase):
+    """The bucket stays the same through changes of home."""
+
+    async def test_fleet_shares_one_bucket(self) -> None:
+        """All hosts together admit the burst and no more."""
+        async with fleet_lib.Fleet(3) as fleet:
+            outcomes = []
+            for host in fleet.hosts.values():
+                outcomes += await fleet.take(host, 3)
+            self.assertEqual(admitted(outcomes), 6)
+            self.assertIs(
+                outcomes[-1].failure().reason, errors.Reason.OVER_RATE
+            )
+
+    async def test_leaving_home_hands_its_bucket_on(self) -> None:
+        """After an orderly leave no call is refused, and none is free."""
+        async with fleet_lib.Fleet(3) as fleet:
+            first = await fleet.take(fleet.other(), 4)
+            await fleet.leave(fleet.home())
+            rest = await fleet.take(fleet.other(), 3)
+            self.assertEqual(admitted(first + rest[:2]), 6)
+            self.assertIs(rest[2].failure().reason, errors.Reason.OVER_RATE)
+
+    async def test_joining_home_takes_the_bucket_over(self) -> None:
+        """Each join may move the key; the bucket moves along at once."""
+        async with fleet_lib.Fleet(1) as fleet:
+            first = await fleet.take(fleet.home(), 4)
+            for number in range(1, 5):
+                await fleet.start(f"h{number}")
+            self.assertNotEqual(fleet.home().name, "h0")
+            rest = await fleet.take(fleet.other(), 3)
+            self.assertEqual(admitted(first + rest[:2]), 6)
+            self.assertIs(rest[2].failure().reason, errors.Reason.OVER_RATE)
+
+    async def test_crash_of_the_home_delays_and_does_not_refuse(self) -> None:
+        """Calls within the rate are held until the new home is sure."""
+        async with fleet_lib.Fleet(3, rate_per_s=20, burst=20) as fleet:
+            entry = fleet.other()
+            self.assertEqual(admitted(await fleet.take(entry, 2)), 2)
+            await fleet.crash(fleet.home())
+            self.assertEqual(admitted(await fleet.take(entry, 3)), 3)
+
+    async def test_home_cut_off_from_the_log_grants_nothing(self) -> None:
+        """Its lease ends, though callers still reach it."""
+        async with fleet_lib.Fleet(2, rate_per_s=20, burst=20) as fleet:
+            home, entry = fleet.home(), fleet.other()
+            self.assertEqual(admitted(await fleet.take(entry, 1)), 1)
+            evicted = asyncio.Event()
+            entry.members.on_change(evicted.set)
+            fleet.log.cut.add(home.name)
+            await evicted.wait()
+            now_ms = clock_lib.SystemClock().now_ms()
+            self.assertFalse(home.members.lease.is_valid(now_ms))
+            self.assertEqual(admitted(await fleet.take(entry, 1)), 1)
+
+
+class BatchTest(unittest.IsolatedAsyncioTestCase):
+    """Busy hosts ask less often than they admit."""
+
+    async def test_busy_host_asks_seldom(self) -> None:
+        """Most calls find their token at the host that they reach."""
+        async with fleet_lib.Fleet(2, rate_per_s=1000, burst=2000) as fleet:
+            outcomes = await fleet.take(fleet.other(), 400)
+            self.assertEqual(admitted(outcomes), 400)
+            self.assertLess(fleet.sent["TakeTokens"], 100)
+
+
+if __name__ == "__main__":
+    unittest.main()
