Notice silent connections between hosts, and bound what waits on them

Cause: keepalive alone did not notice a connection that went silent: gRPC waits for a ping's answer for grpc.http2.ping_timeout_ms, a minute by default.

Also: the end of an old stream could break the stream after it; a peer that does not read made the queue grow without bound; a handler that raised left its caller without an answer; bad frames left no log line. Tests for each but the first, which is a race within one step of the loop.

Ruled out: pings of our own (the library's suffice once it is told how long to wait).

--- a/mangotally/hosts/link.py
+++ b/mangotally/hosts/link.py
@@ -13,57 +13,45 @@
 from returns import result
 
 from mangotally import errors
-from mangotally.hosts import hosts_pb2, hosts_pb2_grpc, messages, router
+from mangotally.hosts import (
+    frames,
+    hosts_pb2,
+    hosts_pb2_grpc,
+    messages,
+    router,
+)
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator
 
     from mangotally.hosts import credentials as credentials_lib
 
 logger = logging.getLogger(__name__)
 
-MAX_BATCH_FRAMES = 256
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 KEEPALIVE_MS = 2000
+SERVER_KEEPALIVE_MS = 20_000
 MAX_REASON_CHARS = 300
+MAX_KIND_CHARS = 64
 OPTIONS = (
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_MS),
+    ("grpc.http2.ping_timeout_ms", KEEPALIVE_MS),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+)
+LINK_OPTIONS = (*OPTIONS, ("grpc.keepalive_time_ms", KEEPALIVE_MS))
+SERVER_OPTIONS = (
+    *OPTIONS,
+    ("grpc.keepalive_time_ms", SERVER_KEEPALIVE_MS),
     ("grpc.so_reuseport", 0),
 )
 _END = object()
 
 
-class FrameWriter:
-    """Collects frames and writes all that wait as one batch."""
-
-    def __init__(self, write: Callable[[Any], Awaitable[None]]) -> None:
-        """Makes a writer over the write method of a gRPC stream."""
-        self._write = write
-        self._queue: asyncio.Queue[Any] = asyncio.Queue()
-
-    def put(self, call_id: int, kind: int, message: Any = None) -> None:
-        """Queues one frame."""
-        frame = hosts_pb2.Frame(call_id=call_id, kind=kind)
-        if message is not None:
-            frame.type, frame.body = messages.registry.encode(message)
-        self._queue.put_nowait(frame)
-
-    async def run(self) -> None:
-        """Writes until cancelled or the stream breaks."""
-        while True:
-            frames = [await self._queue.get()]
-            while not self._queue.empty() and len(frames) < MAX_BATCH_FRAMES:
-                frames.append(self._queue.get_nowait())
-            await self._write(hosts_pb2.Batch(frames=frames))
-
-
 class Link:
     """The calling side of the stream to one host."""
 
@@ -81,7 +69,7 @@
         self.address = address
         self._credentials = credentials
         self._channel: grpc.aio.Channel | None = None
-        self._writer: FrameWriter | None = None
+        self._writer: frames.FrameWriter | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: dict[int, asyncio.Queue[Any]] = {}
         self._numbers = itertools.count(1)
@@ -114,26 +102,31 @@
             if not finished:
                 writer.put(call_id, hosts_pb2.Frame.CANCEL)
 
-    def _connect(self) -> FrameWriter:
+    def _connect(self) -> frames.FrameWriter:
         if self._writer is not None:
             return self._writer
         if self._credentials is None:
-            channel = grpc.aio.insecure_channel(self.address, OPTIONS)
+            channel = grpc.aio.insecure_channel(self.address, LINK_OPTIONS)
         else:
             name = self._credentials.name
             channel = grpc.aio.secure_channel(
                 self.address,
                 self._credentials.channel(),
-                (*OPTIONS, ("grpc.ssl_target_name_override", name)),
+                (*LINK_OPTIONS, ("grpc.ssl_target_name_override", name)),
             )
         call = hosts_pb2_grpc.HostsStub(channel).Exchange()
+        writer = frames.FrameWriter(call.write, self._give_up)
         self._channel = channel
-        self._writer = FrameWriter(call.write)
+        self._writer = writer
         self._tasks = [
-            asyncio.create_task(self._guard(self._writer.run())),
-            asyncio.create_task(self._guard(self._read(call))),
+            asyncio.create_task(self._guard(writer, writer.run())),
+            asyncio.create_task(self._guard(writer, self._read(call))),
         ]
-        return self._writer
+        return writer
+
+    def _give_up(self) -> None:
+        logger.warning("link_full", extra={"peer": self.address})
+        self._break()
 
     async def _read(self, call: Any) -> None:
         async for batch in call:
@@ -149,13 +142,15 @@
             return
         answers.put_nowait(decode(frame))
 
-    async def _guard(self, work: Any) -> None:
+    async def _guard(self, writer: frames.FrameWriter, work: Any) -> None:
+        """Ends the stream with its reader or writer, but no later one."""
         with contextlib.suppress(asyncio.CancelledError):
             try:
                 await work
             except grpc.aio.AioRpcError as error:
                 self._log_failure(error)
-        self._break()
+        if self._writer is writer:
+            self._break()
 
     def _log_failure(self, error: grpc.aio.AioRpcError) -> None:
         if self._writer is None or error.code() is grpc.StatusCode.CANCELLED:
@@ -226,7 +221,7 @@
 
     async def __aenter__(self) -> Self:
         """Starts to listen."""
-        server = grpc.aio.server(options=OPTIONS)
+        server = grpc.aio.server(options=SERVER_OPTIONS)
         hosts_pb2_grpc.add_HostsServicer_to_server(self, server)
         if self._credentials is None:
             server.add_insecure_port(self._address)
@@ -252,13 +247,22 @@
             await context.abort(
                 grpc.StatusCode.UNAUTHENTICATED, "not a host of this fleet"
             )
-        writer = FrameWriter(context.write)
+        peer = context.peer()
+        serving = asyncio.current_task()
+        assert serving is not None
+        stop = serving.cancel
+
+        def give_up() -> None:
+            logger.warning("link_full", extra={"peer": peer})
+            stop()
+
+        writer = frames.FrameWriter(context.write, give_up)
         writing = asyncio.create_task(writer.run())
         tasks: dict[int, asyncio.Task[None]] = {}
         try:
             async for batch in request_iterator:
                 for frame in batch.frames:
-                    self._accept(frame, writer, tasks)
+                    self._accept(frame, writer, tasks, peer)
         finally:
             writing.cancel()
             for task in list(tasks.values()):
@@ -267,8 +271,9 @@
     def _accept(
         self,
         frame: Any,
-        writer: FrameWriter,
+        writer: frames.FrameWriter,
         tasks: dict[int, asyncio.Task[None]],
+        peer: str,
     ) -> None:
         call_id = frame.call_id
         if frame.kind == hosts_pb2.Frame.CANCEL:
@@ -276,20 +281,47 @@
             if task is not None:
                 task.cancel()
             return
-        task = asyncio.create_task(self._serve(frame, writer))
+        task = asyncio.create_task(self._serve(frame, writer, peer))
         tasks[call_id] = task
         task.add_done_callback(lambda _: tasks.pop(call_id, None))
 
-    async def _serve(self, frame: Any, writer: FrameWriter) -> None:
+    async def _serve(
+        self, frame: Any, writer: frames.FrameWriter, peer: str
+    ) -> None:
         item = hosts_pb2.Frame.ITEM
         match decode(frame):
             case result.Success(message):
-                async for answer in self._router.handle(message):
-                    writer.put(frame.call_id, item, router.to_message(answer))
+                await self._answer(frame.call_id, message, writer)
             case failed:
+                logger.warning(
+                    "frame_refused",
+                    extra={
+                        "peer": peer,
+                        "kind": frame.type[:MAX_KIND_CHARS],
+                        "reason": failed.failure().detail[:MAX_REASON_CHARS],
+                    },
+                )
                 writer.put(frame.call_id, item, failed.failure())
         writer.put(frame.call_id, hosts_pb2.Frame.END)
 
+    async def _answer(
+        self, call_id: int, message: Any, writer: frames.FrameWriter
+    ) -> None:
+        item = hosts_pb2.Frame.ITEM
+        try:
+            async for answer in self._router.handle(message):
+                writer.put(call_id, item, router.to_message(answer))
+        except Exception:
+            logger.exception(
+                "handler_failed", extra={"kind": type(message).__name__}
+            )
+            failure = errors.Failure(
+                errors.Reason.INTERNAL,
+                "Another host failed on the message.",
+                errors.Ran.MAY_HAVE_RUN,
+            )
+            writer.put(call_id, item, failure)
+
 
 async def first(
     answers: AsyncIterator[errors.Outcome[Any]], timeout_ms: float
--- /dev/null
+++ b/tests/test_hosts/test_link.py
@@ -0,0 +1,183 @@
+"""Tests of the stream between two hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+from typing import TYPE_CHECKING, Any, Self
+
+import grpc.aio
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.hosts import (
+    frames,
+    hosts_pb2,
+    hosts_pb2_grpc,
+    link,
+    messages,
+    router,
+)
+from mangotally.standins import platform
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+QUESTION = messages.TakeTokens(ids.OrganisationId("o"), 1)
+ANSWER = messages.TokensTaken(held_ms=0)
+
+
+class Relay:
+    """Passes TCP bytes on until it is told to forget its connections."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._open: list[list[bool]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1")
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for writer in self._writers:
+            writer.close()
+
+    def forget(self) -> None:
+        """Has the connections of now go silent; later ones work."""
+        for flag in self._open:
+            flag[0] = False
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        there, back = await asyncio.open_connection("127.0.0.1", self._port)
+        passes = [True]
+        self._open.append(passes)
+        self._writers += [writer, back]
+        for source, sink in ((reader, back), (there, writer)):
+            task = asyncio.create_task(_copy(source, sink, passes))
+            self._tasks.add(task)
+
+
+async def _copy(
+    source: asyncio.StreamReader, sink: asyncio.StreamWriter, flag: list[bool]
+) -> None:
+    with contextlib.suppress(ConnectionError):
+        while data := await source.read(65536):
+            if flag[0]:
+                sink.write(data)
+                await sink.drain()
+
+
+def make_router() -> router.Router:
+    """Returns a router with one good and one failing handler."""
+
+    async def take(_: Any) -> errors.Outcome[Any]:
+        return result.Success(ANSWER)
+
+    async def fail(_: Any) -> errors.Outcome[Any]:
+        raise ZeroDivisionError
+
+    handlers = router.Router()
+    handlers.add_unary(messages.TakeTokens, take)
+    handlers.add_unary(messages.HandOver, fail)
+    return handlers
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over a link that misbehaves."""
+
+    async def asyncSetUp(self) -> None:
+        self.port = platform.free_ports(1)[0]
+        self.address = f"127.0.0.1:{self.port}"
+        server = link.Server(make_router(), self.address)
+        await self.enterAsyncContext(server)
+
+    async def test_silent_connection_is_replaced(self) -> None:
+        """A call on a connection gone silent fails; the next one works."""
+        async with Relay(self.port) as relay, link.Link(relay.address) as used:
+            self.assertEqual(
+                await link.first(used.stream(QUESTION), 5000),
+                result.Success(ANSWER),
+            )
+            relay.forget()
+            async for lost in used.stream(QUESTION):
+                self.assertIs(lost.failure().ran, errors.Ran.MAY_HAVE_RUN)
+            self.assertEqual(
+                await link.first(used.stream(QUESTION), 5000),
+                result.Success(ANSWER),
+            )
+
+    async def test_failing_handler_answers(self) -> None:
+        """A handler that raises is reported, and the link goes on."""
+        async with link.Link(self.address) as used:
+            question = messages.HandOver(QUESTION.organisation, ids.Offset(0))
+            with self.assertLogs("mangotally.hosts.link", "ERROR"):
+                lost = await link.first(used.stream(question), 5000)
+            self.assertIs(lost.failure().reason, errors.Reason.INTERNAL)
+            again = await link.first(used.stream(QUESTION), 5000)
+            self.assertEqual(again, result.Success(ANSWER))
+
+    async def test_bad_frames_are_refused(self) -> None:
+        """Unknown types and bad bodies get an answer and a log line."""
+        bad = [
+            hosts_pb2.Frame(call_id=1, kind=1, type="Nothing", body=b"{}"),
+            hosts_pb2.Frame(call_id=2, kind=1, type="TakeTokens", body=b"\xff"),
+            hosts_pb2.Frame(call_id=3, kind=1, type="TakeTokens", body=b"[]"),
+        ]
+        async with grpc.aio.insecure_channel(self.address) as channel:
+            call = hosts_pb2_grpc.HostsStub(channel).Exchange()
+            with self.assertLogs("mangotally.hosts.link", "WARNING") as logs:
+                await call.write(hosts_pb2.Batch(frames=bad))
+                answers = await _read_frames(call, 2 * len(bad))
+            call.cancel()
+        self.assertEqual(len(logs.records), len(bad))
+        kinds = [f.type for f in answers if f.kind == hosts_pb2.Frame.ITEM]
+        self.assertEqual(kinds, ["Failure"] * len(bad))
+
+
+class FrameWriterTest(unittest.IsolatedAsyncioTestCase):
+    """Memory for a peer that does not read."""
+
+    async def test_full_queue_gives_up(self) -> None:
+        """The queue stays below its bound, and the stream is ended."""
+        gave_up = []
+        stuck = asyncio.Event()
+
+        async def write(_: Any) -> None:
+            await stuck.wait()
+
+        writer = frames.FrameWriter(
+            write, lambda: gave_up.append(True), max_bytes=1000
+        )
+        running = asyncio.create_task(writer.run())
+        for number in range(500):
+            writer.put(number, hosts_pb2.Frame.REQUEST, QUESTION)
+            if number == 1:
+                await asyncio.sleep(0)
+        running.cancel()
+        self.assertEqual(gave_up, [True])
+        self.assertLess(writer.queued_bytes, 2000)
+
+
+async def _read_frames(call: Any, count: int) -> list[Any]:
+    found: list[Any] = []
+    batches: AsyncIterator[Any] = call
+    async for batch in batches:
+        found += batch.frames
+        if len(found) >= count:
+            return found
+    return found
+
+
+if __name__ == "__main__":
+    unittest.main()
