--- a/mangotally/homes/calls.py
+++ b/mangotally/homes/calls.py
@@ -110,6 +110,11 @@
             return result.Failure(charged.failure())
         return await self._runner.run(message)
 
+    async def wait_idle(self) -> None:
+        """Waits until the calls under way are done and kept."""
+        while self._running:
+            await asyncio.wait([task for _, task in self._running.values()])
+
     async def _run(
         self, message: messages.RunCall, digest: str
     ) -> errors.Outcome[messages.CallAnswer]:
--- a/mangotally/homes/partitions.py
+++ b/mangotally/homes/partitions.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 from typing import TYPE_CHECKING, Self
 
 from returns import result
@@ -54,9 +55,11 @@
         self._limiter = limiter
         self._call_lifetime_ms = call_lifetime_ms
         self._loaded: dict[ids.PartitionId, partition_log.Partition] = {}
+        self._retired: list[partition_log.Partition] = []
         self._locks: dict[ids.PartitionId, asyncio.Lock] = {}
         self._listeners: list[Callable[[partition_log.Partition], None]] = []
         self._moved = asyncio.Event()
+        self._random = random.Random(members.host)
         self._task: asyncio.Task[None] | None = None
         members.on_change(self._on_change)
 
@@ -72,8 +75,8 @@
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
-        for item in self._loaded.values():
-            await item.__aexit__()
+        left = [*self._loaded.values(), *self._retired]
+        await asyncio.gather(*(item.__aexit__() for item in left))
 
     def on_load(
         self, listener: Callable[[partition_log.Partition], None]
@@ -155,11 +158,12 @@
                     continue
                 outcome = await self._load(partition)
                 if isinstance(outcome, result.Failure):
-                    await asyncio.sleep(RETRY_S)
+                    await asyncio.sleep(self._random.uniform(0.5, 1) * RETRY_S)
                     self._moved.set()
 
     def _on_change(self) -> None:
         for number in list(self._loaded):
             if not self._members.is_home(homes.partition_key(number)):
-                del self._loaded[number]
+                self._retired.append(self._loaded.pop(number))
+        self._retired = [item for item in self._retired if item.pending_bytes]
         self._moved.set()
--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -27,6 +27,7 @@
 RETRY_MAX_MS = 2000
 DOWN_FAILURES = 6
 RETRY_AFTER_MS = 5000
+FLUSH_MS = 2000
 MAX_BATCH_BYTES = 4 * 1024 * 1024
 MAX_PENDING_BYTES = 16 * 1024 * 1024
 _YIELD_ENTRIES = 32
@@ -115,8 +116,11 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Stops the writer; records that wait are not written."""
+        """Writes what waits, for a bounded time, and stops the writer."""
         if self._writer is not None:
+            await asyncio.wait(
+                [self._writer], timeout=clock_lib.to_seconds(FLUSH_MS)
+            )
             self._writer.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._writer
--- /dev/null
+++ b/tests/test_log/test_pacer.py
@@ -0,0 +1,41 @@
+"""Tests of the share of the log's appends."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mangotally.log import pacer
+from tests import history_fakes as fakes
+
+RATE_PER_S = 40.0
+
+
+class PacerTest(unittest.TestCase):
+    """At once when idle, at the rate when busy."""
+
+    def test_hosts_together_keep_the_rate(self) -> None:
+        """In each window all hosts stay under rate and bursts."""
+
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            clock = fakes.LoopClock(loop)
+            hosts = [
+                pacer.Pacer(RATE_PER_S, lambda: 4, clock) for _ in range(4)
+            ]
+            sent_s: list[float] = []
+
+            async def append(host: pacer.Pacer) -> None:
+                while loop.time() < 10:
+                    await host.acquire()
+                    sent_s.append(loop.time())
+
+            await asyncio.gather(*(append(host) for host in hosts))
+            self.assertEqual(sent_s[0], 0.0)
+            bursts = 4 * RATE_PER_S / 4 * pacer.BURST_MS / 1000
+            for first, start_s in enumerate(sent_s):
+                count = sum(start_s <= at <= start_s + 1 for at in sent_s)
+                self.assertLessEqual(count, RATE_PER_S + bursts + 4, first)
+            self.assertGreaterEqual(len(sent_s), 9 * RATE_PER_S)
+
+        fakes.run(work)
--- a/tests/test_log/test_partition.py
+++ b/tests/test_log/test_partition.py
@@ -94,6 +94,17 @@
 
         fakes.run(work)
 
+    def test_leaving_writes_what_waits(self) -> None:
+        """Kept records reach the log before the writer stops."""
+
+        async def work() -> None:
+            log = fakes.FakeLog()
+            async with make(log) as partition:
+                await partition.append(opened("p1"), wait_ms=0, kept=True)
+            self.assertEqual(len(log.streams[STREAM]), 1)
+
+        fakes.run(work)
+
     def test_failed_read_back_keeps_offsets(self) -> None:
         """A gap that cannot be read at once is read later, not skipped."""
 
