--- a/mangotally/log/base.py
+++ b/mangotally/log/base.py
@@ -59,5 +59,5 @@
             wait_ms: How long to wait for a first record.
 
         Returns:
-            Some records, perhaps none. More may follow.
+            Some records of bounded size, perhaps none. More may follow.
         """
--- a/mangotally/log/http.py
+++ b/mangotally/log/http.py
@@ -15,6 +15,8 @@
 
 APPEND_TIMEOUT_MS = 2000
 READ_TIMEOUT_MS = 3000
+READ_MAX_BYTES = 8 * 1024 * 1024
+RETRY_AFTER_MS = 5000
 _BODY_ERRORS = (ValueError, KeyError, TypeError, binascii.Error)
 
 
@@ -55,7 +57,11 @@
     ) -> errors.Outcome[base.Slice]:
         """Reads records from an offset on; see `base.Log.read`."""
         url = f"{self._url}/streams/{stream}"
-        params = {"offset": str(offset), "wait_ms": str(wait_ms)}
+        params = {
+            "offset": str(offset),
+            "wait_ms": str(wait_ms),
+            "max_bytes": str(READ_MAX_BYTES),
+        }
         timeout = aiohttp.ClientTimeout(
             clock.to_seconds(READ_TIMEOUT_MS + wait_ms)
         )
@@ -89,5 +95,7 @@
 
 def _unavailable(detail: str) -> errors.Outcome[Any]:
     return errors.failed(
-        errors.Reason.LOG_UNAVAILABLE, f"The log is unavailable ({detail})."
+        errors.Reason.LOG_UNAVAILABLE,
+        f"The log is unavailable ({detail}).",
+        retry_after_ms=RETRY_AFTER_MS,
     )
--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import logging
@@ -29,6 +30,7 @@
 RETRY_AFTER_MS = 5000
 FLUSH_MS = 2000
 MAX_BATCH_BYTES = 4 * 1024 * 1024
+MAX_RECORD_BYTES = 12 * 1024 * 1024
 MAX_PENDING_BYTES = 16 * 1024 * 1024
 _YIELD_ENTRIES = 32
 
@@ -101,7 +103,7 @@
         self._call_lifetime_ms = call_lifetime_ms
         self._random = random.Random(stream)
         self._next_offset = ids.Offset(0)
-        self._pending: list[_Write] = []
+        self._pending: collections.deque[_Write] = collections.deque()
         self._pending_bytes = 0
         self._sent: list[_Write] = []
         self._failures = 0
@@ -193,6 +195,14 @@
         remade: bool = False,
     ) -> errors.Outcome[bool]:
         data = records.registry.encode_item(record)
+        if len(data) > MAX_RECORD_BYTES:
+            logger.error(
+                "record_too_large",
+                extra={"stream": self._stream, "size_bytes": len(data)},
+            )
+            return errors.failed(
+                errors.Reason.TOO_LARGE, "The record is too large to keep."
+            )
         if not self._may_queue(len(data), kept):
             return _unavailable()
         future = asyncio.get_running_loop().create_future()
@@ -232,10 +242,11 @@
 
     def _next_batch(self) -> None:
         size_bytes = 0
-        while self._pending and size_bytes < MAX_BATCH_BYTES:
-            write = self._pending.pop(0)
-            self._sent.append(write)
-            size_bytes += len(write.data)
+        while self._pending:
+            size_bytes += len(self._pending[0].data)
+            if self._sent and size_bytes > MAX_BATCH_BYTES:
+                return
+            self._sent.append(self._pending.popleft())
 
     async def _commit(self) -> None:
         self._drop_abandoned()
--- a/mangotally/standins/log.py
+++ b/mangotally/standins/log.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform's log service.
 
     POST /streams/{stream}                    -> {"offset": n}
-    GET  /streams/{stream}?offset=n&wait_ms=t -> {"entries": [{"offset",
-        "data"}], "oldest_offset", "next_offset"}
+    GET  /streams/{stream}?offset=n&wait_ms=t&max_bytes=b -> {"entries":
+        [{"offset", "data"}], "oldest_offset", "next_offset"}
 
 `data` is base64.
 """
@@ -108,7 +108,8 @@
             return web.Response(status=503)
         start = max(offset, stream.oldest_offset)
         index = start - stream.oldest_offset
-        part = stream.records[index : index + MAX_SLICE]
+        max_bytes = int(request.query.get("max_bytes", str(MAX_RECORD_BYTES)))
+        part = _bounded(stream.records[index : index + MAX_SLICE], max_bytes)
         return web.json_response(
             {
                 "entries": [
@@ -124,6 +125,16 @@
         )
 
 
+def _bounded(found: list[bytes], max_bytes: int) -> list[bytes]:
+    """Returns the first records, at least one, up to a size."""
+    size_bytes = 0
+    for number, data in enumerate(found):
+        size_bytes += len(data)
+        if number and size_bytes > max_bytes:
+            return found[:number]
+    return found
+
+
 async def _wait_for(stream: Stream, offset: int, wait_ms: int) -> None:
     try:
         async with (
--- a/tests/test_log/test_partition.py
+++ b/tests/test_log/test_partition.py
@@ -94,6 +94,26 @@
 
         fakes.run(work)
 
+    def test_batches_and_records_are_bounded(self) -> None:
+        """A record that no log would take does not stop the others."""
+
+        async def work() -> None:
+            log = fakes.FakeLog()
+            partition = make(log)
+            half = "s" * (partition_log.MAX_BATCH_BYTES // 2)
+            huge = "s" * partition_log.MAX_RECORD_BYTES
+            outcomes = await asyncio.gather(
+                partition.append(opened("p0", huge)),
+                *(partition.append(opened(f"p{n}", half)) for n in range(1, 5)),
+            )
+            refused = outcomes[0].failure().reason
+            self.assertEqual(refused, errors.Reason.TOO_LARGE)
+            self.assertEqual(outcomes[1:], [result.Success(True)] * 4)
+            for data in log.streams[STREAM]:
+                self.assertLess(len(data), partition_log.MAX_BATCH_BYTES)
+
+        fakes.run(work)
+
     def test_leaving_writes_what_waits(self) -> None:
         """Kept records reach the log before the writer stops."""
 
