--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -28,7 +28,6 @@
 
 ENDED_REPEAT_MS = 600_000
 GAP_RETRY_MS = 1000
-_STALE_REASONS = (errors.Reason.NOT_FOUND, errors.Reason.TURN_GAP)
 
 
 class ProgramHome:
@@ -252,12 +251,10 @@
     async def _decide(
         self, partition: partition_log.Partition, wanted: programs.Turn
     ) -> errors.Outcome[programs.Run | programs.Replay]:
-        """Decides on a turn; a refusal that may be stale is checked again."""
+        """Decides on a turn; refuses none without having read the stream."""
         decision = partition.ledger.check_turn(wanted, self._clock.wall_ms())
         if isinstance(decision, result.Success):
             return decision
-        if decision.failure().reason not in _STALE_REASONS:
-            return decision
         read = await partition.catch_up()
         if isinstance(read, result.Failure):
             return result.Failure(read.failure())
--- a/mangotally/homes/sweeper.py
+++ b/mangotally/homes/sweeper.py
@@ -108,10 +108,18 @@
         return due[:MAX_CLOSES]
 
     async def _take_snapshots(self, partition: partition_log.Partition) -> None:
-        age_ms = int(self._settings.log.retention_ms * SNAPSHOT_AGE_SHARE)
+        """Appends what will age out of the log once more.
+
+        The stream is read to its end first, so that a snapshot rests on no
+        record that is older than itself.
+        """
         now_ms = self._clock.wall_ms()
-        roots = snapshots.aging_roots(partition.ledger, now_ms, age_ms)
-        keys = partition.ledger.calls.aging(now_ms, age_ms)
+        if not any(self._aging(partition.ledger, now_ms)):
+            return
+        read = await partition.catch_up()
+        if isinstance(read, result.Failure):
+            return
+        roots, keys = self._aging(partition.ledger, now_ms)
         makers: list[Callable[[ids.Offset], Any]] = [
             functools.partial(_tree, partition, root, now_ms) for root in roots
         ]
@@ -122,6 +130,15 @@
             *(self._append(partition, make) for make in makers[:MAX_SNAPSHOTS])
         )
 
+    def _aging(
+        self, ledger: programs.Ledger, now_ms: int
+    ) -> tuple[list[programs.ProgramKey], list[calls.CallKey]]:
+        age_ms = int(self._settings.log.retention_ms * SNAPSHOT_AGE_SHARE)
+        return (
+            snapshots.aging_roots(ledger, now_ms, age_ms),
+            ledger.calls.aging(now_ms, age_ms),
+        )
+
     async def _append(
         self,
         partition: partition_log.Partition,
--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -146,6 +146,22 @@
 
         fakes.run(work)
 
+    def test_done_turn_is_replayed_whatever_a_stale_home_thinks(self) -> None:
+        """No budget is left, yet the turn is done and its answer kept."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            one, two = Host(log, turns), Host(log, turns, H2)
+            await one.open(calls=1)
+            turns.delay_ms = 50
+            running = asyncio.create_task(one.turn(1))
+            await asyncio.sleep(0.075)
+            self.assertEqual((await two.describe()).used_calls, 1)
+            await running
+            self.assertEqual((await two.turn(1)).unwrap(), ("1", True))
+
+        fakes.run(work)
+
     def test_repeat_joins_and_next_turn_waits_its_turn(self) -> None:
         """One turn runs once; the next is refused until it is done."""
 
@@ -369,6 +385,22 @@
 
         fakes.run(work)
 
+    def test_snapshot_rests_on_no_old_record(self) -> None:
+        """A home that was behind takes its snapshots up to date."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            one, two = Host(log, turns), Host(log, turns, H2)
+            await one.open(wall_ms=10 * HOUR_MS)
+            await two.open(ids.ProgramId("p2"))
+            old = len(log.streams["history-0"])
+            await asyncio.sleep(0.6 * HOUR_MS / 1000)
+            await one.sweep()
+            log.age_out("history-0", old)
+            self.assertEqual((await Host(log, turns, H2).describe()).turns, 0)
+
+        fakes.run(work)
+
 
 class OutageTest(unittest.TestCase):
     """The log out of reach at each step of a turn."""
