--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -392,6 +392,8 @@
             log, turns = fakes.FakeLog(), fakes.FakeTurns()
             one, two = Host(log, turns), Host(log, turns, H2)
             await one.open(wall_ms=10 * HOUR_MS)
+            await asyncio.sleep(60)
+            await one.sweep()
             await two.open(ids.ProgramId("p2"))
             old = len(log.streams["history-0"])
             await asyncio.sleep(0.6 * HOUR_MS / 1000)
