--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import logging
@@ -27,7 +28,9 @@
 RETRY_MAX_MS = 2000
 DOWN_FAILURES = 6
 RETRY_AFTER_MS = 5000
+FLUSH_MS = 2000
 MAX_BATCH_BYTES = 4 * 1024 * 1024
+MAX_RECORD_BYTES = 12 * 1024 * 1024
 MAX_PENDING_BYTES = 16 * 1024 * 1024
 _YIELD_ENTRIES = 32
 
@@ -100,7 +103,7 @@
         self._call_lifetime_ms = call_lifetime_ms
         self._random = random.Random(stream)
         self._next_offset = ids.Offset(0)
-        self._pending: list[_Write] = []
+        self._pending: collections.deque[_Write] = collections.deque()
         self._pending_bytes = 0
         self._sent: list[_Write] = []
         self._failures = 0
@@ -115,8 +118,11 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        """Stops the writer; records that wait are not written."""
+        """Writes what waits, for a bounded time, and stops the writer."""
         if self._writer is not None:
+            await asyncio.wait(
+                [self._writer], timeout=clock_lib.to_seconds(FLUSH_MS)
+            )
             self._writer.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._writer
@@ -189,6 +195,14 @@
         remade: bool = False,
     ) -> errors.Outcome[bool]:
         data = records.registry.encode_item(record)
+        if len(data) > MAX_RECORD_BYTES:
+            logger.error(
+                "record_too_large",
+                extra={"stream": self._stream, "size_bytes": len(data)},
+            )
+            return errors.failed(
+                errors.Reason.TOO_LARGE, "The record is too large to keep."
+            )
         if not self._may_queue(len(data), kept):
             return _unavailable()
         future = asyncio.get_running_loop().create_future()
@@ -228,10 +242,11 @@
 
     def _next_batch(self) -> None:
         size_bytes = 0
-        while self._pending and size_bytes < MAX_BATCH_BYTES:
-            write = self._pending.pop(0)
-            self._sent.append(write)
-            size_bytes += len(write.data)
+        while self._pending:
+            size_bytes += len(self._pending[0].data)
+            if self._sent and size_bytes > MAX_BATCH_BYTES:
+                return
+            self._sent.append(self._pending.popleft())
 
     async def _commit(self) -> None:
         self._drop_abandoned()
--- a/tests/test_log/test_partition.py
+++ b/tests/test_log/test_partition.py
@@ -94,6 +94,37 @@
 
         fakes.run(work)
 
+    def test_batches_and_records_are_bounded(self) -> None:
+        """A record that no log would take does not stop the others."""
+
+        async def work() -> None:
+            log = fakes.FakeLog()
+            partition = make(log)
+            half = "s" * (partition_log.MAX_BATCH_BYTES // 2)
+            huge = "s" * partition_log.MAX_RECORD_BYTES
+            outcomes = await asyncio.gather(
+                partition.append(opened("p0", huge)),
+                *(partition.append(opened(f"p{n}", half)) for n in range(1, 5)),
+            )
+            refused = outcomes[0].failure().reason
+            self.assertEqual(refused, errors.Reason.TOO_LARGE)
+            self.assertEqual(outcomes[1:], [result.Success(True)] * 4)
+            for data in log.streams[STREAM]:
+                self.assertLess(len(data), partition_log.MAX_BATCH_BYTES)
+
+        fakes.run(work)
+
+    def test_leaving_writes_what_waits(self) -> None:
+        """Kept records reach the log before the writer stops."""
+
+        async def work() -> None:
+            log = fakes.FakeLog()
+            async with make(log) as partition:
+                await partition.append(opened("p1"), wait_ms=0, kept=True)
+            self.assertEqual(len(log.streams[STREAM]), 1)
+
+        fakes.run(work)
+
     def test_failed_read_back_keeps_offsets(self) -> None:
         """A gap that cannot be read at once is read later, not skipped."""
 
