Test targets that fail, and a request that crashes them

A state machine over quarantine, breakers and retries; fleets with one engine of five that refuses, hangs, crosses, breaks off, goes silent or lies; a request that crashes each engine that runs it.

--- a/mangotally/standins/engine.py
+++ b/mangotally/standins/engine.py
@@ -236,6 +236,8 @@
                 await response.write(self._spoil(shown, data))
             await response.write_eof()
             return response
+        except ConnectionError:
+            return response
         finally:
             stream.readers -= 1
             if stream.readers == 0:
--- /dev/null
+++ b/tests/test_application/test_faults.py
@@ -0,0 +1,155 @@
+"""Tests of targets that fail, behind whole hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from mangotally import ids
+from mangotally.roster import base as roster_base
+from mangotally.settings import host as host_settings
+from mangotally.standins import platform
+from tests import fleet as fleet_lib
+
+if TYPE_CHECKING:
+    from mangotally.standins import engine
+
+LEAVING_MS = 3000
+MEMORY_MS = 10_000
+_TARGETS = host_settings.TargetSettings(
+    connect_ms=200,
+    first_token_ms=300,
+    first_token_ms_per_token=0,
+    between_tokens_ms=200,
+)
+_LARGE = ids.OrganisationId("oficinas-porto")
+_WORDS = " ".join(f"w{n}" for n in range(20))
+
+
+class _Platform(platform.Platform):
+    """A platform whose hosts lose patience soon."""
+
+    def host_settings(self, number: int) -> host_settings.HostSettings:
+        found = super().host_settings(number)
+        return found.model_copy(update={"targets": _TARGETS})
+
+
+class _Fleet(fleet_lib.Fleet):
+    """Calls for an organisation whose rate is not reached."""
+
+    def key(self, organisation: ids.OrganisationId = _LARGE) -> str:
+        return super().key(organisation)
+
+
+class FaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Engines and services that misbehave in each way."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = _Fleet(hosts=2)
+        deployment = self.fleet.local.platform.deployment
+        self.fleet.local.platform = _Platform(deployment)
+        await self.enterAsyncContext(self.fleet)
+        self.platform = self.fleet.local.platform
+
+    def _engines(self) -> list[engine.EngineStandIn]:
+        return self.fleet.engines()
+
+    async def _turn(self, text: str = _WORDS) -> tuple[int, Any]:
+        program = await self.fleet.open_program()
+        return await self.fleet.turn(program, 1, text)
+
+    async def _check_answers(self, count: int = 5) -> None:
+        answers = await asyncio.gather(
+            *(self._turn(f"{n} {_WORDS}") for n in range(count))
+        )
+        for status, answer in answers:
+            self.assertEqual(status, 200, answer)
+            self.assertIn("w19", str(answer))
+
+    async def test_some_engines_fail(self) -> None:
+        """Calls get whole answers while one engine of five misbehaves."""
+        for fault in (
+            {"refuse": True, "retry_after_s": 1},
+            {"refuse": True, "refuse_status": 500},
+            {"hang": True},
+            {"cross": True},
+            {"malformed": True},
+            {"silent_after": 3},
+            {"break_after": 3},
+            {"lie": True},
+        ):
+            with self.subTest(**fault):
+                bad = self._engines()[0]
+                for name, value in fault.items():
+                    setattr(bad.faults, name, value)
+                await self._check_answers()
+                bad.faults = type(bad.faults)()
+
+    async def test_crash_under_load(self) -> None:
+        """A request that crashes engines fells two, on all hosts together."""
+        for item in self._engines():
+            item.faults.crash_on = "poison"
+        status, answer = await self._turn("poison")
+        self.assertEqual((status, answer["ran"]), (422, "may-have-run"))
+        for entry in (0, 1):
+            program = await self.fleet.open_program()
+            status, answer = await self.fleet.turn(program, 1, "poison", entry)
+            self.assertEqual((status, answer["ran"]), (422, "not-run"))
+        crashed = [item for item in self._engines() if item.crashes]
+        self.assertEqual(len(crashed), 2)
+        await self._check_answers(4)
+        for item in crashed:
+            await item.start()
+        host = self.fleet.local.hosts[0]
+        self.assertEqual(host.quarantine.dump()["quarantined"], 1)
+
+    async def test_leaving_target_gets_no_new_work(self) -> None:
+        """After the bound a leaving engine sees no new call."""
+        leaving = self._engines()[0]
+        await self.platform.roster.set_state(
+            leaving.name, roster_base.EntryState.LEAVING
+        )
+        await asyncio.sleep(LEAVING_MS / 1000)
+        seen = len(leaving.seen)
+        await self._check_answers()
+        self.assertEqual(len(leaving.seen), seen)
+
+    async def test_memory_of_gone_programs(self) -> None:
+        """Prefixes of ended programs and of single calls are released."""
+        for item in self._engines():
+            item.faults.ignore_release = 2
+        program = await self.fleet.open_program()
+        await self.fleet.turn(program, 1, _WORDS)
+        await self.fleet.request("DELETE", f"/v1/programs/{program}")
+        body = {
+            "model": fleet_lib.MODEL,
+            "messages": [{"role": "user", "content": _WORDS}],
+        }
+        await self.fleet.request("POST", "/v1/chat/completions", body)
+        async with asyncio.timeout(MEMORY_MS / 1000):
+            await self._until_empty()
+
+    async def test_caller_goes_away(self) -> None:
+        """The engine's call ends soon after its caller has gone."""
+        for item in self._engines():
+            item.faults.slow_ms = 100.0
+        body = {
+            "model": fleet_lib.MODEL,
+            "messages": [{"role": "user", "content": _WORDS * 50}],
+        }
+        task = asyncio.create_task(
+            self.fleet.request("POST", "/v1/chat/completions", body)
+        )
+        waits = [asyncio.create_task(e.began.wait()) for e in self._engines()]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        async with asyncio.timeout(MEMORY_MS / 1000):
+            await self._until_empty()
+
+    async def _until_empty(self) -> None:
+        while any(item.cache or item.running for item in self._engines()):
+            await asyncio.wait([asyncio.create_task(asyncio.sleep(0.05))])
--- /dev/null
+++ b/tests/test_policy/test_quarantine.py
@@ -0,0 +1,348 @@
+"""Tests of quarantine, circuit breakers and retries together."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import unittest
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from mangotally import errors, ids
+from mangotally.policy import breaker, faults, quarantine, records, retries
+from tests import stateful as stateful_settings
+
+K = faults.FaultKind
+SERVICE = ids.ServiceId("assistente")
+KEEP_MS = 600_000
+TARGETS = [ids.TargetId(f"t{n}") for n in range(5)]
+POISON = "poison"
+DIGESTS = [POISON, "a", "b", "c", "d"]
+SHARE = 0.2
+RESTART_MS = 5000
+_SENT = frozenset({K.ERROR, K.STALLED, K.CRASHED})
+SETTLED_MS = 3 * breaker.MAX_OPEN_MS
+
+
+def _crash(digest: str, target: str, call: str, at: int = 0) -> object:
+    return records.RequestCrashed(
+        digest,
+        SERVICE,
+        ids.TargetId(target),
+        ids.CallId(call),
+        at,
+        at + KEEP_MS,
+    )
+
+
+class QuarantineTest(unittest.TestCase):
+    """Records of crashes."""
+
+    def setUp(self) -> None:
+        self.state = quarantine.Quarantine()
+
+    def test_two_crashes(self) -> None:
+        """The second crash quarantines, until the records are void."""
+        self.state.apply(_crash("d", "t1", "c1"))
+        self.assertFalse(self.state.is_refused("d", 1))
+        self.state.apply(_crash("d", "t2", "c2"))
+        self.assertTrue(self.state.is_refused("d", 1))
+        self.assertEqual(len(self.state.quarantined(1)), 1)
+        self.assertFalse(self.state.is_refused("d", KEEP_MS))
+
+    def test_same_report_twice(self) -> None:
+        """A crash that is reported twice counts once."""
+        self.assertTrue(self.state.apply(_crash("d", "t1", "c1")))
+        self.assertFalse(self.state.apply(_crash("d", "t1", "c1")))
+        self.assertFalse(self.state.is_refused("d", 1))
+
+    def test_copies_at_one_target(self) -> None:
+        """Copies that ran at one target when it crashed are one crash."""
+        self.state.apply(_crash("d", "t1", "c1"))
+        self.state.apply(_crash("d", "t1", "c2", 10))
+        self.assertFalse(self.state.is_refused("d", 11))
+
+    def test_lifted(self) -> None:
+        """An operator lets a request in again."""
+        self.state.apply(_crash("d", "t1", "c1"))
+        self.state.apply(_crash("d", "t2", "c2"))
+        self.state.apply(records.QuarantineLifted("d"))
+        self.assertFalse(self.state.is_refused("d", 1))
+
+
+class IsolationTest(unittest.TestCase):
+    """Suspects of one pool."""
+
+    def setUp(self) -> None:
+        self.isolation = quarantine.Isolation()
+
+    def _place(self, call: str, digest: str, *hit: str) -> quarantine.Placement:
+        crashed = [ids.TargetId(item) for item in hit]
+        return self.isolation.place(
+            ids.CallId(call), digest, crashed, TARGETS[:3]
+        )
+
+    def test_suspects_run_apart(self) -> None:
+        """No two suspects share a target, nor go where they crashed one."""
+        first = self._place("c1", "a", "t0")
+        second = self._place("c2", "b", "t0")
+        self.assertEqual(first, quarantine.Only(frozenset({TARGETS[1]})))
+        self.assertEqual(second, quarantine.Only(frozenset({TARGETS[2]})))
+        self.assertEqual(self._place("c3", "c", "t0"), quarantine.Wait())
+        self.isolation.end(ids.CallId("c1"), is_answered=True)
+        self.assertEqual(self._place("c3", "c", "t0"), first)
+
+    def test_proven_no_longer_after_a_crash(self) -> None:
+        """A request that was answered before is a suspect all the same."""
+        self._place("c1", "a")
+        self.isolation.end(ids.CallId("c1"), is_answered=True)
+        self.assertEqual(self._place("c2", "a"), quarantine.Anywhere())
+        self.assertIsInstance(self._place("c3", "a", "t0"), quarantine.Only)
+
+    def test_copies_share_two_targets(self) -> None:
+        """Copies of an unknown request run at two targets at most."""
+        for call, target in (("c1", TARGETS[0]), ("c2", TARGETS[1])):
+            self.assertEqual(self._place(call, "a"), quarantine.Anywhere())
+            self.isolation.grant(ids.CallId(call), target)
+        third = self._place("c3", "a")
+        self.assertEqual(third, quarantine.Only(frozenset(TARGETS[:2])))
+
+
+@dataclasses.dataclass
+class _Call:
+    """A call in the model."""
+
+    call: ids.CallId
+    request: int
+    digest: str
+    attempt: int
+    is_repeatable: bool
+    targets: tuple[ids.TargetId, ...]
+    target: ids.TargetId | None = None
+
+
+class TargetsMachine(stateful.RuleBasedStateMachine):
+    """One pool, some requests, and one that crashes what runs it.
+
+    The oracle: the poison fells two targets at most; retries stay within
+    their share; what may not be repeated is sent once; a target that is
+    well is let in again; innocent requests are never refused.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.random = random.Random(7)
+        self.quarantine = quarantine.Quarantine()
+        self.isolation = quarantine.Isolation()
+        self.breakers = {t: breaker.Breaker() for t in TARGETS}
+        self.budget = retries.RetryBudget(SHARE)
+        self.down_until = dict.fromkeys(TARGETS, 0)
+        self.calls: dict[ids.CallId, _Call] = {}
+        self.waiting: list[_Call] = []
+        self.sent: collections.Counter[int] = collections.Counter()
+        self.number = 0
+        self.requests = 0
+        self.retried = 0
+        self.falls: collections.Counter[str] = collections.Counter()
+        self.refused: set[str] = set()
+
+    def _live(self) -> list[ids.TargetId]:
+        return [t for t in TARGETS if self.breakers[t].slots(4)]
+
+    @stateful.rule(
+        digest=st.sampled_from([POISON, *DIGESTS]),
+        is_repeatable=st.booleans(),
+        copies=st.integers(1, 4),
+    )
+    def submit(self, digest: str, is_repeatable: bool, copies: int) -> None:
+        """A caller sends a request, perhaps several times at once."""
+        for _ in range(copies):
+            self.requests += 1
+            self.budget.earn()
+            self._submit(self.requests, digest, 1, is_repeatable)
+        self._settle()
+
+    def _settle(self) -> None:
+        """The pool lets calls in and dispatches them, as far as it can."""
+        self._place()
+        for number in range(len(self.calls)):
+            self._dispatch(number)
+
+    def _submit(
+        self, request: int, digest: str, attempt: int, is_repeatable: bool
+    ) -> None:
+        if self.quarantine.is_refused(digest, self.now_ms):
+            self.refused.add(digest)
+            return
+        self.number += 1
+        call = ids.CallId(f"c{self.number}")
+        self.waiting.append(
+            _Call(call, request, digest, attempt, is_repeatable, ())
+        )
+
+    def _place(self) -> None:
+        """The pool's home lets a waiting call in."""
+        for call in list(self.waiting):
+            if self.quarantine.is_refused(call.digest, self.now_ms):
+                self.waiting.remove(call)
+                self.refused.add(call.digest)
+                continue
+            crashes = self.quarantine.crashes(call.digest, self.now_ms)
+            hit = [record.target for record in crashes]
+            match self.isolation.place(
+                call.call, call.digest, hit, self._live()
+            ):
+                case quarantine.Anywhere():
+                    call.targets = tuple(TARGETS)
+                case quarantine.Only(targets):
+                    call.targets = tuple(targets)
+                case _:
+                    continue
+            self.waiting.remove(call)
+            self.calls[call.call] = call
+
+    def _dispatch(self, choice: int) -> None:
+        """The scheduler sends a placed call to a target."""
+        ready = [c for c in self.calls.values() if c.target is None]
+        if not ready:
+            return
+        call = ready[choice % len(ready)]
+        running = collections.Counter(c.target for c in self.calls.values())
+        free = [
+            t for t in call.targets if running[t] < self.breakers[t].slots(4)
+        ]
+        if not free:
+            self.isolation.end(call.call, is_answered=False)
+            del self.calls[call.call]
+            self.waiting.append(call)
+            return
+        call.target = free[choice % len(free)]
+        self.isolation.grant(call.call, call.target)
+        if self.down_until[call.target] > self.now_ms:
+            self._end(call, faults.Fault(K.CONNECTION_REFUSED, ""))
+
+    @stateful.rule(choice=st.integers(0, 99))
+    def run(self, choice: int) -> None:
+        """A target runs a call to its end; the poison crashes it."""
+        self._settle()
+        running = [c for c in self.calls.values() if c.target is not None]
+        if not running:
+            return
+        call = running[choice % len(running)]
+        if call.digest != POISON:
+            self._end(call, None)
+            return
+        target = call.target
+        assert target is not None
+        self.falls[POISON] += 1
+        self.down_until[target] = self.now_ms + RESTART_MS
+        for other in [c for c in running if c.target == target]:
+            self._end(other, faults.Fault(K.CRASHED, ""))
+
+    @stateful.rule(
+        choice=st.integers(0, 99),
+        kind=st.sampled_from([K.ERROR, K.STALLED, K.REFUSED, K.UNREACHABLE]),
+    )
+    def fail(self, choice: int, kind: K) -> None:
+        """A call fails for a reason of the target's own."""
+        self._settle()
+        running = [c for c in self.calls.values() if c.target is not None]
+        if running:
+            self._end(running[choice % len(running)], faults.Fault(kind, ""))
+
+    @stateful.rule(by_ms=st.sampled_from([10, 500, 4000]))
+    def wait(self, by_ms: int) -> None:
+        """Time passes, and targets are polled and probed."""
+        self._advance(by_ms)
+        self._settle()
+
+    def _advance(self, by_ms: int) -> None:
+        self.now_ms += by_ms
+        for target, item in self.breakers.items():
+            is_up = self.down_until[target] <= self.now_ms
+            if item.begin_probe(self.now_ms):
+                item.end_probe(is_up, self.now_ms, self.random.random())
+            elif item.state is not breaker.BreakerState.OPEN:
+                item.note_poll(is_up, self.now_ms, self.random.random())
+
+    def _end(self, call: _Call, fault: faults.Fault | None) -> None:
+        target = call.target
+        assert target is not None
+        del self.calls[call.call]
+        self.isolation.end(call.call, is_answered=fault is None)
+        if not call.is_repeatable and (fault is None or fault.kind in _SENT):
+            self.sent[call.request] += 1
+        if fault is None:
+            self.breakers[target].succeed()
+            if self.quarantine.crashes(call.digest, self.now_ms):
+                self.quarantine.apply(records.RequestCleared(call.digest))
+            return
+        self.breakers[target].fail(
+            fault, call.digest, self.now_ms, self.random.random()
+        )
+        if fault.kind is K.CRASHED:
+            self._note_crash(call, target)
+        is_repeatable = call.is_repeatable or fault.ran is errors.Ran.NOT_RUN
+        attempt = retries.Attempt(call.attempt, is_repeatable, 60_000)
+        again = retries.decide(
+            fault, attempt, self.budget, self.random.random()
+        )
+        if isinstance(again, retries.Again):
+            self.retried += 1
+            self._submit(
+                call.request,
+                call.digest,
+                call.attempt + 1,
+                call.is_repeatable,
+            )
+
+    def _note_crash(self, call: _Call, target: ids.TargetId) -> None:
+        self.isolation.crash(call.digest)
+        self.quarantine.apply(
+            records.RequestCrashed(
+                call.digest,
+                SERVICE,
+                target,
+                call.call,
+                self.now_ms,
+                self.now_ms + KEEP_MS,
+            )
+        )
+        if self.quarantine.is_refused(call.digest, self.now_ms):
+            for record in self.quarantine.crashes(call.digest, self.now_ms):
+                self.breakers[record.target].forgive(call.digest, self.now_ms)
+
+    @stateful.invariant()
+    def poison_fells_two_targets(self) -> None:
+        """One request crashes two targets at most."""
+        assert self.falls[POISON] <= quarantine.MAX_CRASHES, self.falls
+
+    @stateful.invariant()
+    def innocent_requests_are_not_refused(self) -> None:
+        """Only the request that crashes targets is refused."""
+        assert self.refused <= {POISON}, self.refused
+
+    @stateful.invariant()
+    def retries_stay_within_their_share(self) -> None:
+        """Retries are a share of the requests, plus the reserve."""
+        limit = SHARE * self.requests + retries.RESERVE
+        assert self.retried <= limit, (self.retried, self.requests)
+
+    @stateful.invariant()
+    def at_most_once(self) -> None:
+        """What may not be repeated is written to one target at most."""
+        assert all(count <= 1 for count in self.sent.values()), self.sent
+
+    def teardown(self) -> None:
+        """Targets that are well again get calls again."""
+        for _ in range(int(SETTLED_MS) // 500):
+            self._advance(500)
+        assert self._live() == TARGETS
+
+
+TargetsMachineTest = TargetsMachine.TestCase
+TargetsMachineTest.settings = stateful_settings.CI_SETTINGS
+MACHINES = (TargetsMachine,)
