Release what engines hold for programs that are gone

Cause: a pool's home forgot with its host which prefixes and calls were to be released, and a host that died left its calls running.

Change: the pool's home asks its engines what they hold, all hosts for the calls they have under way, and the programs' homes which programs are gone. What nobody claims for 3 s is cancelled or released, again until the engine confirms or leaves the list.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -27,6 +27,7 @@
     slots,
     snapshots,
     sweeper,
+    sweeps,
     turns,
 )
 from mangotally.hosts import credentials as credentials_lib
@@ -149,6 +150,7 @@
             self.pools,
             self.programs,
             self.calls,
+            self.sweep,
         ):
             home.attach(handlers)
         await stack.enter_async_context(self.pools)
@@ -160,6 +162,7 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
+        await stack.enter_async_context(self.sweep)
         self._leaving = leaving.Leaving(
             self.readiness,
             self.members,
@@ -287,6 +290,14 @@
             ),
             self.clock,
         )
+        self.sweep = sweeps.Sweep(
+            self.members,
+            self.peers,
+            self.pools,
+            self.programs,
+            engine,
+            self.clock,
+        )
         self.calls = calls.CallHome(
             self.partitions,
             self.peers,
--- a/mangotally/homes/pool.py
+++ b/mangotally/homes/pool.py
@@ -149,6 +149,15 @@
             self.organisations.pop(program, None)
         self._scheduler.confirm_release(target, program, self._clock.now_ms())
 
+    def forget_organisations(self, kept: set[ids.ProgramId]) -> None:
+        """Forgets who owns programs that hold nothing any more."""
+        kept = kept | {program for _, program in self.releases}
+        self.organisations = {
+            program: organisation
+            for program, organisation in self.organisations.items()
+            if program in kept
+        }
+
     def set_targets(self, infos: Sequence[pools.TargetInfo]) -> None:
         """Replaces the targets."""
         self.targets = {info.target: info for info in infos}
--- a/tests/test_application/test_faults.py
+++ b/tests/test_application/test_faults.py
@@ -4,17 +4,14 @@
 
 import asyncio
 import unittest
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from mangotally import ids
 from mangotally.roster import base as roster_base
 from mangotally.settings import host as host_settings
-from mangotally.standins import platform
+from mangotally.standins import engine, platform
 from tests import fleet as fleet_lib
 
-if TYPE_CHECKING:
-    from mangotally.standins import engine
-
 LEAVING_MS = 3000
 MEMORY_MS = 10_000
 _TARGETS = host_settings.TargetSettings(
@@ -130,6 +127,33 @@
         async with asyncio.timeout(MEMORY_MS / 1000):
             await self._until_empty()
 
+    async def test_memory_that_nobody_knows_of(self) -> None:
+        """Prefixes and calls left by a host that died are found."""
+        program = await self.fleet.open_program()
+        await self.fleet.turn(program, 1, _WORDS)
+        live = {key for item in self._engines() for key in item.cache}
+        self.assertEqual(live, {f"{_LARGE}/{program}"})
+        left = self._engines()[1]
+        left.speed = engine.EngineSpeed(resume_ms=10 * MEMORY_MS)
+        left.faults.slow_ms = float(MEMORY_MS)
+        left.cache[f"{_LARGE}/p0"] = 100
+        left.cache[f"escola-braga/{program}"] = 100
+        async with self.fleet.session.post(
+            f"{left.url}/v1/chat/completions",
+            json={
+                "messages": [{"role": "user", "content": "hi"}],
+                "max_tokens": 8,
+                "cache_key": f"{_LARGE}/p1",
+            },
+            headers={"X-Request-Id": "left-behind"},
+        ):
+            pass
+        async with asyncio.timeout(MEMORY_MS / 1000):
+            while left.running or set(left.cache) - live:
+                await asyncio.wait([asyncio.create_task(asyncio.sleep(0.05))])
+        kept = {key for item in self._engines() for key in item.cache}
+        self.assertEqual(kept, live)
+
     async def test_caller_goes_away(self) -> None:
         """The engine's call ends soon after its caller has gone."""
         for item in self._engines():
--- /dev/null
+++ b/tests/test_policy/test_memory.py
@@ -0,0 +1,42 @@
+"""Tests of mangotally.policy.memory and mangotally.policy.load."""
+
+from __future__ import annotations
+
+import unittest
+
+from mangotally.policy import load, memory, pools
+
+
+class UnclaimedTest(unittest.TestCase):
+    """What nobody claims is given up after the grace."""
+
+    def test_grace(self) -> None:
+        """A thing must be unclaimed throughout the grace."""
+        unclaimed: memory.Unclaimed[str] = memory.Unclaimed(100)
+        for now_ms, claimed, gone in (
+            (0, "", []),
+            (99, "", []),
+            (100, "", ["a"]),
+            (150, "a", []),
+            (200, "", []),
+            (300, "", ["a"]),
+        ):
+            with self.subTest(now_ms):
+                found = unclaimed.observe(["a"], claimed.__contains__, now_ms)
+                self.assertEqual(found, gone)
+
+
+class CorrectTest(unittest.TestCase):
+    """Load reports that cannot be true."""
+
+    def test_own_calls_count(self) -> None:
+        """A report older than a call need not know of it."""
+        report = pools.LoadReport(0, 0, 50, 100, 40)
+        found = load.correct(report, [0, 50, 70], now_ms=100)
+        self.assertEqual((found.running, found.waiting), (0, 2))
+
+    def test_nonsense(self) -> None:
+        """Negative and oversize figures are bounded."""
+        report = pools.LoadReport(-5, -1, 500, 100, -7)
+        found = load.correct(report, [], now_ms=100)
+        self.assertEqual(found, pools.LoadReport(0, 0, 100, 100, 0))
