--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -28,6 +28,7 @@
     slots,
     snapshots,
     sweeper,
+    sweeps,
     turns,
 )
 from mangotally.hosts import credentials as credentials_lib
@@ -156,6 +157,7 @@
             self.pools,
             self.programs,
             self.calls,
+            self.sweep,
         ):
             home.attach(handlers)
         await stack.enter_async_context(self.pools)
@@ -167,6 +169,7 @@
                 self.settings, self.partitions, self.programs, self.clock
             )
         )
+        await stack.enter_async_context(self.sweep)
         self._leaving = leaving.Leaving(
             self.readiness,
             self.members,
@@ -302,6 +305,14 @@
             ),
             self.clock,
         )
+        self.sweep = sweeps.Sweep(
+            self.members,
+            self.peers,
+            self.pools,
+            self.programs,
+            engine,
+            self.clock,
+        )
         self.calls = calls.CallHome(
             self.partitions,
             self.peers,
