Release prefixes in batches, one request for each target

Cause: every program that ends leaves a release, and each was a request of its own on a new connection, all at once at the next poll; confirming one looked through all others. Change: a release names up to 1,000 prefixes; releases are kept by program.

--- a/mangotally/engines/client.py
+++ b/mangotally/engines/client.py
@@ -11,7 +11,7 @@
 from mangotally.policy import faults, pools, records
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,6 +87,14 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class PrefixName:
+    """Names a cached prefix: the program whose conversation it holds."""
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+
+
 @dataclasses.dataclass(frozen=True)
 class Holdings:
     """What an engine holds for programs.
@@ -128,12 +136,9 @@
         """Returns the engine's load."""
 
     async def release(
-        self,
-        address: str,
-        organisation: ids.OrganisationId,
-        program: ids.ProgramId,
+        self, address: str, prefixes: Sequence[PrefixName]
     ) -> errors.Outcome[None]:
-        """Has the engine drop a program's cached prefix."""
+        """Has the engine drop cached prefixes, all in one request."""
 
     async def holdings(self, address: str) -> errors.Outcome[Holdings]:
         """Returns what the engine holds for programs."""
--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -16,7 +16,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator, Mapping, Sequence
 
     from mangotally.engines import channels as channels_lib
     from mangotally.policy import records
@@ -76,13 +76,11 @@
         return outcome.bind(_parse_load)
 
     async def release(
-        self,
-        address: str,
-        organisation: ids.OrganisationId,
-        program: ids.ProgramId,
+        self, address: str, prefixes: Sequence[client.PrefixName]
     ) -> errors.Outcome[None]:
-        """Has the engine drop a program's cached prefix."""
-        body = {"cache_key": cache_key(organisation, program)}
+        """Has the engine drop cached prefixes, all in one request."""
+        keys = [cache_key(item.organisation, item.program) for item in prefixes]
+        body = {"cache_keys": keys}
         outcome = await self._control("POST", f"{address}/release", body)
         return outcome.map(lambda _: None)
 
--- a/mangotally/homes/pool.py
+++ b/mangotally/homes/pool.py
@@ -47,7 +47,7 @@
     Attributes:
         targets: All targets of the service that the host list names.
         granted: Calls under way.
-        releases: Prefixes that targets are to drop.
+        releases: Targets that are to drop a program's prefix.
         cancels: Calls that targets are to end.
         organisations: Who owns the programs that hold prefixes.
     """
@@ -64,7 +64,7 @@
         self.service = service
         self.targets: dict[ids.TargetId, pools.TargetInfo] = {}
         self.granted: dict[ids.CallId, Granted] = {}
-        self.releases: set[tuple[ids.TargetId, ids.ProgramId]] = set()
+        self.releases: dict[ids.ProgramId, set[ids.TargetId]] = {}
         self.cancels: set[tuple[ids.TargetId, ids.CallId]] = set()
         self.organisations: dict[ids.ProgramId, ids.OrganisationId] = {}
         self._scheduler = scheduler
@@ -140,18 +140,24 @@
         self._scheduler.end_program(program, self._clock.now_ms())
         self.advance()
 
+    def add_release(self, target: ids.TargetId, program: ids.ProgramId) -> None:
+        """A target is to drop a prefix."""
+        self.releases.setdefault(program, set()).add(target)
+
     def confirm_release(
         self, target: ids.TargetId, program: ids.ProgramId
     ) -> None:
         """A target has dropped a prefix, or is gone."""
-        self.releases.discard((target, program))
-        if not any(item == program for _, item in self.releases):
+        left = self.releases.get(program, set())
+        left.discard(target)
+        if not left:
+            self.releases.pop(program, None)
             self.organisations.pop(program, None)
         self._scheduler.confirm_release(target, program, self._clock.now_ms())
 
     def forget_organisations(self, kept: set[ids.ProgramId]) -> None:
         """Forgets who owns programs that hold nothing any more."""
-        kept = kept | {program for _, program in self.releases}
+        kept = kept | self.releases.keys()
         self.organisations = {
             program: organisation
             for program, organisation in self.organisations.items()
@@ -164,8 +170,8 @@
         for target in list(self._breakers):
             if target not in self.targets:
                 del self._breakers[target]
-        for target, program in list(self.releases):
-            if target not in self.targets:
+        for program, holders in list(self.releases.items()):
+            for target in holders - self.targets.keys():
                 self.confirm_release(target, program)
         self.cancels = {
             item for item in self.cancels if item[0] in self.targets
@@ -187,7 +193,7 @@
         for action in self._scheduler.advance(self._clock.now_ms()):
             match action:
                 case pools.Release():
-                    self.releases.add((action.target, action.program))
+                    self.add_release(action.target, action.program)
                 case pools.Dispatch() | pools.Refuse():
                     self._answer(action.call, action)
 
--- a/mangotally/homes/pools.py
+++ b/mangotally/homes/pools.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from mangotally import errors, ids
+from mangotally.engines import client as engine_client
 from mangotally.homes import pool as pool_lib
 from mangotally.hosts import messages
 from mangotally.policy import breaker, homes, load, pools
@@ -20,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from mangotally.engines import client as engine_client
     from mangotally.homes import configuration, membership
     from mangotally.homes import quarantine as live_quarantine
     from mangotally.hosts import router
@@ -30,6 +30,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_CONTROL_CALLS = 64
+MAX_RELEASES = 1000
 
 
 class PoolHome:
@@ -240,8 +241,8 @@
 
         polls = [self._poll_target(pool, i) for i in pool.targets.values()]
         releases = [
-            self._release_prefix(pool, target, program)
-            for target, program in pool.releases
+            self._release_prefixes(pool, target, programs)
+            for target, programs in _releases_by_target(pool).items()
         ]
         cancels = [
             self._cancel_call(pool, target, call)
@@ -294,22 +295,26 @@
                 self._events[info.target] = events[-1].sequence
                 pool.observe_cache(info.target, events)
 
-    async def _release_prefix(
+    async def _release_prefixes(
         self,
         pool: pool_lib.Pool,
         target: ids.TargetId,
-        program: ids.ProgramId,
+        programs: list[ids.ProgramId],
     ) -> None:
         info = pool.targets.get(target)
-        organisation = pool.organisations.get(program)
-        if info is None or organisation is None:
-            pool.confirm_release(target, program)
+        names = []
+        for program in programs:
+            organisation = pool.organisations.get(program)
+            if info is None or organisation is None:
+                pool.confirm_release(target, program)
+            else:
+                names.append(engine_client.PrefixName(organisation, program))
+        if info is None or not names:
             return
-        outcome = await self._engine.release(
-            info.address, organisation, program
-        )
+        outcome = await self._engine.release(info.address, names)
         if isinstance(outcome, result.Success):
-            pool.confirm_release(target, program)
+            for name in names:
+                pool.confirm_release(target, name.program)
 
     async def _cancel_call(
         self, pool: pool_lib.Pool, target: ids.TargetId, call: ids.CallId
@@ -323,5 +328,18 @@
             pool.cancels.discard((target, call))
 
 
+def _releases_by_target(
+    pool: pool_lib.Pool,
+) -> dict[ids.TargetId, list[ids.ProgramId]]:
+    """Returns at most `MAX_RELEASES` prefixes for each target."""
+    found: dict[ids.TargetId, list[ids.ProgramId]] = {}
+    for program, targets in pool.releases.items():
+        for target in targets:
+            programs = found.setdefault(target, [])
+            if len(programs) < MAX_RELEASES:
+                programs.append(program)
+    return found
+
+
 def _moved() -> errors.Outcome[Any]:
     return errors.failed(errors.Reason.MOVED, "The home has moved.")
--- a/mangotally/homes/sweeps.py
+++ b/mangotally/homes/sweeps.py
@@ -187,7 +187,7 @@
                 name = messages.ProgramName(prefix.organisation, prefix.program)
                 if name in gone:
                     pool.organisations[prefix.program] = prefix.organisation
-                    pool.releases.add((target, prefix.program))
+                    pool.add_release(target, prefix.program)
 
     async def _ask(
         self, names: Iterable[messages.ProgramName]
--- a/mangotally/standins/engine.py
+++ b/mangotally/standins/engine.py
@@ -6,7 +6,7 @@
 GET  /load                          load, as of some time ago
 GET  /cache                         {"prefixes", "calls"}
 GET  /cache/events?after=n          {"events"}, late and with gaps
-POST /release {"cache_key"}         drops a prefix
+POST /release {"cache_keys"}        drops prefixes
 GET  /export?cache_key=k            a prefix, to import it elsewhere
 POST /import {"cache_key", "tokens"}
 GET  /state                         models, adapters, version, role
@@ -358,10 +358,10 @@
         if self.faults.ignore_release > 0:
             self.faults.ignore_release -= 1
             return web.Response(status=500)
-        key = (await request.json())["cache_key"]
-        size = self.cache.pop(key, None)
-        if size is not None:
-            self._note_event("evicted", key, size)
+        for key in (await request.json())["cache_keys"]:
+            size = self.cache.pop(key, None)
+            if size is not None:
+                self._note_event("evicted", key, size)
         return web.json_response({"released": True})
 
     async def _export(self, request: web.Request) -> web.Response:
--- a/tests/test_homes/fakes.py
+++ b/tests/test_homes/fakes.py
@@ -115,13 +115,13 @@
         return self._control(address, self.cancelled, call)
 
     async def release(
-        self,
-        address: str,
-        organisation: ids.OrganisationId,
-        program: ids.ProgramId,
+        self, address: str, prefixes: Sequence[client.PrefixName]
     ) -> errors.Outcome[None]:
         """Notes a release."""
-        return self._control(address, self.released, program)
+        outcome: errors.Outcome[None] = result.Success(None)
+        for item in prefixes:
+            outcome = self._control(address, self.released, item.program)
+        return outcome
 
     async def load(self, address: str) -> errors.Outcome[pools.LoadReport]:
         """Returns an idle engine's load."""
