--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -5,7 +5,7 @@
 import importlib
 import sys
 
-NAMES = ("path", "idle", "links", "codec", "tokens", "memory")
+NAMES = ("path", "idle", "links", "codec", "tokens", "memory", "decisions")
 
 
 def main() -> int:
