Part the ledger of a partition from its programs

Change: the ledger, which applies records, is a module of its own; programs, their digests and their repeats stay.

--- a/benches/history.py
+++ b/benches/history.py
@@ -13,7 +13,8 @@
 from benches import report
 from mangotally import errors, ids
 from mangotally.log import base, pacer, partition
-from mangotally.policy import programs, records
+from mangotally.policy import ledger as ledger_lib
+from mangotally.policy import records
 from mangotally.util import clock as clock_lib
 
 PROGRAMS = 2000
@@ -106,7 +107,7 @@
 def _measure_memory(turns: int) -> None:
     count = PROGRAMS // (1 + turns)
     batches = _history(turns, count)
-    ledger = programs.Ledger()
+    ledger = ledger_lib.Ledger()
     tracemalloc.start()
     for offset, data in enumerate(batches):
         for outcome in records.registry.decode_batch(data):
@@ -120,7 +121,7 @@
 
 def _measure_replay() -> None:
     batches = _history(10, 200)
-    ledger = programs.Ledger()
+    ledger = ledger_lib.Ledger()
     started_s = time.perf_counter()
     for offset, data in enumerate(batches):
         for outcome in records.registry.decode_batch(data):
--- a/benches/memory.py
+++ b/benches/memory.py
@@ -8,7 +8,8 @@
 
 from benches import report
 from mangotally import ids
-from mangotally.policy import configuration, programs, records, view
+from mangotally.policy import configuration, records, view
+from mangotally.policy import ledger as ledger_lib
 from mangotally.settings import lists
 
 if TYPE_CHECKING:
@@ -94,16 +95,16 @@
     return found
 
 
-def _make_programs(size: float) -> programs.Ledger:
+def _make_programs(size: float) -> ledger_lib.Ledger:
     return _make_ledger(size, turns=0)
 
 
-def _make_full(size: float) -> programs.Ledger:
+def _make_full(size: float) -> ledger_lib.Ledger:
     return _make_ledger(size, TURNS)
 
 
-def _make_ledger(size: float, turns: int) -> programs.Ledger:
-    ledger = programs.Ledger()
+def _make_ledger(size: float, turns: int) -> ledger_lib.Ledger:
+    ledger = ledger_lib.Ledger()
     for _ in range(int(size)):
         program = ids.new_program_id()
         ledger.apply(
--- a/mangotally/homes/partitions.py
+++ b/mangotally/homes/partitions.py
@@ -12,7 +12,8 @@
 
 from mangotally import errors, ids
 from mangotally.log import partition as partition_log
-from mangotally.policy import homes, programs, records
+from mangotally.policy import homes, records
+from mangotally.policy import ledger as ledger_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +37,7 @@
         members: membership.Membership,
         clock: clock_lib.Clock,
         limiter: pacer.Pacer | None = None,
-        call_lifetime_ms: int = programs.DAY_MS,
+        call_lifetime_ms: int = ledger_lib.DAY_MS,
     ) -> None:
         """Makes an empty set; entering it loads this host's partitions.
 
--- a/mangotally/homes/sweeper.py
+++ b/mangotally/homes/sweeper.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from mangotally.policy import calls, programs, records, snapshots
+from mangotally.policy import ledger as ledger_lib
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -94,7 +95,7 @@
                 await self.sweep(partition)
 
     def _due(
-        self, ledger: programs.Ledger
+        self, ledger: ledger_lib.Ledger
     ) -> list[tuple[programs.ProgramKey, records.CloseReason]]:
         now_ms = self._clock.wall_ms()
         due = []
@@ -131,7 +132,7 @@
         )
 
     def _aging(
-        self, ledger: programs.Ledger, now_ms: int
+        self, ledger: ledger_lib.Ledger, now_ms: int
     ) -> tuple[list[programs.ProgramKey], list[calls.CallKey]]:
         age_ms = int(self._settings.log.retention_ms * SNAPSHOT_AGE_SHARE)
         return (
--- a/mangotally/log/partition.py
+++ b/mangotally/log/partition.py
@@ -14,7 +14,8 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.policy import programs, records
+from mangotally.policy import ledger as ledger_lib
+from mangotally.policy import records
 from mangotally.util import clock as clock_lib
 from mangotally.util import codec
 
@@ -85,7 +86,7 @@
         stream: str,
         clock: clock_lib.Clock,
         limiter: pacer.Pacer | None = None,
-        call_lifetime_ms: int = programs.DAY_MS,
+        call_lifetime_ms: int = ledger_lib.DAY_MS,
     ) -> None:
         """Makes an empty partition; `catch_up` fills it.
 
@@ -111,7 +112,7 @@
         self._writer: asyncio.Task[None] | None = None
         self._begun_ms: float | None = None
         self._current_ms = 0.0
-        self.ledger = programs.Ledger(call_lifetime_ms)
+        self.ledger = ledger_lib.Ledger(call_lifetime_ms)
 
     async def __aenter__(self) -> Self:
         """Returns the partition."""
@@ -328,7 +329,7 @@
                 "history_aged_out",
                 extra={"stream": self._stream, "offset": self._next_offset},
             )
-        self.ledger = programs.Ledger(self._call_lifetime_ms, offset)
+        self.ledger = ledger_lib.Ledger(self._call_lifetime_ms, offset)
         self._next_offset = offset
 
     def _apply_entry(self, entry: base.Entry) -> None:
--- a/mangotally/policy/snapshots.py
+++ b/mangotally/policy/snapshots.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from mangotally.policy import ledger as ledger_lib
 from mangotally.policy import programs, records
 
 if TYPE_CHECKING:
@@ -11,7 +12,7 @@
 
 
 def aging_roots(
-    ledger: programs.Ledger, now_wall_ms: int, age_ms: int
+    ledger: ledger_lib.Ledger, now_wall_ms: int, age_ms: int
 ) -> list[programs.ProgramKey]:
     """Returns the root programs that need a snapshot.
 
@@ -29,7 +30,7 @@
 
 
 def make(
-    ledger: programs.Ledger,
+    ledger: ledger_lib.Ledger,
     root: programs.ProgramKey,
     as_of: ids.Offset,
     now_wall_ms: int,
