Replay a turn that another home has done in place of a failure

Change: after a failure before the first piece of an answer the stream is read, and a kept answer takes the failure's place. One test, which failed before (shown by mutation).

--- a/mangotally/homes/attempts.py
+++ b/mangotally/homes/attempts.py
@@ -72,7 +72,19 @@
             self._superseded = False
             outcome = await self._run_once(verdict)
             if not self._superseded:
-                return outcome
+                break
+        return await self._replay_if_done(outcome)
+
+    async def _replay_if_done(
+        self, outcome: errors.Outcome[Any]
+    ) -> errors.Outcome[Any]:
+        """Returns another home's answer in place of a failure here."""
+        if isinstance(outcome, result.Success) or self._text:
+            return outcome
+        await self._partition.catch_up()
+        match self._decide():
+            case result.Success(programs.Replay(done)):
+                return self._replay(done)
         return outcome
 
     def _decide(self) -> errors.Outcome[programs.Run | programs.Replay]:
--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -162,6 +162,20 @@
 
         fakes.run(work)
 
+    def test_done_turn_is_replayed_in_place_of_a_failure(self) -> None:
+        """A home that is behind has no slot for a turn that is done."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            one, two = Host(log, turns), Host(log, turns, H2)
+            await one.open()
+            await two.describe()
+            await one.turn(1)
+            turns.slot_failure = errors.Failure(errors.Reason.UNAVAILABLE, "no")
+            self.assertEqual((await two.turn(1)).unwrap(), ("1", True))
+
+        fakes.run(work)
+
     def test_repeat_joins_and_next_turn_waits_its_turn(self) -> None:
         """One turn runs once; the next is refused until it is done."""
 
