Cancel turns at their program's deadline also without the log

Cause: a turn was cancelled only after the program's end was in the log, so an outage prolonged it; ending an unknown program during an outage said that there is no such program. By mutation (no cancel before the record) 1 test fails.

--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -27,7 +27,14 @@
 logger = logging.getLogger(__name__)
 
 ENDED_REPEAT_MS = 600_000
-GAP_RETRY_MS = 1000
+_ENDED = errors.Failure(
+    errors.Reason.CANCELLED, "The program has ended.", errors.Ran.MAY_HAVE_RUN
+)
+_OVER_TIME = errors.Failure(
+    errors.Reason.DEADLINE,
+    "The program's time is over.",
+    errors.Ran.MAY_HAVE_RUN,
+)
 
 
 class ProgramHome:
@@ -98,11 +105,11 @@
         if isinstance(outcome, result.Failure):
             return outcome
         partition = outcome.unwrap()
-        found = partition.ledger.find(organisation, program)
-        if found is None:
-            await partition.catch_up()
-        if partition.ledger.find(organisation, program) is None:
-            return _describe(partition, organisation, program)
+        described = await self.describe(
+            messages.DescribeProgram(organisation, program)
+        )
+        if isinstance(described, result.Failure):
+            return described
         ended = await self.end(
             partition, organisation, program, records.CloseReason.CALLER
         )
@@ -156,7 +163,13 @@
         program: ids.ProgramId,
         reason: records.CloseReason,
     ) -> errors.Outcome[bool]:
-        """Ends a program with its sub-agents, their turns and prefixes."""
+        """Ends a program with its sub-agents, their turns and prefixes.
+
+        At its deadline turns are cancelled also while the log is down.
+        """
+        if reason is records.CloseReason.DEADLINE:
+            for item in partition.ledger.tree(organisation, program):
+                self._cancel(item, _OVER_TIME)
         appended = await partition.append(
             records.ProgramClosed(
                 organisation, program, reason, self._clock.wall_ms()
@@ -165,7 +178,7 @@
         if isinstance(appended, result.Failure):
             return appended
         for item in partition.ledger.tree(organisation, program):
-            self._cancel(item)
+            self._cancel(item, _ENDED)
             await self._turns.end_program(
                 item.opened.service, item.opened.program
             )
@@ -315,16 +328,12 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _cancel(self, program: programs.Program) -> None:
+    def _cancel(
+        self, program: programs.Program, failure: errors.Failure
+    ) -> None:
         key = (program.opened.organisation, program.opened.program)
         for running in list(self._running.get(key, {}).values()):
-            running.cancel(
-                errors.failed(
-                    errors.Reason.CANCELLED,
-                    "The program has ended.",
-                    errors.Ran.MAY_HAVE_RUN,
-                )
-            )
+            running.cancel(result.Failure(failure))
 
     def _repeat_ends(self, partition: partition_log.Partition) -> None:
         """Has prefixes released that an earlier home may have left."""
--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -443,6 +443,38 @@
 
         fakes.run(work)
 
+    def test_deadline_holds_while_the_log_is_down(self) -> None:
+        """A turn is cancelled; the end is recorded afterwards."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            turns.delay_ms = 60_000
+            host = Host(log, turns)
+            await host.open(wall_ms=90_000)
+            running = asyncio.create_task(host.turn(1))
+            await asyncio.sleep(61)
+            self.assertEqual(len(turns.runs), 1)
+            log.down = True
+            await asyncio.sleep(30)
+            await host.sweep()
+            self.assertTrue(running.done())
+            failure = running.result().failure()
+            self.assertEqual(failure.reason, errors.Reason.DEADLINE)
+            self.assertEqual(failure.ran, errors.Ran.MAY_HAVE_RUN)
+            gone = await host.home.close(
+                messages.CloseProgram(ORGANISATION, ids.ProgramId("none"))
+            )
+            self.assertEqual(
+                gone.failure().reason, errors.Reason.LOG_UNAVAILABLE
+            )
+            log.down = False
+            await asyncio.sleep(10)
+            await host.sweep()
+            closed = (await host.describe()).closed
+            self.assertEqual(closed, records.CloseReason.DEADLINE)
+
+        fakes.run(work)
+
     def test_answer_is_withheld_until_it_is_kept(self) -> None:
         """The turn sent again after the outage does not run again."""
 
