Join a running turn before its budget is asked for

Cause: a turn sent again while it ran was checked against a budget that the running turn itself had used up, and refused with 402. Change: a turn under way is looked for first. The table of turns under way is a class of its own; a turn cancelled before its task began no longer stays in it. The new test failed before: refused instead of joined.

--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -50,10 +50,7 @@
         self._partitions = partitions
         self._turns = turns
         self._clock = clock
-        self._running: dict[
-            programs.ProgramKey, dict[int, running_lib.Running]
-        ] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._running = running_lib.RunningTurns()
         partitions.on_load(self._repeat_ends)
 
     def attach(self, handlers: router.Router) -> None:
@@ -215,12 +212,11 @@
         self, organisation: ids.OrganisationId, program: ids.ProgramId
     ) -> bool:
         """Returns whether a turn of a program is under way here."""
-        return (organisation, program) in self._running
+        return self._running.has((organisation, program))
 
     async def wait_idle(self) -> None:
         """Waits until the turns under way are done and kept."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._running.wait_idle()
 
     def dump(self) -> dict[str, object]:
         """Returns the partitions' state, for the state dump."""
@@ -230,9 +226,7 @@
             "programs": sum(len(item.ledger.programs) for item in loaded),
             "calls": sum(len(item.ledger.calls.calls) for item in loaded),
             "unwritten_bytes": sum(item.pending_bytes for item in loaded),
-            "turns_running": sum(
-                len(turns) for turns in self._running.values()
-            ),
+            "turns_running": len(self._running),
         }
 
     async def _join(
@@ -241,25 +235,27 @@
         wanted: programs.Turn,
         partition: partition_log.Partition,
     ) -> AsyncGenerator[errors.Outcome[Any], None]:
-        key = (wanted.organisation, wanted.program)
-        decision = await self._decide(partition, wanted)
-        found = self._running.get(key, {}).get(wanted.turn)
-        if found is not None and found.digest != wanted.digest:
+        found = self._running.find(wanted)
+        if found is None:
+            decision = await self._decide(partition, wanted)
+            match decision:
+                case result.Success(programs.Replay(done)):
+                    for event in attempts.replay(done):
+                        yield event
+                    return
+                case result.Failure(_):
+                    yield decision
+                    return
+            found = self._running.find(wanted)
+        running = found or self._start(message, wanted, partition)
+        if running.digest != wanted.digest:
             yield errors.failed(
                 errors.Reason.CONFLICT,
                 f"Turn {wanted.turn} runs with another content.",
             )
             return
-        match decision:
-            case result.Success(programs.Replay(done)):
-                for event in attempts.replay(done):
-                    yield event
-            case result.Success():
-                running = found or self._start(message, wanted, partition)
-                async for event in running.follow():
-                    yield event
-            case _:
-                yield decision
+        async for event in running.follow():
+            yield event
 
     async def _decide(
         self, partition: partition_log.Partition, wanted: programs.Turn
@@ -293,47 +289,18 @@
         wanted: programs.Turn,
         partition: partition_log.Partition,
     ) -> running_lib.Running:
-        running = running_lib.Running(wanted.digest)
-        key = (wanted.organisation, wanted.program)
-        self._running.setdefault(key, {})[wanted.turn] = running
+        running = self._running.add(wanted)
         run = attempts.TurnRun(
             wanted, message, partition, self._turns, self._clock, running
         )
-        running.task = self._spawn(self._run_kept(key, wanted, run, running))
+        self._running.start(wanted, running, run.run())
         return running
 
-    async def _run_kept(
-        self,
-        key: programs.ProgramKey,
-        wanted: programs.Turn,
-        run: attempts.TurnRun,
-        running: running_lib.Running,
-    ) -> None:
-        event: errors.Outcome[Any] = errors.failed(
-            errors.Reason.INTERNAL,
-            "The turn broke off.",
-            errors.Ran.MAY_HAVE_RUN,
-        )
-        try:
-            event = await run.run()
-        finally:
-            running.put(event, last=True)
-            self._running[key].pop(wanted.turn, None)
-            if not self._running[key]:
-                del self._running[key]
-
-    def _spawn(self, work: Any) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _cancel(
         self, program: programs.Program, failure: errors.Failure
     ) -> None:
-        key = (program.opened.organisation, program.opened.program)
-        for running in list(self._running.get(key, {}).values()):
-            running.cancel(result.Failure(failure))
+        opened = program.opened
+        self._running.cancel((opened.organisation, opened.program), failure)
 
     def _repeat_ends(self, partition: partition_log.Partition) -> None:
         """Has prefixes released that an earlier home may have left."""
@@ -344,7 +311,7 @@
             if item.closed and now_ms - item.closed_wall_ms < ENDED_REPEAT_MS
         ]
         if ended:
-            self._spawn(self._end_all(ended))
+            self._running.spawn(self._end_all(ended))
 
     async def _end_all(self, ended: list[records.ProgramOpened]) -> None:
         for opened in ended:
--- a/mangotally/homes/running.py
+++ b/mangotally/homes/running.py
@@ -5,10 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from returns import result
+
+from mangotally import errors
+
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Coroutine
 
-    from mangotally import errors
+    from mangotally.policy import programs
 
 
 class Running:
@@ -51,3 +55,77 @@
             if self._finished:
                 return
             await self._changed.wait()
+
+
+class RunningTurns:
+    """The turns under way at this host, each in a task of its own."""
+
+    def __init__(self) -> None:
+        self._turns: dict[programs.ProgramKey, dict[int, Running]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        return sum(len(turns) for turns in self._turns.values())
+
+    def has(self, key: programs.ProgramKey) -> bool:
+        """Returns whether a turn of a program is under way."""
+        return key in self._turns
+
+    def find(self, wanted: programs.Turn) -> Running | None:
+        """Returns a turn under way, whatever its content, or None."""
+        return self._turns.get(_key(wanted), {}).get(wanted.turn)
+
+    def add(self, wanted: programs.Turn) -> Running:
+        """Adds a turn; `start` sets it to work."""
+        running = Running(wanted.digest)
+        self._turns.setdefault(_key(wanted), {})[wanted.turn] = running
+        return running
+
+    def start(
+        self,
+        wanted: programs.Turn,
+        running: Running,
+        work: Awaitable[errors.Outcome[Any]],
+    ) -> None:
+        """Runs a turn; what the work returns is its last event."""
+        running.task = self.spawn(_run(running, work))
+        running.task.add_done_callback(lambda _: self._remove(wanted, running))
+
+    def cancel(self, key: programs.ProgramKey, failure: errors.Failure) -> None:
+        """Ends a program's turns under way with a failure."""
+        for running in list(self._turns.get(key, {}).values()):
+            running.cancel(result.Failure(failure))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Starts a task that `wait_idle` waits for."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def wait_idle(self) -> None:
+        """Waits until all work is done."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _remove(self, wanted: programs.Turn, running: Running) -> None:
+        running.put(
+            errors.failed(
+                errors.Reason.INTERNAL,
+                "The turn broke off.",
+                errors.Ran.MAY_HAVE_RUN,
+            ),
+            last=True,
+        )
+        turns = self._turns[_key(wanted)]
+        del turns[wanted.turn]
+        if not turns:
+            del self._turns[_key(wanted)]
+
+
+async def _run(running: Running, work: Awaitable[errors.Outcome[Any]]) -> None:
+    running.put(await work, last=True)
+
+
+def _key(wanted: programs.Turn) -> programs.ProgramKey:
+    return (wanted.organisation, wanted.program)
--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -182,11 +182,12 @@
         async def work() -> None:
             turns = fakes.FakeTurns()
             host = Host(fakes.FakeLog(), turns)
-            await host.open()
+            await host.open(calls=1)
             first, again, early, other = await asyncio.gather(
                 host.turn(1), host.turn(1), host.turn(2), host.turn(1, text="x")
             )
             self.assertEqual(first, again)
+            self.assertEqual(first.unwrap(), ("1", False))
             self.assertEqual(early.failure().reason, errors.Reason.TURN_GAP)
             self.assertEqual(early.failure().ran, errors.Ran.NOT_RUN)
             self.assertEqual(other.failure().reason, errors.Reason.CONFLICT)
@@ -194,6 +195,23 @@
 
         fakes.run(work)
 
+    def test_repeat_joins_what_its_budget_went_into(self) -> None:
+        """The running turn holds the last call; its repeat needs none."""
+
+        async def work() -> None:
+            turns = fakes.FakeTurns()
+            turns.delay_ms = 50
+            host = Host(fakes.FakeLog(), turns)
+            await host.open(calls=1)
+            running = asyncio.create_task(host.turn(1))
+            await asyncio.sleep(0.075)
+            self.assertEqual((await host.describe()).used_calls, 1)
+            again = await host.turn(1)
+            self.assertEqual(again, await running)
+            self.assertEqual(again.unwrap(), ("1", False))
+
+        fakes.run(work)
+
     def test_reservation_goes_along_with_the_wait_for_a_slot(self) -> None:
         """A turn waits for the slower of the two, not for their sum."""
 
