--- a/tests/test_homes/test_programs.py
+++ b/tests/test_homes/test_programs.py
@@ -162,17 +162,32 @@
 
         fakes.run(work)
 
+    def test_done_turn_is_replayed_in_place_of_a_failure(self) -> None:
+        """A home that is behind has no slot for a turn that is done."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            one, two = Host(log, turns), Host(log, turns, H2)
+            await one.open()
+            await two.describe()
+            await one.turn(1)
+            turns.slot_failure = errors.Failure(errors.Reason.UNAVAILABLE, "no")
+            self.assertEqual((await two.turn(1)).unwrap(), ("1", True))
+
+        fakes.run(work)
+
     def test_repeat_joins_and_next_turn_waits_its_turn(self) -> None:
         """One turn runs once; the next is refused until it is done."""
 
         async def work() -> None:
             turns = fakes.FakeTurns()
             host = Host(fakes.FakeLog(), turns)
-            await host.open()
+            await host.open(calls=1)
             first, again, early, other = await asyncio.gather(
                 host.turn(1), host.turn(1), host.turn(2), host.turn(1, text="x")
             )
             self.assertEqual(first, again)
+            self.assertEqual(first.unwrap(), ("1", False))
             self.assertEqual(early.failure().reason, errors.Reason.TURN_GAP)
             self.assertEqual(early.failure().ran, errors.Ran.NOT_RUN)
             self.assertEqual(other.failure().reason, errors.Reason.CONFLICT)
@@ -180,6 +195,23 @@
 
         fakes.run(work)
 
+    def test_repeat_joins_what_its_budget_went_into(self) -> None:
+        """The running turn holds the last call; its repeat needs none."""
+
+        async def work() -> None:
+            turns = fakes.FakeTurns()
+            turns.delay_ms = 50
+            host = Host(fakes.FakeLog(), turns)
+            await host.open(calls=1)
+            running = asyncio.create_task(host.turn(1))
+            await asyncio.sleep(0.075)
+            self.assertEqual((await host.describe()).used_calls, 1)
+            again = await host.turn(1)
+            self.assertEqual(again, await running)
+            self.assertEqual(again.unwrap(), ("1", False))
+
+        fakes.run(work)
+
     def test_reservation_goes_along_with_the_wait_for_a_slot(self) -> None:
         """A turn waits for the slower of the two, not for their sum."""
 
@@ -429,6 +461,38 @@
 
         fakes.run(work)
 
+    def test_deadline_holds_while_the_log_is_down(self) -> None:
+        """A turn is cancelled; the end is recorded afterwards."""
+
+        async def work() -> None:
+            log, turns = fakes.FakeLog(), fakes.FakeTurns()
+            turns.delay_ms = 60_000
+            host = Host(log, turns)
+            await host.open(wall_ms=90_000)
+            running = asyncio.create_task(host.turn(1))
+            await asyncio.sleep(61)
+            self.assertEqual(len(turns.runs), 1)
+            log.down = True
+            await asyncio.sleep(30)
+            await host.sweep()
+            self.assertTrue(running.done())
+            failure = running.result().failure()
+            self.assertEqual(failure.reason, errors.Reason.DEADLINE)
+            self.assertEqual(failure.ran, errors.Ran.MAY_HAVE_RUN)
+            gone = await host.home.close(
+                messages.CloseProgram(ORGANISATION, ids.ProgramId("none"))
+            )
+            self.assertEqual(
+                gone.failure().reason, errors.Reason.LOG_UNAVAILABLE
+            )
+            log.down = False
+            await asyncio.sleep(10)
+            await host.sweep()
+            closed = (await host.describe()).closed
+            self.assertEqual(closed, records.CloseReason.DEADLINE)
+
+        fakes.run(work)
+
     def test_answer_is_withheld_until_it_is_kept(self) -> None:
         """The turn sent again after the outage does not run again."""
 
