Give engines their orders, and list and lift quarantined requests

Orders to load a model, version or adapter or to change role come from the pool's home under its lease; the fencing number is the offset of the order's record. All engines are read back each second, so one that ignores fencing is put right. One home keeps the weight store's rate for the fleet.

The first run of test_orders hung on an engine that had fallen back to an old version within 30 s of its order; what an engine has reached is now forgotten as an order under way.

Log, host list and weight store take their faults over HTTP like the rest.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -20,6 +20,7 @@
     configuration,
     leaving,
     membership,
+    orders,
     organisations,
     partitions,
     pools,
@@ -30,6 +31,7 @@
     sweeper,
     sweeps,
     turns,
+    weights,
 )
 from mangotally.hosts import credentials as credentials_lib
 from mangotally.hosts import link, messages, peers, router
@@ -37,6 +39,7 @@
 from mangotally.log import http as http_log
 from mangotally.metrics import store
 from mangotally.operators import publisher
+from mangotally.operators import quarantine as operator_quarantine
 from mangotally.operators import server as operator_server
 from mangotally.policy import faults, records, scheduler
 from mangotally.roster import http as http_roster
@@ -44,6 +47,7 @@
 from mangotally.services import runner as service_runner
 from mangotally.util import certificates
 from mangotally.util import clock as clock_lib
+from mangotally.weights import http as http_weights
 
 if TYPE_CHECKING:
     import ssl
@@ -158,6 +162,7 @@
             self.programs,
             self.calls,
             self.sweep,
+            self.weights,
         ):
             home.attach(handlers)
         await stack.enter_async_context(self.pools)
@@ -170,6 +175,7 @@
             )
         )
         await stack.enter_async_context(self.sweep)
+        await stack.enter_async_context(self.orders)
         self._leaving = leaving.Leaving(
             self.readiness,
             self.members,
@@ -305,6 +311,21 @@
             ),
             self.clock,
         )
+        self.weights = weights.WeightHome(
+            self.members,
+            http_weights.HttpWeightStore(channels, settings.weights_url),
+            targets.weights_per_s,
+            self.clock,
+        )
+        self.orders = orders.OrderGiver(
+            self.members,
+            self.peers,
+            self.live,
+            self.pools,
+            engine,
+            log,
+            self.clock,
+        )
         self.sweep = sweeps.Sweep(
             self.members,
             self.peers,
@@ -405,7 +426,12 @@
         return server.HttpServer(
             settings.address,
             settings.operators_port,
-            [routes],
+            [
+                routes,
+                operator_quarantine.QuarantineRoutes(
+                    self.quarantine, routes.guard
+                ),
+            ],
             limits.Limits(self.limits.bounds),
             shutdown_ms=0,
             tls=context,
--- a/mangotally/engines/client.py
+++ b/mangotally/engines/client.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from mangotally import errors, ids
-from mangotally.policy import faults, pools, records
+from mangotally.policy import faults, orders, pools, records
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -142,3 +142,18 @@
         self, address: str, after: int
     ) -> errors.Outcome[tuple[pools.CacheEvent, ...]]:
         """Returns cache events after a sequence number."""
+
+    async def state(self, address: str) -> errors.Outcome[orders.Seen]:
+        """Returns what the engine has loaded."""
+
+    async def order(
+        self, address: str, fencing: int, wanted: orders.EngineState
+    ) -> errors.Outcome[orders.Seen]:
+        """Has the engine change what it has loaded, or its role.
+
+        Args:
+            address: Base URL of the engine.
+            fencing: Number of the order; it refuses lower ones than its
+                last, if it checks them.
+            wanted: The state that it is to have.
+        """
--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +13,7 @@
 
 from mangotally import errors, ids
 from mangotally.engines import client, events
-from mangotally.policy import faults, pools
+from mangotally.policy import faults, orders, pools
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -99,6 +100,19 @@
         outcome = await self._control("GET", url, None)
         return outcome.bind(_parse_cache_events)
 
+    async def state(self, address: str) -> errors.Outcome[orders.Seen]:
+        """Returns what the engine has loaded."""
+        outcome = await self._control("GET", f"{address}/state", None)
+        return outcome.bind(_parse_seen)
+
+    async def order(
+        self, address: str, fencing: int, wanted: orders.EngineState
+    ) -> errors.Outcome[orders.Seen]:
+        """Has the engine change what it has loaded, or its role."""
+        body = {"fencing": fencing, "state": dataclasses.asdict(wanted)}
+        outcome = await self._control("POST", f"{address}/orders", body)
+        return outcome.bind(_parse_seen)
+
     async def _stream(
         self,
         method: str,
@@ -299,6 +313,24 @@
         return _failed("bad cache events")
 
 
+def _parse_seen(body: Any) -> errors.Outcome[orders.Seen]:
+    try:
+        state = body["state"]
+        return result.Success(
+            orders.Seen(
+                orders.EngineState(
+                    str(state.get("model", "")),
+                    str(state.get("version", "")),
+                    tuple(str(item) for item in state.get("adapters", ())),
+                    str(state.get("role", "both")),
+                ),
+                int(body["fencing"]),
+            )
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return _failed("a bad state")
+
+
 def _failed(detail: str) -> errors.Outcome[Any]:
     return errors.failed(
         errors.Reason.TARGET_FAILED,
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -417,3 +417,11 @@
     """The state of a process, as JSON."""
 
     json: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class FetchWeights:
+    """Asks the weight store's home to fetch weights."""
+
+    name: str
--- /dev/null
+++ b/mangotally/operators/quarantine.py
@@ -0,0 +1,66 @@
+"""Quarantined requests in the administration API.
+
+GET    /admin/quarantine           -> [{"digest", "service", ...}]
+DELETE /admin/quarantine/{digest}  lets a request in again
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from returns import result
+
+from mangotally.callers import problems
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from mangotally.homes import quarantine
+
+    Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+PATH = "/admin/quarantine"
+
+
+class QuarantineRoutes:
+    """Routes below `/admin/quarantine`."""
+
+    def __init__(
+        self,
+        live: quarantine.LiveQuarantine,
+        with_key: Callable[[Handler], Handler],
+    ) -> None:
+        """Makes the routes; `attach` adds them.
+
+        Args:
+            live: The quarantine in force.
+            with_key: Has a handler check the operator's key.
+        """
+        self._live = live
+        self._with_key = with_key
+
+    def attach(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        app.router.add_get(PATH, self._with_key(self._list))
+        app.router.add_delete(f"{PATH}/{{digest}}", self._with_key(self._lift))
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            [
+                {
+                    "digest": item.digest,
+                    "service": item.service,
+                    "targets": list(item.targets),
+                    "until_wall_ms": item.until_wall_ms,
+                }
+                for item in self._live.refused()
+            ]
+        )
+
+    async def _lift(self, request: web.Request) -> web.Response:
+        digest = request.match_info["digest"]
+        outcome = await self._live.lift(digest)
+        if isinstance(outcome, result.Failure):
+            return problems.response_of(outcome.failure())
+        return web.json_response({"digest": digest})
--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -93,6 +93,12 @@
             "/metrics", self._with_key(self._get_metrics, readers)
         )
 
+    def guard(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        """Has a handler of another group of routes check the key."""
+        return self._with_key(handler, self._key_digests)
+
     def _with_key(
         self,
         handler: Callable[[web.Request], Awaitable[web.Response]],
--- a/mangotally/policy/records.py
+++ b/mangotally/policy/records.py
@@ -526,3 +526,13 @@
     """An operator lets a request in again."""
 
     digest: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class OrderGiven:
+    """An order to an engine; its offset is its fencing number."""
+
+    service: ids.ServiceId
+    target: ids.TargetId
+    host: ids.HostId
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -53,6 +53,7 @@
         retry_share: Retries per request, as a share of a service's traffic.
         quarantine_ms: How long a request that crashed two targets is
             refused.
+        weights_per_s: Fetches a second that the weight store allows.
     """
 
     model_config = pydantic.ConfigDict(
@@ -65,6 +66,7 @@
     between_tokens_ms: int = pydantic.Field(default=3000, ge=1)
     retry_share: float = pydantic.Field(default=0.2, ge=0, le=1)
     quarantine_ms: int = pydantic.Field(default=600_000, ge=1000)
+    weights_per_s: float = pydantic.Field(default=1.0, gt=0)
 
 
 class CallerSettings(pydantic.BaseModel):
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -8,7 +8,7 @@
 import functools
 import hashlib
 import re
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Literal
 
 import pydantic
 
@@ -107,6 +107,30 @@
     path_prefix: str = "/"
 
 
+class EngineRole(enum.Enum):
+    """What an engine works on."""
+
+    BOTH = "both"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class EngineSettings(_Strict):
+    """What the engines of a service are to have loaded.
+
+    Attributes:
+        model: Name of the model, or empty if it does not matter.
+        version: Version of the model, or empty if it does not matter.
+        adapters: Names of adapters.
+        role: What they work on.
+    """
+
+    model: Name | Literal[""] = ""
+    version: Name | Literal[""] = ""
+    adapters: tuple[Name, ...] = ()
+    role: EngineRole = EngineRole.BOTH
+
+
 class Service(_Strict):
     """A service that plans may use.
 
@@ -117,6 +141,8 @@
             others run at most once.
         worker_calls: Calls that one target runs at once.
         honours_fencing: Whether the targets refuse old fencing numbers.
+        engine: What model engines are to have loaded, or None to leave
+            them as they are.
     """
 
     id: Name
@@ -124,6 +150,7 @@
     repeatable: tuple[RepeatableCall, ...] = ()
     worker_calls: int = pydantic.Field(default=16, ge=1)
     honours_fencing: bool = True
+    engine: EngineSettings | None = None
 
     def may_repeat(self, method: str, path: str) -> bool:
         """Returns whether a call of a plain service is idempotent.
--- a/mangotally/standins/platform.py
+++ b/mangotally/standins/platform.py
@@ -15,7 +15,7 @@
 from mangotally.settings import host as host_settings
 from mangotally.settings import lists
 from mangotally.settings import tls as tls_settings
-from mangotally.standins import engine, log, roster, service
+from mangotally.standins import engine, log, roster, service, weights
 
 if TYPE_CHECKING:
     from mangotally.standins import deployments
@@ -48,6 +48,7 @@
         self._random = random.Random(seed)
         self.log = log.LogStandIn()
         self.roster = roster.RosterStandIn()
+        self.weights = weights.WeightsStandIn()
         self.engines: dict[ids.TargetId, engine.EngineStandIn] = {}
         self.services: dict[ids.TargetId, service.ServiceStandIn] = {}
         self.operator_key = f"op-{secrets.token_urlsafe(_KEY_BYTES)}"
@@ -59,6 +60,7 @@
         """Starts all stand-ins and publishes the first configuration."""
         await self._stack.enter_async_context(self.log)
         await self._stack.enter_async_context(self.roster)
+        await self._stack.enter_async_context(self.weights)
         for group in self.deployment.groups:
             for number in range(group.workers):
                 await self._start_worker(group, number)
@@ -85,7 +87,7 @@
             place=places[number % len(places)],
             log=host_settings.LogSettings(url=self.log.url),
             roster_url=self.roster.url,
-            weights_url=self.roster.url,
+            weights_url=self.weights.url,
             tls=self.tls,
             operator_key_digests=(configuration.digest_key(self.operator_key),),
             metrics_key_digests=(configuration.digest_key(self.metrics_key),),
--- a/mangotally/standins/roster.py
+++ b/mangotally/standins/roster.py
@@ -1,6 +1,8 @@
 """Stand-in for the platform's list of live and leaving hosts.
 
-GET /entries -> [{"id", "kind", "address", "place", "service", "state"}]
+GET  /entries      -> [{"id", "kind", "address", "place", "service",
+    "state"}]
+POST /faults {...} sets fields of `RosterFaults`
 """
 
 from __future__ import annotations
@@ -11,11 +13,24 @@
 from aiohttp import web
 
 from mangotally.roster import base
-from mangotally.standins import server
+from mangotally.standins import faults, server
 from mangotally.util import clock as clock_lib
 from mangotally.util import codec
 
 
+@dataclasses.dataclass
+class RosterFaults:
+    """How the list misbehaves.
+
+    Attributes:
+        down: Answers 503.
+        lag_ms: How late a change shows.
+    """
+
+    down: bool = False
+    lag_ms: float = 0.0
+
+
 class RosterStandIn(server.StandIn):
     """Serves the entries that it is given, after a lag."""
 
@@ -26,23 +41,24 @@
             lag_ms: How late a change shows.
         """
         super().__init__()
-        self.lag_ms = lag_ms
+        self.faults = RosterFaults(lag_ms=lag_ms)
         self._entries: dict[str, base.RosterEntry] = {}
 
     def application(self) -> web.Application:
         """Returns the application to serve."""
         app = web.Application()
         app.router.add_get("/entries", self._list)
+        faults.attach(app, lambda: self.faults)
         return app
 
     async def put(self, entry: base.RosterEntry) -> None:
         """Adds or replaces an entry."""
-        await asyncio.sleep(clock_lib.to_seconds(self.lag_ms))
+        await asyncio.sleep(clock_lib.to_seconds(self.faults.lag_ms))
         self._entries[entry.id] = entry
 
     async def remove(self, entry_id: str) -> None:
         """Removes an entry."""
-        await asyncio.sleep(clock_lib.to_seconds(self.lag_ms))
+        await asyncio.sleep(clock_lib.to_seconds(self.faults.lag_ms))
         self._entries.pop(entry_id, None)
 
     async def set_state(self, entry_id: str, state: base.EntryState) -> None:
@@ -51,6 +67,8 @@
         await self.put(dataclasses.replace(entry, state=state))
 
     async def _list(self, _request: web.Request) -> web.Response:
+        if self.faults.down:
+            return web.Response(status=503)
         entries = tuple(self._entries.values())
         adapter = codec.adapter_of(tuple[base.RosterEntry, ...])
         return web.Response(
--- /dev/null
+++ b/mangotally/weights/http.py
@@ -0,0 +1,52 @@
+"""Adapter to a weight store over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from returns import result
+
+from mangotally import errors
+from mangotally.engines import http as http_engine
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.engines import channels as channels_lib
+
+TIMEOUT_MS = 5000
+RETRY_AFTER_MS = 1000
+
+
+class HttpWeightStore:
+    """Speaks to the weight store; see `mangotally.standins.weights`."""
+
+    def __init__(self, channels: channels_lib.Channels, url: str) -> None:
+        """Makes an adapter; the caller closes the channels."""
+        self._channels = channels
+        self._url = url.rstrip("/")
+
+    async def fetch(self, name: str) -> errors.Outcome[int]:
+        """Asks for weights; see `client.WeightStore`."""
+        timeout = aiohttp.ClientTimeout(clock_lib.to_seconds(TIMEOUT_MS))
+        try:
+            async with self._channels.fresh.post(
+                f"{self._url}/fetch",
+                json={"name": name},
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                if response.status != 200:
+                    pause_ms = http_engine.parse_retry_after(response.headers)
+                    return _unavailable(pause_ms or RETRY_AFTER_MS)
+                return result.Success(int((await response.json())["bytes"]))
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+            return _unavailable(RETRY_AFTER_MS)
+
+
+def _unavailable(retry_after_ms: int) -> errors.Outcome[int]:
+    return errors.failed(
+        errors.Reason.UNAVAILABLE,
+        "The weight store does not serve now.",
+        retry_after_ms=retry_after_ms,
+    )
--- a/tests/test_application/test_faults.py
+++ b/tests/test_application/test_faults.py
@@ -14,11 +14,13 @@
 
 LEAVING_MS = 3000
 MEMORY_MS = 10_000
+ORDERS_MS = 20_000
 _TARGETS = host_settings.TargetSettings(
     connect_ms=200,
     first_token_ms=300,
     first_token_ms_per_token=0,
     between_tokens_ms=200,
+    weights_per_s=4,
 )
 _LARGE = ids.OrganisationId("oficinas-porto")
 _WORDS = " ".join(f"w{n}" for n in range(20))
@@ -98,8 +100,53 @@
         await self._check_answers(4)
         for item in crashed:
             await item.start()
-        host = self.fleet.local.hosts[0]
-        self.assertEqual(host.quarantine.dump()["quarantined"], 1)
+        listed = await self._operate("GET", "/admin/quarantine")
+        self.assertEqual(len(listed), 1)
+        digest = listed[0]["digest"]
+        await self._operate("DELETE", f"/admin/quarantine/{digest}")
+        for item in self._engines():
+            item.faults.crash_on = ""
+        status, answer = await self._turn("poison")
+        self.assertEqual(status, 200, answer)
+
+    async def _operate(self, method: str, path: str, body: Any = None) -> Any:
+        settings = self.fleet.local.hosts[0].settings
+        url = f"http://{settings.address}:{settings.operators_port}{path}"
+        key = self.platform.operator_key
+        async with self.fleet.session.request(
+            method, url, json=body, headers={"Authorization": f"Bearer {key}"}
+        ) as response:
+            self.assertEqual(response.status, 200, await response.text())
+            return await response.json()
+
+    async def test_orders(self) -> None:
+        """All engines get what the lists say, within the store's rate."""
+        self.platform.weights.faults.rate_per_s = _TARGETS.weights_per_s
+        wild = self._engines()[2]
+        wild.faults.ignore_fencing = True
+        lists = await self._operate("GET", "/admin/lists")
+        content = lists["lists"]
+        for service in content["uses"]["services"]:
+            if service["id"] == fleet_lib.MODEL:
+                service["engine"] = {"model": "tern", "version": "v2"}
+        await self._operate(
+            "POST",
+            "/admin/lists",
+            {"predecessor": lists["version"], **content},
+        )
+        async with asyncio.timeout(ORDERS_MS / 1000):
+            await self._until_version("v2")
+            wild.state = {**wild.state, "version": "v1"}
+            await self._until_version("v2")
+        numbers = [item.fencing for item in self._engines()]
+        self.assertEqual(len(set(numbers)), len(numbers))
+        self.assertEqual(self.platform.weights.refused, 0)
+
+    async def _until_version(self, version: str) -> None:
+        while any(
+            item.state.get("version") != version for item in self._engines()
+        ):
+            await asyncio.wait([asyncio.create_task(asyncio.sleep(0.05))])
 
     async def test_leaving_target_gets_no_new_work(self) -> None:
         """After the bound a leaving engine sees no new call."""
--- a/tests/test_homes/fakes.py
+++ b/tests/test_homes/fakes.py
@@ -12,7 +12,7 @@
 from mangotally.engines import client
 from mangotally.hosts import messages
 from mangotally.log import base
-from mangotally.policy import faults, pools, records
+from mangotally.policy import faults, orders, pools, records
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -140,6 +140,16 @@
         """Returns no events."""
         return result.Success(())
 
+    async def state(self, address: str) -> errors.Outcome[orders.Seen]:
+        """Returns an engine without orders."""
+        return result.Success(orders.Seen(orders.EngineState(), -1))
+
+    async def order(
+        self, address: str, fencing: int, wanted: orders.EngineState
+    ) -> errors.Outcome[orders.Seen]:
+        """Obeys."""
+        return result.Success(orders.Seen(wanted, fencing))
+
     def _control(
         self, address: str, notes: list[Any], item: Any
     ) -> errors.Outcome[None]:
--- /dev/null
+++ b/tests/test_policy/test_orders.py
@@ -0,0 +1,44 @@
+"""Tests of mangotally.policy.orders."""
+
+from __future__ import annotations
+
+import unittest
+
+from mangotally import ids
+from mangotally.policy import orders
+
+A, B = ids.TargetId("a"), ids.TargetId("b")
+OLD = orders.Seen(orders.EngineState("m", "v1"), 3)
+NEW = orders.Seen(orders.EngineState("m", "v2"), 4)
+WANTED = orders.EngineState("m", "v2")
+
+
+class PlanTest(unittest.TestCase):
+    """Orders to the engines of one pool."""
+
+    def test_one_at_a_time(self) -> None:
+        """The next engine waits until the one before is as wanted."""
+        first = orders.plan(WANTED, {A: OLD, B: OLD}, {}, 0)
+        self.assertEqual(first, orders.Order(A, WANTED, ("model/m/v2",)))
+        seen = {A: OLD, B: OLD}
+        self.assertIsNone(orders.plan(WANTED, seen, {A: 0}, 1))
+        second = orders.plan(WANTED, {A: NEW, B: OLD}, {A: 0}, 1)
+        assert second is not None
+        self.assertEqual(second.target, B)
+        done = {A: NEW, B: NEW}
+        self.assertIsNone(orders.plan(WANTED, done, {A: 0, B: 1}, 2))
+
+    def test_stuck_engine(self) -> None:
+        """An engine that does not obey makes room for the others."""
+        later_ms = orders.PATIENCE_MS
+        order = orders.plan(WANTED, {A: OLD, B: OLD}, {A: 0}, later_ms)
+        assert order is not None
+        self.assertEqual(order.target, B)
+
+    def test_weights(self) -> None:
+        """Only what the engine lacks is fetched."""
+        state = orders.EngineState("m", "v2", ("x",))
+        wanted = orders.EngineState("m", "v2", ("x", "y"), "decode")
+        order = orders.plan(wanted, {A: orders.Seen(state, 1)}, {}, 0)
+        assert order is not None
+        self.assertEqual(order.weights, ("adapter/y",))
