--- a/tests/test_application/test_processes.py
+++ b/tests/test_application/test_processes.py
@@ -54,6 +54,8 @@
             codes = [fleet.wait("h1"), fleet.wait("h2")]
             self.assertEqual(set(ends), {b"data: [DONE]\n\n"})
             self.assertEqual(codes, [0, 0])
+            for line in fleet.log("h1").splitlines():
+                self.assertRegex(line, r"^time=\S+ ?\S+ level=\w+ .*event=\w+")
 
     def test_stop_on_signal(self) -> None:
         """SIGTERM ends a host with exit code 0, and it leaves the view."""
