--- a/mangotally/operators/server.py
+++ b/mangotally/operators/server.py
@@ -107,10 +107,7 @@
         async def checked(request: web.Request) -> web.Response:
             if _has_key(request, digests):
                 return await handler(request)
-            logger.warning(
-                "operator_refused",
-                extra={"remote": request.remote, "path": request.path},
-            )
+            logger.warning("operator_refused", extra={"remote": request.remote})
             return problems.response_of(
                 errors.Failure(
                     errors.Reason.UNAUTHORISED,
--- /dev/null
+++ b/tests/test_callers/test_answers.py
@@ -0,0 +1,115 @@
+"""Tests of answers to chat completions."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from aiohttp import test_utils
+from returns import result
+
+from mangotally import errors, ids
+from mangotally.callers import answers
+from mangotally.hosts import messages
+from mangotally.metrics import recorder, store
+from mangotally.util import clock
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MESSAGE = messages.RunTurn(
+    ids.OrganisationId("org-a"),
+    ids.KeyId("k1"),
+    None,
+    1,
+    ids.ServiceId("model"),
+    (),
+    16,
+    1.0,
+    1000,
+)
+TEXT = messages.TurnText("hello")
+END = messages.TurnEnd(3, 1, 2, ids.TargetId("model-1"), replayed=False)
+
+
+async def yield_all(*events: Any) -> AsyncIterator[errors.Outcome[Any]]:
+    """Yields events as a program's home does."""
+    for event in events:
+        if isinstance(event, errors.Failure):
+            yield result.Failure(event)
+        else:
+            yield result.Success(event)
+
+
+class FakeResponse(dict[str, object]):
+    """Takes what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.blocks = False
+        self.ended = False
+
+    async def write(self, data: bytes) -> None:
+        """Takes data, or waits for a caller that does not read."""
+        if self.blocks:
+            await asyncio.Event().wait()
+        self.written += data
+
+    async def write_eof(self) -> None:
+        """Ends the answer."""
+        self.ended = True
+
+
+class StreamAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Streamed answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Makes an answer whose headers have been sent."""
+        self.metrics = store.MetricsStore()
+        watch = recorder.CallWatch(
+            self.metrics, MESSAGE.organisation, clock.ManualClock()
+        )
+        request = test_utils.make_mocked_request("POST", "/")
+        self.answer = answers.StreamAnswer(request, MESSAGE, watch)
+        self.response = FakeResponse()
+        self.answer._response = self.response  # type: ignore[assignment]
+
+    def events(self) -> list[str]:
+        """Returns the written events."""
+        parts = self.response.written.decode().split("\n\n")
+        return [part.removeprefix("data: ") for part in parts if part]
+
+    async def test_whole_answer(self) -> None:
+        """It ends with the done mark and is measured."""
+        await self.answer.write(yield_all(TEXT, END))
+        self.assertEqual(self.events()[-1], "[DONE]")
+        self.assertTrue(self.response.ended)
+        names = [name for name, _ in self.metrics.targets.items()]
+        self.assertEqual(names, ["model-1"])
+
+    async def test_answer_without_its_end(self) -> None:
+        """A caller can tell it from a whole one."""
+        await self.answer.write(yield_all(TEXT))
+        last = json.loads(self.events()[-1])
+        self.assertEqual(last["error"]["ran"], "may-have-run")
+        self.assertTrue(self.response.ended)
+        self.assertEqual(list(self.metrics.targets.items()), [])
+
+    async def test_failure_in_the_middle(self) -> None:
+        """The problem is the last event."""
+        failure = errors.Failure(errors.Reason.TARGET_FAILED, "no")
+        await self.answer.write(yield_all(TEXT, failure))
+        self.assertEqual(json.loads(self.events()[-1])["error"]["status"], 502)
+
+    async def test_caller_that_does_not_read(self) -> None:
+        """Its call ends."""
+        self.response.blocks = True
+        with (
+            mock.patch.object(answers, "SEND_MS", 1),
+            self.assertRaises(ConnectionResetError),
+        ):
+            await self.answer.write(yield_all(TEXT, END))
--- a/tests/test_callers/test_input.py
+++ b/tests/test_callers/test_input.py
@@ -13,6 +13,7 @@
 
 from mangotally import ids
 from mangotally.callers import limits, server, services
+from mangotally.homes import configuration
 from mangotally.settings import lists
 from tests import fleet as fleet_lib
 from tests import stateful as stateful_settings
@@ -196,6 +197,20 @@
         self.assertEqual((status, problem["ran"]), (429, "not-run"))
         self.assertEqual(self.seen(), [])
 
+    async def test_configuration_that_is_too_old(self) -> None:
+        """No key is trusted past the bound; the answer says not run."""
+        self.host.live.watch_age(lambda: 2.0, 1.0, configuration.OnStale.REFUSE)
+        status, problem, head = await self.send(
+            "GET /services/balcao/x HTTP/1.1"
+        )
+        self.assertEqual((status, problem["ran"]), (503, "not-run"))
+        self.assertIn(b"Retry-After", head)
+        self.host.live.watch_age(
+            lambda: 2.0, 1.0, configuration.OnStale.CONTINUE
+        )
+        status, _, _ = await self.send("GET /services/balcao/x HTTP/1.1")
+        self.assertEqual(status, 200)
+
     async def test_another_organisations_program(self) -> None:
         """It does not exist, as far as a stranger can tell."""
         program = await self.fleet.open_program()
--- a/tests/test_operators/test_keys.py
+++ b/tests/test_operators/test_keys.py
@@ -73,7 +73,7 @@
     async def test_withdrawn_key_ends_streams_on_every_host(self) -> None:
         """Open streams end with the reason; new calls are refused."""
         async with fleet_lib.Fleet() as fleet:
-            self._set_speed(fleet, FIRST_TOKEN_MS)
+            _set_speed(fleet, FIRST_TOKEN_MS)
             organisation = fleet_lib.ORGANISATION
             status, given = await Operator(fleet, 2).request(
                 "POST", "/admin/keys", {"organisation": organisation}
@@ -85,12 +85,9 @@
             headers = {"Authorization": f"Bearer {key}"}
             async with asyncio.timeout(3 * WITHDRAWAL_MS / 1000):
                 streams = await asyncio.gather(
-                    *(
-                        self._open_stream(fleet, entry, headers)
-                        for entry in range(3)
-                    )
+                    *(_open_stream(fleet, entry, headers) for entry in range(3))
                 )
-                self._set_speed(fleet, SLOW_TOKEN_MS)
+                _set_speed(fleet, SLOW_TOKEN_MS)
                 path = f"/admin/keys/{given['key_id']}"
                 status, _ = await Operator(fleet, 1).request("DELETE", path)
                 self.assertEqual(status, 200)
@@ -110,7 +107,7 @@
     async def test_another_key_gets_the_answer(self) -> None:
         """A turn outlives the key that asked for it, and runs once."""
         async with fleet_lib.Fleet() as fleet:
-            self._set_speed(fleet, FIRST_TOKEN_MS)
+            _set_speed(fleet, FIRST_TOKEN_MS)
             operator = Operator(fleet)
             _, given = await operator.request(
                 "POST",
@@ -125,7 +122,7 @@
                 "Mangotally-Program": program,
                 "Mangotally-Turn": "1",
             }
-            stream = await self._open_stream(fleet, 1, headers)
+            stream = await _open_stream(fleet, 1, headers)
             path = f"/admin/keys/{given['key_id']}"
             await operator.request("DELETE", path)
             async with asyncio.timeout(WITHDRAWAL_MS / 1000):
@@ -137,10 +134,6 @@
             runs = sum(len(item.seen) for item in fleet.engines())
             self.assertEqual(runs, 1)
 
-    def _set_speed(self, fleet: fleet_lib.Fleet, decode_ms: float) -> None:
-        for engine in fleet.engines():
-            engine.speed = engine_standin.EngineSpeed(decode_ms=decode_ms)
-
     async def _wait_for_key(self, fleet: fleet_lib.Fleet, key: str) -> None:
         for entry in range(3):
             status = 401
@@ -149,20 +142,6 @@
                     "GET", "/v1/programs/p0", entry=entry, key=key
                 )
 
-    async def _open_stream(
-        self, fleet: fleet_lib.Fleet, entry: int, headers: dict[str, str]
-    ) -> aiohttp.ClientResponse:
-        body = {
-            "model": fleet_lib.MODEL,
-            "messages": [{"role": "user", "content": "hi"}],
-            "stream": True,
-        }
-        url = fleet.local.entries()[entry] + "/v1/chat/completions"
-        response = await fleet.session.post(url, json=body, headers=headers)
-        self.assertEqual(response.status, 200)
-        await response.content.readuntil(b"\n\n")
-        return response
-
     async def _check_no_key(
         self, fleet: fleet_lib.Fleet, keys: tuple[str, ...]
     ) -> None:
@@ -242,8 +221,14 @@
                 self.assertEqual(len(state.working_keys()), 7)
 
     async def test_publish_takes_effect(self) -> None:
-        """An organisation that is taken off the list is refused."""
+        """An organisation that is taken off the list is refused.
+
+        Its calls under way go on to their end.
+        """
         async with fleet_lib.Fleet(hosts=1) as fleet:
+            _set_speed(fleet, FIRST_TOKEN_MS)
+            headers = {"Authorization": f"Bearer {fleet.key()}"}
+            stream = await _open_stream(fleet, 0, headers)
             operator = Operator(fleet)
             _, found = await operator.request("GET", "/admin/lists")
             lists = found["lists"]
@@ -260,3 +245,25 @@
                 "POST", "/v1/programs", {"service": fleet_lib.MODEL}
             )
             self.assertEqual((status, answer["ran"]), (403, "not-run"))
+            text = (await stream.read()).decode()
+            self.assertTrue(text.endswith("data: [DONE]\n\n"), text)
+
+
+def _set_speed(fleet: fleet_lib.Fleet, decode_ms: float) -> None:
+    for engine in fleet.engines():
+        engine.speed = engine_standin.EngineSpeed(decode_ms=decode_ms)
+
+
+async def _open_stream(
+    fleet: fleet_lib.Fleet, entry: int, headers: dict[str, str]
+) -> aiohttp.ClientResponse:
+    body = {
+        "model": fleet_lib.MODEL,
+        "messages": [{"role": "user", "content": "hi"}],
+        "stream": True,
+    }
+    url = fleet.local.entries()[entry] + "/v1/chat/completions"
+    response = await fleet.session.post(url, json=body, headers=headers)
+    assert response.status == 200, await response.text()
+    await response.content.readuntil(b"\n\n")
+    return response
