--- a/mangotally/policy/placement.py
+++ b/mangotally/policy/placement.py
@@ -213,6 +213,10 @@
         ]
         heapq.heapify(self._heap)
 
+    def __contains__(self, target: Target) -> bool:
+        """Returns whether a target is one of the pool."""
+        return self.targets.get(target.info.target) is target
+
     def __iter__(self) -> Iterator[Target]:
         """Iterates over the targets."""
         return iter(self.targets.values())
--- a/mangotally/policy/prefixes.py
+++ b/mangotally/policy/prefixes.py
@@ -18,6 +18,7 @@
 GONE_MEMORY = 4096
 EVENT_LATENESS_MS = 4000.0
 IDLE_MS = 2 * 3600 * 1000.0
+ABSENT_MS = 600_000.0
 
 
 class TargetCache:
@@ -84,7 +85,8 @@
 class Releases:
     """Prefixes of programs that are gone, until targets confirm.
 
-    A program that has not run for `IDLE_MS` counts as gone.
+    A program that has not run for `IDLE_MS` counts as gone, and so does a
+    target that was not listed for `ABSENT_MS` after the request.
     """
 
     def __init__(self) -> None:
@@ -94,7 +96,9 @@
         self._gone: collections.OrderedDict[ids.ProgramId, None] = (
             collections.OrderedDict()
         )
-        self._pending: dict[tuple[ids.TargetId, ids.ProgramId], float] = {}
+        self._pending: dict[
+            tuple[ids.TargetId, ids.ProgramId], tuple[float, float]
+        ] = {}
         self._due: list[tuple[float, ids.TargetId, ids.ProgramId]] = []
 
     def use(
@@ -138,14 +142,14 @@
             self._gone.popitem(last=False)
         use = self._uses.pop(program, None)
         for target in use.targets if use else ():
-            self._schedule(target, program, now_ms)
+            self._schedule(target, program, now_ms, now_ms)
 
     def stored(
         self, target: ids.TargetId, program: ids.ProgramId, now_ms: float
     ) -> None:
         """Notes a prefix; releases it if its program is gone."""
         if program in self._gone:
-            self._schedule(target, program, now_ms)
+            self._schedule(target, program, now_ms, now_ms)
 
     def confirm(self, target: ids.TargetId, program: ids.ProgramId) -> None:
         """Notes that a target holds a program's prefix no more."""
@@ -163,18 +167,24 @@
         found = []
         while self._due and self._due[0][0] <= now_ms:
             due_ms, target, program = heapq.heappop(self._due)
-            if self._pending.get((target, program)) != due_ms:
+            pending = self._pending.get((target, program))
+            if pending is None or pending[0] != due_ms:
                 continue
+            asked_ms = pending[1]
             if target in live:
                 found.append(pools.Release(target, program))
-            self._schedule(target, program, now_ms + RELEASE_RETRY_MS)
+            elif now_ms - asked_ms > ABSENT_MS:
+                del self._pending[target, program]
+                continue
+            self._schedule(target, program, now_ms + RELEASE_RETRY_MS, asked_ms)
         return found
 
     def next_ms(self) -> float | None:
         """Returns when a release is due, or None."""
         while self._due:
             due_ms, target, program = self._due[0]
-            if self._pending.get((target, program)) == due_ms:
+            pending = self._pending.get((target, program))
+            if pending is not None and pending[0] == due_ms:
                 return due_ms
             heapq.heappop(self._due)
         return None
@@ -184,7 +194,11 @@
         return list(self._pending)
 
     def _schedule(
-        self, target: ids.TargetId, program: ids.ProgramId, due_ms: float
+        self,
+        target: ids.TargetId,
+        program: ids.ProgramId,
+        due_ms: float,
+        asked_ms: float,
     ) -> None:
-        self._pending[target, program] = due_ms
+        self._pending[target, program] = (due_ms, asked_ms)
         heapq.heappush(self._due, (due_ms, target, program))
--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -70,6 +70,7 @@
         self._ready: dict[ids.TargetId, None] = {}
         self._entries: dict[ids.CallId, fairness.Entry] = {}
         self._inside: dict[ids.CallId, _Inside] = {}
+        self._homeless: list[fairness.Entry] = []
         self._count = itertools.count()
         self._deadlines: list[tuple[float, int, fairness.Entry]] = []
         self._moves: list[tuple[float, int, fairness.Entry]] = []
@@ -81,11 +82,13 @@
     ) -> None:
         """Replaces the targets of the pool."""
         gone = self._fleet.replace(targets)
-        for target in gone:
-            self._place_again(target, now_ms)
+        for target in (*gone, *self._fleet):
+            if target not in self._fleet or not target.live:
+                self._place_again(target.lane.entries(), now_ms)
+        homeless = [entry for entry in self._homeless if entry.waiting]
+        self._homeless.clear()
+        self._place_again(homeless, now_ms)
         for target in self._fleet:
-            if not target.live:
-                self._place_again(target, now_ms)
             self._check_ready(target)
 
     def submit(self, call: pools.PoolCall, now_ms: float) -> None:
@@ -187,10 +190,10 @@
         call = entry.call
         least = self._fleet.least(call.excluded)
         if least is None:
-            if call.excluded and self._fleet.least() is not None:
+            if self._fleet.least() is not None:
                 self._refuse(entry, "Every target of the call is excluded.")
             else:
-                self._shared.add(entry)
+                self._homeless.append(entry)
             return
         best = self._best(call, least)
         if best is least and not call.excluded:
@@ -221,18 +224,17 @@
                 best, best_ms = target, finish_ms
         return best
 
-    def _place_again(self, target: placement.Target, now_ms: float) -> None:
-        """Places the calls anew that waited for a target."""
-        for entry in target.lane.entries():
-            for lane in entry.lanes:
-                lane.size -= 1
-            entry.lanes.clear()
+    def _place_again(
+        self, entries: Sequence[fairness.Entry], now_ms: float
+    ) -> None:
+        """Places waiting calls anew."""
+        for entry in entries:
             fresh = dataclasses.replace(entry, lanes=[])
-            entry.waiting = False
-            self._entries[entry.call.call] = fresh
+            entry.leave()
+            call = entry.call
+            self._entries[call.call] = fresh
             heapq.heappush(
-                self._deadlines,
-                (fresh.call.deadline_ms, next(self._count), fresh),
+                self._deadlines, (call.deadline_ms, next(self._count), fresh)
             )
             self._place(fresh, now_ms)
 
