--- a/mangotally/policy/placement.py
+++ b/mangotally/policy/placement.py
@@ -59,11 +59,23 @@
 
 
 class Target:
-    """One target as the scheduler sees it."""
+    """One target as the scheduler sees it.
+
+    Attributes:
+        info: What the list says of it.
+        live: Whether it takes new work.
+        inside: Calls that were sent and have not ended.
+        others: Calls inside that were sent by others.
+        resident: Programs that ran here last.
+        version: Counts changes of its load.
+        cache: Its estimated prefix cache.
+        lane: Calls that wait for it.
+    """
 
     def __init__(self, info: pools.TargetInfo, shares: fairness.Shares) -> None:
         """Makes a target with nothing inside."""
         self.info = info
+        self.live = info.state is pools.TargetState.LIVE
         self.inside = 0
         self.others = 0
         self.resident = 0
@@ -74,10 +86,10 @@
             maxlen=LOAD_MEMORY
         )
 
-    @property
-    def live(self) -> bool:
-        """Whether it takes new work."""
-        return self.info.state is pools.TargetState.LIVE
+    def replace(self, info: pools.TargetInfo) -> None:
+        """Puts in force what the list says of it now."""
+        self.info = info
+        self.live = info.state is pools.TargetState.LIVE
 
     @property
     def load(self) -> int:
@@ -117,6 +129,7 @@
         self.speeds = speeds
         self.slots = 0
         self._weights = weights
+        self._prefill_ms = speeds.prefill_ms(1)
         self._shares = shares
         self._heap: list[tuple[float, ids.TargetId, int]] = []
 
@@ -133,7 +146,7 @@
             if found is None:
                 self.targets[name] = Target(info, self._shares)
             else:
-                found.info = info
+                found.replace(info)
         self.slots = 0
         for target in self.targets.values():
             self.slots += target.info.slots if target.live else 0
@@ -187,23 +200,24 @@
             answer_tokens: Expected length of the answer.
         """
         weights = self._weights
-        speeds = self.speeds
         slots = target.info.slots
-        cached = min(call.prompt_tokens, target.cache.tokens(call.program))
-        waiting = target.load + target.lane.size
-        burden = min(waiting, slots) * weights.burden
-        fresh_ms = speeds.prefill_ms(call.prompt_tokens - cached)
+        inside = target.inside + target.others + target.lane.size
+        over = inside + 1 - slots
+        if over > 0:
+            inside = slots - 1
+        fresh = call.prompt_tokens - target.cache.tokens(call.program)
+        fresh_ms = fresh * self._prefill_ms if fresh > 0 else 0.0
+        burden = inside * weights.burden
         fresh_ms *= weights.recompute + burden * PREFILL_SLOWDOWN
-        token_ms = speeds.token_ms(min(waiting + 1, slots))
-        token_ms += burden * speeds.decode_ms_per_call
+        token_ms = self.speeds.token_ms(inside + 1 + burden)
         run_ms = fresh_ms + answer_tokens * token_ms
-        over = max(0, waiting + 1 - slots)
-        return run_ms * (1.0 + over / slots)
+        return run_ms * (1.0 + over / slots) if over > 0 else run_ms
 
     def _rank(self, target: Target) -> float:
         """Returns the order in which targets take new programs."""
-        paused = max(0, target.resident - target.inside)
-        return target.load + self._weights.paused * paused
+        paused = target.resident - target.inside
+        load = target.inside + target.others
+        return load + self._weights.paused * paused if paused > 0 else load
 
     def _rebuild(self) -> None:
         self._heap = [
--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -17,6 +17,7 @@
 ANSWER_WEIGHT = 0.1
 FIRST_ANSWER_TOKENS = 256.0
 COMPACT_SLACK = 1024
+MAX_HOLDERS = 2
 DEFAULT_SPEEDS = placement.Speeds()
 DEFAULT_HEADROOM = fairness.Headroom()
 DEFAULT_WEIGHTS = placement.Weights(paused=0.5, burden=1.5, recompute=5.0)
@@ -71,6 +72,7 @@
         self._entries: dict[ids.CallId, fairness.Entry] = {}
         self._inside: dict[ids.CallId, _Inside] = {}
         self._homeless: list[fairness.Entry] = []
+        self._fresh: list[fairness.Entry] = []
         self._count = itertools.count()
         self._deadlines: list[tuple[float, int, fairness.Entry]] = []
         self._moves: list[tuple[float, int, fairness.Entry]] = []
@@ -100,10 +102,8 @@
         entry = fairness.Entry(call, key, now_ms)
         self._entries[call.call] = entry
         self._shares.enter(call.organisation, call.share)
-        heapq.heappush(
-            self._deadlines, (call.deadline_ms, next(self._count), entry)
-        )
-        self._place(entry, now_ms)
+        self._fresh.append(entry)
+        self._place(entry)
 
     def cancel(self, call: ids.CallId, now_ms: float) -> None:
         """Takes back a call that waits or was dispatched."""
@@ -171,6 +171,8 @@
         self._offer_moves(now_ms)
         while (found := self._next()) is not None:
             actions.append(self._dispatch(*found, now_ms))
+        if self._fresh:
+            self._file_waiting(now_ms)
         actions += self._refusals
         self._refusals.clear()
         return actions
@@ -185,7 +187,7 @@
                 times.append(heap[0][0])
         return min((at for at in times if at is not None), default=None)
 
-    def _place(self, entry: fairness.Entry, now_ms: float) -> None:
+    def _place(self, entry: fairness.Entry) -> None:
         """Binds a call to the target where it ends first, or to none."""
         call = entry.call
         least = self._fleet.least(call.excluded)
@@ -201,24 +203,21 @@
             return
         best.lane.add(entry)
         self._check_ready(best)
-        if not call.excluded:
-            cached = best.cache.tokens(call.program)
-            worth_ms = self._tuning.speeds.prefill_ms(cached)
-            worth_ms *= self._tuning.move_after
-            heapq.heappush(
-                self._moves, (now_ms + worth_ms, next(self._count), entry)
-            )
 
     def _best(
         self, call: pools.PoolCall, least: placement.Target
     ) -> placement.Target:
         answer_tokens = min(float(call.max_tokens), self._answer_tokens)
         best = least
-        best_ms = self._fleet.finish_ms(least, call, answer_tokens)
-        for name in self._releases.targets(call.program):
+        best_ms: float | None = None
+        for name in self._releases.targets(call.program)[-MAX_HOLDERS:]:
             target = self._fleet.targets.get(name)
-            if target is None or not target.live or name in call.excluded:
+            if target is None or target is least or not target.live:
                 continue
+            if name in call.excluded or not target.cache.tokens(call.program):
+                continue
+            if best_ms is None:
+                best_ms = self._fleet.finish_ms(least, call, answer_tokens)
             finish_ms = self._fleet.finish_ms(target, call, answer_tokens)
             if finish_ms < best_ms:
                 best, best_ms = target, finish_ms
@@ -233,10 +232,8 @@
             entry.leave()
             call = entry.call
             self._entries[call.call] = fresh
-            heapq.heappush(
-                self._deadlines, (call.deadline_ms, next(self._count), fresh)
-            )
-            self._place(fresh, now_ms)
+            self._fresh.append(fresh)
+            self._place(fresh)
 
     def _check_ready(self, target: placement.Target) -> None:
         name = target.info.target
@@ -371,10 +368,37 @@
             entry = heapq.heappop(self._deadlines)[2]
             if entry.waiting:
                 self._refuse(entry, "The call's time is over.")
+        for entry in self._fresh:
+            if entry.waiting and entry.call.deadline_ms <= now_ms:
+                self._refuse(entry, "The call's time is over.")
         if len(self._deadlines) > 2 * len(self._entries) + COMPACT_SLACK:
             self._deadlines = [x for x in self._deadlines if x[2].waiting]
             heapq.heapify(self._deadlines)
 
+    def _file_waiting(self, now_ms: float) -> None:
+        """Files when new calls that wait expire and may go elsewhere."""
+        for entry in self._fresh:
+            if not entry.waiting:
+                continue
+            call = entry.call
+            heapq.heappush(
+                self._deadlines, (call.deadline_ms, next(self._count), entry)
+            )
+            if call.excluded or self._shared in entry.lanes:
+                continue
+            cached = max(
+                (
+                    target.cache.tokens(call.program)
+                    for name in self._releases.targets(call.program)
+                    if (target := self._fleet.targets.get(name)) is not None
+                ),
+                default=0,
+            )
+            worth_ms = self._tuning.speeds.prefill_ms(cached)
+            at_ms = now_ms + worth_ms * self._tuning.move_after
+            heapq.heappush(self._moves, (at_ms, next(self._count), entry))
+        self._fresh.clear()
+
     def _refuse(self, entry: fairness.Entry, detail: str) -> None:
         call = entry.call
         entry.leave()
