Record traces in serve, without contents or keys

Ruled out: a wrapper in the turn runner itself; the recording runner is a class of its own, so that a host that does not record pays nothing. Tested: a conversation through a host, read back and replayed. Conclusion: holds; a host records the programs whose home it is.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -25,6 +25,7 @@
     pools,
     programs,
     quarantine,
+    recording,
     slots,
     snapshots,
     sweeper,
@@ -39,6 +40,7 @@
 from mangotally.operators import publisher
 from mangotally.operators import server as operator_server
 from mangotally.policy import faults, records, scheduler
+from mangotally.replay import recorder as trace_recorder
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
@@ -46,6 +48,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    import pathlib
     import ssl
 
     from mangotally.settings import host as host_settings
@@ -65,9 +68,17 @@
         self,
         settings: host_settings.HostSettings,
         clock: clock_lib.Clock | None = None,
+        record: pathlib.Path | None = None,
     ) -> None:
-        """Makes a host; entering it starts it."""
+        """Makes a host; entering it starts it.
+
+        Args:
+            settings: Its settings.
+            clock: Its clock, or None for the machine's.
+            record: Trace file to record programs in, or None.
+        """
         self.settings = settings
+        self._record = record
         self.clock = clock or clock_lib.SystemClock()
         self.limits = _make_limits(settings)
         self.metrics = store.MetricsStore()
@@ -150,6 +161,7 @@
         await self._start_quarantine(stack, log)
         self.slots = slots.SlotClient(self.members, self.peers, self.clock)
         await stack.enter_async_context(self.slots)
+        self._recording = stack.enter_context(contextlib.ExitStack())
         self._make_homes(session, log, channels)
         for home in (
             self.slots,
@@ -253,6 +265,30 @@
         await reader.wait_caught_up()
         await stack.enter_async_context(self.quarantine)
 
+    def _make_turn_runner(
+        self, engine: http_engine.HttpEngineClient
+    ) -> turns.TurnRunner:
+        parts = (
+            self.slots,
+            engine,
+            self.quarantine,
+            self.settings.targets.retry_share,
+            self.clock,
+            random.random,
+        )
+        if self._record is None:
+            return turns.TurnRunner(*parts)
+        name = self._record.stem
+        recorder = trace_recorder.TraceRecorder(
+            self._record,
+            lambda service: recording.make_header(
+                service, name, self.live, self.pools
+            ),
+            self.clock.now_ms(),
+        )
+        self._recording.enter_context(recorder)
+        return recording.RecordedTurnRunner(*parts, recorder=recorder)
+
     def _make_homes(
         self,
         session: aiohttp.ClientSession,
@@ -295,14 +331,7 @@
         self.partitions = self._make_partitions(log)
         self.programs = programs.ProgramHome(
             self.partitions,
-            turns.TurnRunner(
-                self.slots,
-                engine,
-                self.quarantine,
-                targets.retry_share,
-                self.clock,
-                random.random,
-            ),
+            self._make_turn_runner(engine),
             self.clock,
         )
         self.sweep = sweeps.Sweep(
--- a/mangotally/commands/cli.py
+++ b/mangotally/commands/cli.py
@@ -28,12 +28,19 @@
     failed, 2 bad use.
     """
 
-    def serve(self, settings: str, *, set: tuple[str, ...] = ()) -> int:  # noqa: A002
+    def serve(
+        self,
+        settings: str,
+        *,
+        set: tuple[str, ...] = (),  # noqa: A002
+        record: str | None = None,
+    ) -> int:
         """Runs one host until SIGTERM.
 
         Args:
             settings: YAML file with the settings of this host.
             set: Override as name=value, name by dots; may be repeated.
+            record: Trace file to record programs in, without contents.
         """
         logs.set_up()
         overrides = loader.parse_overrides(set)
@@ -45,7 +52,8 @@
         if isinstance(loaded, result.Failure):
             return _complain(loaded.failure(), arguments.EXIT_BAD_USE)
         found = loaded.unwrap()
-        return _serve(lambda: application.Application(found))
+        path = pathlib.Path(record) if record else None
+        return _serve(lambda: application.Application(found, record=path))
 
     def check(self, *files: str, set: tuple[str, ...] = ()) -> int:  # noqa: A002
         """Checks settings, plans and uses files; says what is wrong where.
--- /dev/null
+++ b/mangotally/replay/recorder.py
@@ -0,0 +1,186 @@
+"""Records programs as a trace, without contents or keys."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import logging
+from typing import TYPE_CHECKING, Protocol, Self
+
+from mangotally import ids
+from mangotally.replay import trace
+
+if TYPE_CHECKING:
+    import io
+    import pathlib
+    from collections.abc import Callable
+
+logger = logging.getLogger(__name__)
+
+MAX_OPEN_PROGRAMS = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class TurnRecord:
+    """One answered turn, by its lengths and times.
+
+    Attributes:
+        organisation: Whose it is.
+        program: The program.
+        service: The service that answered.
+        started_ms: When it began.
+        ended_ms: When it was answered.
+        prompt_tokens: Length of the whole prompt.
+        answer_tokens: Length of the answer.
+    """
+
+    organisation: ids.OrganisationId
+    program: ids.ProgramId
+    service: ids.ServiceId
+    started_ms: float
+    ended_ms: float
+    prompt_tokens: int
+    answer_tokens: int
+
+
+class Recorder(Protocol):
+    """Takes in what programs do."""
+
+    def turn_done(self, record: TurnRecord) -> None:
+        """A turn was answered."""
+
+    def program_ended(self, program: ids.ProgramId) -> None:
+        """A program is gone."""
+
+
+@dataclasses.dataclass
+class _Open:
+    """A program that has not ended."""
+
+    first: TurnRecord
+    last: TurnRecord
+    turns: list[trace.Turn]
+    agents: list[trace.Agent]
+
+
+class TraceRecorder:
+    """Writes one trace file for each service; entering it starts it.
+
+    Memory and files are bounded: the oldest open program is written when
+    there are too many, and a full file ends the recording of its service.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        make_header: Callable[[ids.ServiceId], trace.Header | None],
+        now_ms: float,
+    ) -> None:
+        """Makes a recorder.
+
+        Args:
+            path: File to write; the service's name is put in its stem.
+            make_header: Returns the header of a service's trace, or None
+                while the configuration is not known.
+            now_ms: When the trace begins.
+        """
+        self._path = path
+        self._make_header = make_header
+        self._start_ms = now_ms
+        self._open: collections.OrderedDict[ids.ProgramId, _Open] = (
+            collections.OrderedDict()
+        )
+        self._files: dict[ids.ServiceId, io.BufferedWriter] = {}
+        self._room: dict[ids.ServiceId, int] = {}
+        self._count = 0
+
+    def __enter__(self) -> Self:
+        """Starts to record."""
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """Writes the open programs and closes the files."""
+        for program in sorted(self._open, reverse=True):
+            self.program_ended(program)
+        for file in self._files.values():
+            file.close()
+
+    def turn_done(self, record: TurnRecord) -> None:
+        """A turn was answered."""
+        found = self._open.get(record.program)
+        if found is None:
+            found = _Open(record, record, [], [])
+            self._open[record.program] = found
+            added = record.prompt_tokens
+        else:
+            last = found.last
+            pause_ms = int(record.started_ms - last.ended_ms)
+            pause_ms = min(max(0, pause_ms), trace.MAX_DURATION_MS)
+            found.turns[-1] = (*found.turns[-1][:2], pause_ms)
+            added = record.prompt_tokens - last.prompt_tokens
+            added = max(0, added - last.answer_tokens)
+        found.last = record
+        found.turns.append((added, record.answer_tokens, 0))
+        if len(found.turns) >= trace.MAX_TURNS:
+            self.program_ended(record.program)
+        if len(self._open) > MAX_OPEN_PROGRAMS:
+            self.program_ended(next(iter(self._open)))
+
+    def program_ended(self, program: ids.ProgramId) -> None:
+        """A program is gone."""
+        found = self._open.pop(program, None)
+        if found is None:
+            return
+        root = self._open.get(ids.root_of(program))
+        if root is not None and len(root.agents) < trace.MAX_AGENTS:
+            root.agents.append(
+                trace.Agent(
+                    after_turn=len(root.turns), turns=tuple(found.turns)
+                )
+            )
+            return
+        at_ms = max(0, int(found.first.started_ms - self._start_ms))
+        if at_ms > trace.MAX_DURATION_MS:
+            return
+        self._count += 1
+        row = trace.Program(
+            id=f"p{self._count}",
+            at_ms=at_ms,
+            organisation=found.first.organisation,
+            turns=tuple(found.turns),
+            agents=tuple(found.agents),
+        )
+        self._write(found.first.service, trace.encode_line(row))
+
+    def _write(self, service: ids.ServiceId, line: bytes) -> None:
+        file = self._files.get(service) or self._create(service)
+        if file is None:
+            return
+        room = self._room[service] - len(line)
+        if room < 0:
+            if self._room[service] > 0:
+                logger.warning("trace_full", extra={"service": service})
+            room = 0
+        else:
+            file.write(line)
+            file.flush()
+        self._room[service] = room
+
+    def _create(self, service: ids.ServiceId) -> io.BufferedWriter | None:
+        header = self._make_header(service)
+        if header is None:
+            return None
+        path = self._path.with_stem(f"{self._path.stem}-{service}")
+        try:
+            file = path.open("wb")
+        except OSError as error:
+            logger.warning(
+                "trace_not_written",
+                extra={"path": str(path), "reason": error.strerror},
+            )
+            return None
+        line = trace.encode_line(header)
+        file.write(line)
+        self._files[service] = file
+        self._room[service] = trace.MAX_BYTES - len(line)
+        return file
