--- a/mangotally/commands/cli.py
+++ b/mangotally/commands/cli.py
@@ -223,10 +223,19 @@
             return _complain(outcome.failure(), arguments.EXIT_BAD_USE)
         return 0 if outcome.unwrap() else arguments.EXIT_FAILED
 
-    def demo(self) -> None:
-        """Runs both deployments on the loopback and prints a table."""
+    def demo(self) -> int:
+        """Replays a part of both deployments' days and prints a table.
+
+        Exits with 1 on a lost program or a wrongful refusal.
+        """
         logs.set_up(level=40)
-        process.run(demo_command.run())
+        good: list[bool] = []
+
+        async def work() -> None:
+            good.append(await demo_command.run())
+
+        process.run(work())
+        return 0 if good == [True] else arguments.EXIT_FAILED
 
 
 def main() -> None:
--- a/mangotally/commands/demo.py
+++ b/mangotally/commands/demo.py
@@ -1,9 +1,10 @@
-"""A short run of both deployments, with a table per organisation."""
+"""Replays a part of both deployments' traces over HTTP, on the loopback."""
 
 from __future__ import annotations
 
 import asyncio
-import statistics
+import collections
+import dataclasses
 import sys
 import time
 from typing import Any
@@ -11,70 +12,260 @@
 import aiohttp
 
 from mangotally.commands import local
+from mangotally.commands import replay as replay_command
+from mangotally.replay import admission, results, trace
 
 HOSTS = 3
-PROGRAMS = 2
-TURNS = 3
-MS_PER_S = 1000
+SPEED = 8.0
+START_MS = 300_000
+WINDOW_MS = 120_000
+EVERY = 3
+LIMIT_S = 26.0
+MAX_TRIES = 20
+MAX_WAIT_S = 2.0
+CHARS_PER_TOKEN = 4
+MAX_PROMPT_TOKENS = 300
+MAX_ANSWER_TOKENS = 24
+DEPOSIT_EVERY = 3
+PROGRESS_EVERY = 10
+MS_PER_S = 1000.0
+DEPLOYMENTS = ("tornos-norte", "lakeshore")
+WORD = "vane"
+HEADER = (
+    f"{'organisation':<20}{'programs':>9}{'p50 ms':>9}{'p99 ms':>9}"
+    f"{'worst min ms':>13}{'wasted tokens':>14}{'refused':>8}"
+    f"{'wrongful':>9}{'lost':>6}"
+)
 
 
-async def run() -> None:
-    """Runs both deployments and prints their tables."""
-    for deployment in ("tornos-norte", "lakeshore"):
+@dataclasses.dataclass
+class _Tally:
+    """What an organisation's programs met."""
+
+    oracle: admission.RateOracle
+    programs: list[results.ProgramResult] = dataclasses.field(
+        default_factory=list
+    )
+    wasted_tokens: int = 0
+    refusals: int = 0
+    wrongful_refusals: int = 0
+    lost: int = 0
+
+
+class _RefusedError(Exception):
+    """A call failed for good; the program is lost."""
+
+
+async def run() -> bool:
+    """Runs both deployments and prints their tables.
+
+    Returns:
+        Whether no program was lost and no refusal was wrongful.
+    """
+    good = True
+    for deployment in DEPLOYMENTS:
         async with local.LocalFleet(deployment, HOSTS) as fleet:
-            rows = await _run_all(fleet)
-        _print_table(deployment, rows)
+            demo = Demo(deployment, fleet)
+            await demo.run()
+        demo.print_table()
+        good = good and demo.good
+    return good
 
 
-async def _run_all(fleet: local.LocalFleet) -> dict[str, list[float]]:
-    service = fleet.platform.deployment.groups[0].service
-    rows: dict[str, list[float]] = {}
-    async with aiohttp.ClientSession() as session:
-        for organisation, (_, key) in fleet.platform.keys.items():
-            headers = {"Authorization": f"Bearer {key}"}
+class Demo:
+    """One deployment's part of its trace."""
+
+    def __init__(self, deployment: str, fleet: local.LocalFleet) -> None:
+        """Makes a run on a fleet that serves."""
+        self._name = deployment
+        self._fleet = fleet
+        source = replay_command.load(f"{deployment}-ordinary").unwrap()
+        self._service = source.trace.header.service
+        found = fleet.platform.deployment
+        self._plain = found.groups[1].service
+        end_ms = START_MS + WINDOW_MS
+        self._rows = [
+            row
+            for row in source.trace.programs
+            if START_MS <= row.at_ms < end_ms
+        ][::EVERY]
+        plans = {plan.name: plan for plan in found.uses.plans}
+        self._tallies = {
+            item.id: _Tally(
+                admission.RateOracle(
+                    plans[item.plan].rate_per_s, plans[item.plan].burst - 1
+                )
+            )
+            for item in found.plans.organisations
+        }
+        self._ended = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether no program was lost and no refusal was wrongful."""
+        return not any(
+            tally.lost or tally.wrongful_refusals
+            for tally in self._tallies.values()
+        )
+
+    async def run(self) -> None:
+        """Runs all programs; those over the time limit are lost."""
+        async with aiohttp.ClientSession() as session:
             jobs = [
-                _run_program(session, fleet.entries(), headers, service)
-                for _ in range(PROGRAMS)
+                asyncio.create_task(self._run_program(session, number, row))
+                for number, row in enumerate(self._rows)
             ]
-            rows[organisation] = await asyncio.gather(*jobs)
-            print(".", end="", file=sys.stderr, flush=True)
-    print(file=sys.stderr)
-    return rows
-
-
-async def _run_program(
-    session: aiohttp.ClientSession,
-    entries: list[str],
-    headers: dict[str, str],
-    service: str,
-) -> float:
-    started_s = time.monotonic()
-    async with session.post(
-        f"{entries[0]}/v1/programs", json={"service": service}, headers=headers
-    ) as response:
-        response.raise_for_status()
-        program = (await response.json())["program_id"]
-    for turn in range(1, TURNS + 1):
-        body: dict[str, Any] = {
-            "model": service,
-            "messages": [{"role": "user", "content": f"question {turn}"}],
-        }
-        turn_headers = headers | {
-            "Mangotally-Program": program,
-            "Mangotally-Turn": str(turn),
+            _, late = await asyncio.wait(jobs, timeout=LIMIT_S)
+            for job in late:
+                job.cancel()
+            await asyncio.gather(*jobs, return_exceptions=True)
+        for job, row in zip(jobs, self._rows, strict=True):
+            if job.cancelled() or job.exception() is not None:
+                self._tallies[row.organisation].lost += 1
+
+    def print_table(self) -> None:
+        """Prints a line for each organisation."""
+        print(f"{self._name}, {SPEED:.0f} times as fast as recorded")
+        print(HEADER)
+        for name, tally in self._tallies.items():
+            latencies = [item.latency_ms for item in tally.programs]
+            print(
+                f"{name:<20}{len(latencies):>9}"
+                f"{results.percentile(latencies, 50.0):>9.0f}"
+                f"{results.percentile(latencies, 99.0):>9.0f}"
+                f"{results.worst_minute_ms(tally.programs):>13.0f}"
+                f"{tally.wasted_tokens:>14}{tally.refusals:>8}"
+                f"{tally.wrongful_refusals:>9}{tally.lost:>6}"
+            )
+        print(flush=True)
+
+    async def _run_program(
+        self,
+        session: aiohttp.ClientSession,
+        number: int,
+        row: trace.Program,
+    ) -> None:
+        await asyncio.sleep((row.at_ms - START_MS) / SPEED / MS_PER_S)
+        caller = _Caller(self, session, row.organisation, number)
+        started_s = time.monotonic()
+        body = {"service": self._service}
+        opened = await caller.call("POST", "/v1/programs", body)
+        program = str(opened["program_id"])
+        await caller.call("GET", f"/services/{self._plain}/slots", None)
+        context = 0
+        for turn, (added, answered, pause_ms) in enumerate(row.turns, start=1):
+            usage = await self._run_turn(caller, program, turn, added, answered)
+            cached = usage["prompt_tokens_details"]["cached_tokens"]
+            tally = self._tallies[row.organisation]
+            tally.wasted_tokens += max(0, context - cached)
+            context = usage["prompt_tokens"] + usage["completion_tokens"]
+            if turn < len(row.turns):
+                await asyncio.sleep(pause_ms / SPEED / MS_PER_S)
+        if number % DEPOSIT_EVERY == 0:
+            await caller.call(
+                "POST",
+                f"/services/{self._plain}/deposits",
+                {"slot": number},
+                {"Idempotency-Key": f"deposit-{number}"},
+            )
+        latency_ms = (time.monotonic() - started_s) * MS_PER_S
+        await caller.call("DELETE", f"/v1/programs/{program}", None)
+        self._note(row, latency_ms)
+
+    async def _run_turn(
+        self,
+        caller: _Caller,
+        program: str,
+        turn: int,
+        added: int,
+        answered: int,
+    ) -> dict[str, Any]:
+        tokens = min(added, MAX_PROMPT_TOKENS)
+        words = tokens * CHARS_PER_TOKEN // (len(WORD) + 1)
+        body = {
+            "model": self._service,
+            "messages": [
+                {"role": "user", "content": " ".join([WORD] * max(1, words))}
+            ],
+            "max_tokens": min(answered, MAX_ANSWER_TOKENS),
         }
-        async with session.post(
-            f"{entries[turn % len(entries)]}/v1/chat/completions",
-            json=body,
-            headers=turn_headers,
-        ) as response:
-            response.raise_for_status()
-            await response.json()
-    return (time.monotonic() - started_s) * MS_PER_S
-
-
-def _print_table(deployment: str, rows: dict[str, list[float]]) -> None:
-    print(f"{deployment}\n{'organisation':<20}{'programs':>10}{'p50 ms':>10}")
-    for organisation, latencies_ms in rows.items():
-        middle_ms = statistics.median(latencies_ms)
-        print(f"{organisation:<20}{len(latencies_ms):>10}{middle_ms:>10.1f}")
+        headers = {"Mangotally-Program": program, "Mangotally-Turn": str(turn)}
+        answer = await caller.call(
+            "POST", "/v1/chat/completions", body, headers
+        )
+        usage: dict[str, Any] = answer["usage"]
+        return usage
+
+    def _note(self, row: trace.Program, latency_ms: float) -> None:
+        self._tallies[row.organisation].programs.append(
+            results.ProgramResult(
+                program=row.id,
+                organisation=row.organisation,
+                start_ms=row.at_ms,
+                end_ms=row.at_ms + latency_ms,
+                alone_ms=0.0,
+                end=results.ProgramEnd.DONE,
+                turns=len(row.turns),
+            )
+        )
+        self._ended += 1
+        if self._ended % PROGRESS_EVERY == 0 or self._ended == len(self._rows):
+            done = f"{self._ended}/{len(self._rows)} programs"
+            print(f"{self._name}: {done}", file=sys.stderr, flush=True)
+
+
+class _Caller:
+    """A program's caller: another host each time, patient when refused."""
+
+    def __init__(
+        self,
+        demo: Demo,
+        session: aiohttp.ClientSession,
+        organisation: str,
+        number: int,
+    ) -> None:
+        platform = demo._fleet.platform
+        keys = {str(name): key for name, (_, key) in platform.keys.items()}
+        self._headers = {"Authorization": f"Bearer {keys[organisation]}"}
+        self._entries = collections.deque(demo._fleet.entries())
+        self._entries.rotate(number)
+        self._session = session
+        self._tally = demo._tallies[organisation]
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        headers: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Returns the answer's body; waits and tries again if refused."""
+        for _ in range(MAX_TRIES):
+            self._entries.rotate(1)
+            async with self._session.request(
+                method,
+                self._entries[0] + path,
+                json=body,
+                headers=self._headers | (headers or {}),
+            ) as response:
+                text = await response.text()
+                if response.ok:
+                    self._tally.oracle.admit(_now_ms())
+                    if "json" not in response.content_type:
+                        return {}
+                    answer: dict[str, Any] = await response.json()
+                    return answer
+                self._refused(response.status)
+                wait_s = float(response.headers.get("Retry-After", "1"))
+            await asyncio.sleep(min(wait_s, MAX_WAIT_S))
+        raise _RefusedError(f"{method} {path}: {text}")
+
+    def _refused(self, status: int) -> None:
+        self._tally.refusals += 1
+        over = not self._tally.oracle.is_inside(_now_ms())
+        if status != 429 or not over:
+            self._tally.wrongful_refusals += 1
+
+
+def _now_ms() -> float:
+    return time.monotonic() * MS_PER_S
--- /dev/null
+++ b/tests/test_replay/test_demo.py
@@ -0,0 +1,43 @@
+"""Tests of the demo's path: a trace over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import unittest
+from unittest import mock
+
+from mangotally.commands import demo, local
+
+
+class DemoTest(unittest.IsolatedAsyncioTestCase):
+    """A few programs of a deployment."""
+
+    async def test_programs_end_and_are_counted(self) -> None:
+        """Model and plain calls are answered; the table has the programs."""
+        output = io.StringIO()
+        with contextlib.redirect_stderr(io.StringIO()):
+            async with local.LocalFleet("tornos-norte", 2) as fleet:
+                made = demo.Demo("tornos-norte", fleet)
+                made._rows = made._rows[:3]
+                await made.run()
+                plain = fleet.platform.services.values()
+                runs = sum(item.runs.total() for item in plain)
+        with contextlib.redirect_stdout(output):
+            made.print_table()
+        self.assertTrue(made.good)
+        self.assertEqual(runs, 4)
+        lines = output.getvalue().splitlines()[2:]
+        counts = [int(line.split()[1]) for line in lines if line]
+        self.assertEqual(sum(counts), 3)
+
+    async def test_lost_program_is_not_good(self) -> None:
+        """A program that cannot run is counted as lost."""
+        with contextlib.redirect_stderr(io.StringIO()):
+            async with local.LocalFleet("tornos-norte", 1) as fleet:
+                made = demo.Demo("tornos-norte", fleet)
+                made._rows = made._rows[:1]
+                made._service = "no-such-service"
+                with mock.patch.object(demo, "MAX_TRIES", 1):
+                    await made.run()
+        self.assertFalse(made.good)
--- a/tests/test_replay/test_runner.py
+++ b/tests/test_replay/test_runner.py
@@ -29,6 +29,10 @@
         """One organisation at six times its rate."""
         self.check("tornos-norte-six-times")
 
+    def test_six_times_of_a_latency_plan(self) -> None:
+        """One organisation at six times its rate, of the other deployment."""
+        self.check("lakeshore-six-times")
+
     def test_worker_lost(self) -> None:
         """A worker is lost and comes back."""
         self.check("tornos-norte-worker-lost")
--- a/tests/test_replay/test_trace.py
+++ b/tests/test_replay/test_trace.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import unittest
 
 from returns import result
 
 from mangotally.commands import replay
-from mangotally.replay import generate, trace
+from mangotally.replay import generate, parameters, trace
 
 MAX_SHIPPED_BYTES = 200_000
 MIN_DURATION_MS = 600_000
@@ -67,6 +68,12 @@
             self.assertGreaterEqual(made.header.duration_ms, MIN_DURATION_MS)
         self.assertEqual(tuple(sorted(names)), replay.shipped())
 
+    def test_example_parameters_are_the_defaults(self) -> None:
+        """The annotated example is accepted and changes nothing."""
+        root = pathlib.Path(__file__).resolve().parents[2]
+        found = replay.load_parameters(root / "examples" / "replay.yaml")
+        self.assertEqual(found.unwrap(), parameters.Parameters())
+
     def test_every_shipped_trace_has_outcomes(self) -> None:
         """Outcomes stand beside every shipped trace."""
         for name in replay.shipped():
