Read and append through another host when the log is out of reach

Cause: one host cut off from the log lost its lease after five seconds, and its keys moved, though every other host reached the log.

A lease still counts from the sending here. A relayed append may be in the log twice; heartbeats and evictions may. The pause between heartbeats follows from the number of hosts and the log's appends per second.

Without the relay the new test waits for ever: the lease is not renewed.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -33,7 +33,7 @@
 )
 from mangotally.hosts import credentials as credentials_lib
 from mangotally.hosts import link, messages, peers, router
-from mangotally.log import follower, pacer
+from mangotally.log import follower, pacer, relay
 from mangotally.log import http as http_log
 from mangotally.metrics import store
 from mangotally.operators import publisher
@@ -134,15 +134,17 @@
         )
         log = http_log.HttpLog(session, self.settings.log.url)
         handlers = router.Router()
-        await self._start_configuration(stack, log)
+        relayed = relay.RelayedLog(log, self.clock, random.random)
+        await self._start_configuration(stack, relayed)
         self.readiness = readiness.Readiness()
         self.server = link.Server(
             handlers, self.settings.rpc_address, credentials
         )
         await stack.enter_async_context(self.server)
-        self.members = membership.Membership(self.settings, log, self.clock)
+        self.members = membership.Membership(self.settings, relayed, self.clock)
         self.peers = peers.Peers(self.members, handlers, credentials)
         await stack.enter_async_context(self.peers)
+        relayed.attach(handlers, self.peers, self.members.others)
         channels = channels_lib.Channels(
             certificates.client_context(tls.targets_ca_file)
         )
@@ -190,7 +192,7 @@
         await stack.enter_async_context(self.caller_server)
 
     async def _start_configuration(
-        self, stack: contextlib.AsyncExitStack, log: http_log.HttpLog
+        self, stack: contextlib.AsyncExitStack, log: relay.RelayedLog
     ) -> None:
         settings = self.settings
         stream = settings.log.configuration_stream
--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -40,6 +40,7 @@
         self._log = log
         self._clock = clock
         self._times = membership.Times(settings.heartbeat_ms, settings.lease_ms)
+        self._appends_per_s = settings.log.appends_per_s
         me = membership.Self(
             ids.HostId(settings.host_id),
             settings.rpc_address,
@@ -125,6 +126,10 @@
         """Adds what is to be done before this host leaves the view."""
         self._leaving.append(leave)
 
+    def others(self) -> list[ids.HostId]:
+        """Returns the other hosts of the view."""
+        return [name for name in self.view.members if name != self.host]
+
     def address_of(self, host: ids.HostId) -> str | None:
         """Returns a host's address for other hosts, or None."""
         member = self.view.members.get(host)
@@ -173,10 +178,12 @@
         self.state.mark_read(self._clock.now_ms())
 
     async def _beat(self) -> None:
-        pause_s = clock_lib.to_seconds(self._times.heartbeat_ms)
         while True:
             await self._beat_once()
-            await asyncio.sleep(pause_s)
+            pause_ms = membership.heartbeat_pause_ms(
+                self._times, len(self.view.members), self._appends_per_s
+            )
+            await asyncio.sleep(clock_lib.to_seconds(pause_ms))
 
     async def _beat_once(self) -> None:
         record = self.state.heartbeat(self._clock.wall_ms())
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -95,6 +95,60 @@
     state: limits.BucketState
 
 
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RelayAppend:
+    """Asks a host to append a record to the log.
+
+    Attributes:
+        stream: Name of the stream.
+        data_base64: The record.
+    """
+
+    stream: str
+    data_base64: str
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RelayedAppend:
+    """The record is in the log."""
+
+    offset: ids.Offset
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RelayRead:
+    """Asks a host to read from the log.
+
+    Attributes:
+        stream: Name of the stream.
+        offset: First offset wanted.
+        wait_ms: How long to wait for a first record.
+    """
+
+    stream: str
+    offset: ids.Offset
+    wait_ms: int
+
+
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class RelayedSlice:
+    """A part of a stream.
+
+    Attributes:
+        entries: Offsets and records, these in base64.
+        oldest_offset: Oldest offset that the log still keeps.
+        next_offset: Offset that the next append will get.
+    """
+
+    entries: tuple[tuple[ids.Offset, str], ...]
+    oldest_offset: ids.Offset
+    next_offset: ids.Offset
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class OpenProgram:
--- a/mangotally/policy/membership.py
+++ b/mangotally/policy/membership.py
@@ -7,10 +7,12 @@
 
 from mangotally import ids
 from mangotally.policy import homes, lease, records, tenure, view
+from mangotally.util import clock
 
 CLOCK_MARGIN = 0.02
 SILENCE_LEASES = 12
 SALTS = 1_000_000
+HEARTBEAT_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,6 +43,22 @@
         return self.lease_ms * SILENCE_LEASES
 
 
+def heartbeat_pause_ms(times: Times, hosts: int, appends_per_s: float) -> float:
+    """Returns the pause between heartbeats of one host.
+
+    It grows with the fleet so that heartbeats stay within their share of
+    the log's appends, and ends at a quarter of the lease.
+
+    Args:
+        times: Durations that all hosts share.
+        hosts: Hosts of the fleet.
+        appends_per_s: Appends a second that the whole fleet may use.
+    """
+    fair_ms = hosts * clock.MS_PER_S / (appends_per_s * HEARTBEAT_SHARE)
+    longest_ms = max(times.heartbeat_ms, times.lease_ms / 4)
+    return min(max(times.heartbeat_ms, fair_ms), longest_ms)
+
+
 @dataclasses.dataclass(frozen=True)
 class Self:
     """This host as its heartbeats describe it.
@@ -181,7 +199,7 @@
             for member in self.view.members.values()
             if member.host != self.me.host
             and now_ms - self._heard_ms.get(member.host, now_ms)
-            > self.times.wait_ms + self.times.heartbeat_ms
+            > self.times.wait_ms
         ]
 
     def _follow(self, change: view.Change, now_ms: float) -> None:
--- a/tests/test_homes/fleet.py
+++ b/tests/test_homes/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import random
 from typing import TYPE_CHECKING, Any, Self
 
 from returns import result
@@ -12,7 +13,7 @@
 from mangotally import errors, ids
 from mangotally.homes import admission, membership, organisations
 from mangotally.hosts import router
-from mangotally.log import base
+from mangotally.log import base, relay
 from mangotally.settings import host as host_settings
 from mangotally.settings import lists
 from mangotally.util import clock as clock_lib
@@ -116,7 +117,7 @@
 class Host:
     """One host of the fleet."""
 
-    def __init__(self, fleet: Fleet, name: str) -> None:
+    def __init__(self, fleet: Fleet, name: str, relayed: bool) -> None:
         settings = host_settings.HostSettings(
             host_id=name,
             port=1,
@@ -130,10 +131,11 @@
         clock = clock_lib.SystemClock()
         self.name = ids.HostId(name)
         self.router = router.Router()
-        self.members = membership.Membership(
-            settings, fleet.log.of(name), clock
-        )
+        log = relay.RelayedLog(fleet.log.of(name), clock, random.random)
+        self.members = membership.Membership(settings, log, clock)
         peers: Any = Peers(fleet, self.name)
+        if relayed:
+            log.attach(self.router, peers, self.members.others)
         live: Any = fleet.live
         self.organisations = organisations.OrganisationHome(
             self.members, live, peers, clock, LEASE_MS
@@ -153,8 +155,13 @@
     """Some hosts; entering it starts them."""
 
     def __init__(
-        self, hosts: int, rate_per_s: float = 0.001, burst: float = 6
+        self,
+        hosts: int,
+        rate_per_s: float = 0.001,
+        burst: float = 6,
+        relayed: bool = False,
     ) -> None:
+        self._relayed = relayed
         self.log = MemoryLog()
         self.live = Live(rate_per_s, burst)
         self.hosts: dict[ids.HostId, Host] = {}
@@ -171,7 +178,7 @@
             await host.stack.aclose()
 
     async def start(self, name: str) -> Host:
-        host = Host(self, name)
+        host = Host(self, name, self._relayed)
         self.hosts[host.name] = host
         await host.start()
         return host
--- a/tests/test_homes/test_organisations.py
+++ b/tests/test_homes/test_organisations.py
@@ -72,6 +72,24 @@
             self.assertFalse(home.members.lease.is_valid(now_ms))
             self.assertEqual(admitted(await fleet.take(entry, 1)), 1)
 
+    async def test_cut_off_home_goes_on_through_another_host(self) -> None:
+        """Heartbeats and reads through a peer keep its lease."""
+        async with fleet_lib.Fleet(
+            3, rate_per_s=20, burst=20, relayed=True
+        ) as fleet:
+            home = fleet.home()
+            fleet.log.cut.add(home.name)
+            lease = home.members.lease
+            wanted_ms = lease.expires_ms + 1000
+            async with fleet.log.changed:
+                await fleet.log.changed.wait_for(
+                    lambda: lease.expires_ms >= wanted_ms
+                )
+            self.assertIs(fleet.home(), home)
+            self.assertGreater(fleet.sent["RelayAppend"], 0)
+            self.assertGreater(fleet.sent["RelayRead"], 0)
+            self.assertEqual(admitted(await fleet.take(home, 1)), 1)
+
 
 class BatchTest(unittest.IsolatedAsyncioTestCase):
     """Busy hosts ask less often than they admit."""
