--- a/mangotally/homes/organisations.py
+++ b/mangotally/homes/organisations.py
@@ -144,28 +144,20 @@
         self, message: messages.Bequeath
     ) -> errors.Outcome[messages.Done]:
         """Keeps the bucket of a host that is about to leave."""
-        giver = (message.giver, message.incarnation)
-        self._limits.receive_bequest(
-            message.organisation, giver, message.state, self._clock.now_ms()
-        )
+        self._limits.receive_bequest(message.bequest, self._clock.now_ms())
         return result.Success(messages.Done())
 
     async def hand_on(self) -> None:
         """Stops all grants and sends the buckets to their next homes."""
         await self._ask_all()
         plans = self._plans()
-        me = self._members.state
         bequests = self._limits.bequests(plans, self._clock.now_ms())
         sent = await asyncio.gather(
             *(
                 self._peers.call(
-                    heir,
-                    messages.Bequeath(
-                        organisation, me.me.host, me.incarnation, state
-                    ),
-                    HAND_OVER_TIMEOUT_MS,
+                    item.heir, messages.Bequeath(item), HAND_OVER_TIMEOUT_MS
                 )
-                for heir, organisation, state in bequests
+                for item in bequests
             )
         )
         taken = sum(isinstance(item, result.Success) for item in sent)
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -80,19 +80,9 @@
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class Bequeath:
-    """Gives a bucket to the host that is its home once the giver is gone.
+    """Gives a bucket to the host that is its home once the giver is gone."""
 
-    Attributes:
-        organisation: The organisation.
-        giver: The host that leaves.
-        incarnation: Its incarnation.
-        state: The bucket; the giver grants no more from it.
-    """
-
-    organisation: ids.OrganisationId
-    giver: ids.HostId
-    incarnation: int
-    state: limits.BucketState
+    bequest: limits.Bequest
 
 
 @registry.register
--- a/mangotally/policy/limits.py
+++ b/mangotally/policy/limits.py
@@ -17,6 +17,7 @@
     from mangotally.policy import membership
 
 ASK_AGAIN_MS = 250
+HEIRS = 2
 KEPT_SHARE = 0.5
 BATCH_SHARE = 0.25
 MIN_BATCH_TOKENS = 2
@@ -113,11 +114,27 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Bequest:
-    """A bucket that a leaving host has sent ahead."""
+class Bequest:
+    """A bucket that a leaving host sends to the host that will be home.
 
-    giver: tenure.Identity
+    Attributes:
+        heir: That host.
+        organisation: The organisation.
+        givers: The host that leaves, and those that left it to that host.
+        state: The bucket; no giver grants from it any more.
+    """
+
+    heir: ids.HostId
+    organisation: ids.OrganisationId
+    givers: tuple[tenure.Identity, ...]
     state: BucketState
+
+
+@dataclasses.dataclass(frozen=True)
+class _Received:
+    """A bequest and when it came."""
+
+    bequest: Bequest
     received_ms: float
 
 
@@ -131,7 +148,7 @@
         self._claims: dict[ids.OrganisationId, tenure.Claim] = {}
         self._generation = -1
         self._asked_ms: dict[ids.OrganisationId, float] = {}
-        self._bequests: dict[ids.OrganisationId, _Bequest] = {}
+        self._bequests: dict[ids.OrganisationId, _Received] = {}
         self._batches = 0
         self.closing = False
 
@@ -308,31 +325,39 @@
         self,
         plans: Mapping[ids.OrganisationId, Terms],
         now_ms: float,
-    ) -> list[tuple[ids.HostId, ids.OrganisationId, BucketState]]:
-        """Stops all grants and returns the buckets for the next homes."""
+    ) -> list[Bequest]:
+        """Stops all grants and returns the buckets for the next homes.
+
+        Each goes to two hosts, as the first may be leaving too; it counts
+        only where the key moves by the leaving of its givers.
+        """
         found = []
+        me = (self._state.me.host, self._state.incarnation)
         for organisation, terms in plans.items():
             held = self.account(organisation, terms, now_ms)
-            if not isinstance(held, bucket.Bucket):
+            received = self._bequests.get(organisation)
+            givers: tuple[tenure.Identity, ...] = (me,)
+            if isinstance(held, bucket.Bucket):
+                state = _state_of(held, now_ms)
+            elif received is not None:
+                givers += received.bequest.givers
+                state = _aged(received, now_ms)
+            else:
                 continue
+            gone = {host for host, _ in givers}
             key = homes.organisation_key(organisation)
-            others = set(self._state.view.members) - {self._state.me.host}
-            heir = homes.home(key, others)
-            if heir is not None:
-                state = _state_of(held, now_ms)
-                found.append((heir, organisation, state))
+            others = set(self._state.view.members) - gone
+            found += [
+                Bequest(heir, organisation, givers, state)
+                for heir in homes.ranked(key, others)[:HEIRS]
+            ]
         self.closing = True
         return found
 
-    def receive_bequest(
-        self,
-        organisation: ids.OrganisationId,
-        giver: tenure.Identity,
-        state: BucketState,
-        now_ms: float,
-    ) -> None:
-        """Keeps a bucket that counts once its giver is gone."""
-        self._bequests[organisation] = _Bequest(giver, state, now_ms)
+    def receive_bequest(self, bequest: Bequest, now_ms: float) -> None:
+        """Keeps a bucket that counts once its givers are gone."""
+        received = _Received(bequest, now_ms)
+        self._bequests[bequest.organisation] = received
 
     def is_open(self, organisation: ids.OrganisationId, now_ms: float) -> bool:
         """Returns whether this host could grant at this moment."""
@@ -382,10 +407,11 @@
         terms: Terms,
         now_ms: float,
     ) -> bucket.Bucket | Decision:
-        bequest = self._bequests.get(organisation)
-        if bequest is not None and bequest.giver == claim.removed:
+        received = self._bequests.get(organisation)
+        if received is not None and self._counts(received, claim):
             del self._bequests[organisation]
-            return _make(bequest.state, terms, bequest.received_ms)
+            state = received.bequest.state
+            return _make(state, terms, received.received_ms)
         if self._may_ask(organisation, claim, now_ms):
             assert claim.previous is not None
             self._asked_ms[organisation] = now_ms
@@ -395,6 +421,13 @@
         level = _level_since(claim.free_ms, terms, now_ms)
         return bucket.Bucket(terms.rate_per_s, terms.burst, level, now_ms)
 
+    def _counts(self, received: _Received, claim: tenure.Claim) -> bool:
+        """Returns whether the key came here by the givers' leaving."""
+        givers = received.bequest.givers
+        members = self._state.view.members.values()
+        present = {(member.host, member.incarnation) for member in members}
+        return claim.removed in givers and present.isdisjoint(givers)
+
     def _may_ask(
         self,
         organisation: ids.OrganisationId,
@@ -422,6 +455,17 @@
     return made
 
 
+def _aged(received: _Received, now_ms: float) -> BucketState:
+    """Returns a received bucket with its batches' time that has passed."""
+    state = received.bequest.state
+    passed_ms = now_ms - received.received_ms
+    batches = tuple(
+        dataclasses.replace(item, expires_ms=item.expires_ms - passed_ms)
+        for item in state.batches
+    )
+    return dataclasses.replace(state, batches=batches)
+
+
 def _state_of(found: bucket.Bucket, now_ms: float) -> BucketState:
     level = found.level(now_ms)
     batches = tuple(
--- a/tests/test_policy/fleet.py
+++ b/tests/test_policy/fleet.py
@@ -186,18 +186,13 @@
     def leave(self, host: Host) -> None:
         """Stops a host in order: buckets first, then the leave."""
         self.ask_all()
-        giver = (host.name, host.state.incarnation)
-        for heir, organisation, state in host.limits.bequests(
-            TERMS, host.now()
-        ):
-            other = self.find(heir)
-            if other is not None:
-                other.limits.receive_bequest(
-                    organisation, giver, state, other.now()
-                )
+        for bequest in host.limits.bequests(TERMS, host.now()):
+            heir = self.find(bequest.heir)
+            if heir is not None:
+                heir.limits.receive_bequest(bequest, heir.now())
         host.state.lease.lapse()
         if host.can_append():
-            self.log.append(records.Leave(host.name, giver[1]))
+            self.log.append(records.Leave(host.name, host.state.incarnation))
         host.gone = True
 
     def ask_all(self) -> None:
--- a/tests/test_policy/test_limits.py
+++ b/tests/test_policy/test_limits.py
@@ -250,5 +250,26 @@
 MACHINES = [LimitsMachine]
 
 
+class LeaveTest(unittest.TestCase):
+    """Orderly leaves close after one another."""
+
+    def test_bucket_passes_through_two_leaving_hosts(self) -> None:
+        """A host that leaves passes on what another has just left to it."""
+        for order in ((0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)):
+            fleet = fleet_lib.Fleet()
+            for _ in range(3):
+                fleet.start()
+            fleet.advance(1000)
+            hosts = list(fleet.hosts)
+            for index in order:
+                fleet.leave(hosts[index])
+            fleet.advance(fleet_lib.TICK_MS)
+            (left,) = fleet.running()
+            for organisation in fleet_lib.ORGANISATIONS:
+                self.assertEqual(
+                    fleet.take(left, organisation), limits.Admitted(), order
+                )
+
+
 if __name__ == "__main__":
     unittest.main()
