Count every byte of a turn in its reservation

Cause: other fields of a message and the options for the engine were sent but not counted in the bound of a prompt. Change: both count.

--- a/mangotally/homes/programs.py
+++ b/mangotally/homes/programs.py
@@ -202,6 +202,7 @@
             programs.digest_messages(
                 message.service, message.messages, message.options
             ),
+            message.options,
         )
         events = self._join(message, wanted, outcome.unwrap())
         async with contextlib.aclosing(events):
--- a/mangotally/policy/budget.py
+++ b/mangotally/policy/budget.py
@@ -120,5 +120,6 @@
         TEMPLATE_TOKENS_PER_MESSAGE
         + len(item.role.encode())
         + len(item.content.encode())
+        + len(item.extra.encode())
         for item in messages
     )
--- a/mangotally/policy/ledger.py
+++ b/mangotally/policy/ledger.py
@@ -138,6 +138,7 @@
                 f"The next turn is {found.next_turn}, not {wanted.turn}.",
             )
         prompt_tokens = found.prompt_bound_tokens(wanted.messages)
+        prompt_tokens += len(wanted.options.encode())
         left = budget.check(self.chain(found), prompt_tokens + 1)
         return left.map(
             lambda tokens: programs.Run(
--- a/mangotally/policy/programs.py
+++ b/mangotally/policy/programs.py
@@ -130,6 +130,7 @@
         messages: The new messages.
         max_tokens: Longest answer.
         digest: Digest of the request.
+        options: Fields for the engine as a JSON object, or empty.
     """
 
     organisation: ids.OrganisationId
@@ -138,6 +139,7 @@
     messages: tuple[records.ChatMessage, ...]
     max_tokens: int
     digest: str
+    options: str = ""
 
 
 ProgramKey = tuple[ids.OrganisationId, ids.ProgramId]
