Let calls race under leases that overlap

Cause: a home without a lease wrote an intent and dropped it for each try of an entry that still held it to be home; and the state machine let only one host hold a lease, so intents no longer raced.

--- a/mangotally/homes/calls.py
+++ b/mangotally/homes/calls.py
@@ -125,6 +125,10 @@
         known = _known_answer(partition, message, digest)
         if known is not None:
             return known
+        if not self._partitions.may_act():
+            read = await partition.catch_up()
+            lost = isinstance(read, result.Failure)
+            return _not_known(read.failure()) if lost else _moved()
         attempt = ids.new_attempt_id()
         charged = await self._charge(message, message.key)
         if isinstance(charged, result.Failure):
