--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -13,6 +13,7 @@
     "codec",
     "memory",
     "members",
+    "configuration",
     "history",
     "decisions",
 )
