Keep copies of an unknown request at one target

Change: copies of a request that was never answered share one target; after a crash all copies of the requests that ran there are suspects.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -356,6 +356,7 @@
             engine,
             log,
             self.clock,
+            targets.order_ms,
         )
         self.sweep = sweeps.Sweep(
             self.members,
@@ -364,6 +365,8 @@
             self.programs,
             engine,
             self.clock,
+            targets.sweep_ms,
+            targets.sweep_grace_ms,
         )
         self.calls = calls.CallHome(
             self.partitions,
--- a/mangotally/homes/orders.py
+++ b/mangotally/homes/orders.py
@@ -30,8 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-ROUND_MS = 1000
-
 
 class OrderGiver:
     """Brings the engines of the pools at home here into their state."""
@@ -45,8 +43,10 @@
         engine: engine_client.EngineClient,
         log: base.Log,
         clock: clock_lib.Clock,
+        order_ms: float,
     ) -> None:
         """Makes a giver; entering it starts the rounds."""
+        self._order_ms = order_ms
         self._members = members
         self._peers = peers
         self._live = live
@@ -71,7 +71,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(clock_lib.to_seconds(ROUND_MS))
+            await asyncio.sleep(clock_lib.to_seconds(self._order_ms))
             for pool in self._home.model_pools():
                 await self.round(pool)
 
--- a/mangotally/homes/pool.py
+++ b/mangotally/homes/pool.py
@@ -319,6 +319,9 @@
     ) -> None:
         """Notes that a target crashed under a request."""
         self._isolation.crash(digest)
+        for copy in self._isolation.copies(digest):
+            if copy in self._waiting:
+                self._withdraw(copy)
         self._quarantine.note_crash(digest, self.service, target, call)
         if not self._quarantine.is_refused(digest):
             return
--- a/mangotally/homes/sweeps.py
+++ b/mangotally/homes/sweeps.py
@@ -34,8 +34,6 @@
 
 logger = logging.getLogger(__name__)
 
-SWEEP_MS = 2000
-GRACE_MS = 3000
 MAX_BATCH = 256
 
 Held = tuple[ids.TargetId, ids.CallId]
@@ -52,16 +50,19 @@
         programs: program_home.ProgramHome,
         engine: engine_client.EngineClient,
         clock: clock_lib.Clock,
+        sweep_ms: float,
+        grace_ms: float,
     ) -> None:
         """Makes a sweep; entering it starts it."""
+        self._sweep_ms = sweep_ms
         self._members = members
         self._peers = peers
         self._home = home
         self._programs = programs
         self._engine = engine
         self._clock = clock
-        self._calls: memory.Unclaimed[Held] = memory.Unclaimed(GRACE_MS)
-        self._granted: memory.Unclaimed[ids.CallId] = memory.Unclaimed(GRACE_MS)
+        self._calls: memory.Unclaimed[Held] = memory.Unclaimed(grace_ms)
+        self._granted: memory.Unclaimed[ids.CallId] = memory.Unclaimed(grace_ms)
         self._task: asyncio.Task[None] | None = None
 
     def attach(self, handlers: router.Router) -> None:
@@ -108,7 +109,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(clock_lib.to_seconds(SWEEP_MS))
+            await asyncio.sleep(clock_lib.to_seconds(self._sweep_ms))
             for pool in self._home.model_pools():
                 await self.sweep(pool)
 
--- a/mangotally/policy/quarantine.py
+++ b/mangotally/policy/quarantine.py
@@ -3,8 +3,8 @@
 A request whose target crashes is a suspect. So are the others that ran
 there, and which of them did it is found out by running suspects apart:
 never two of them at one target. A suspect that gets a whole answer is
-cleared; one that crashes a second target is refused on every host. A
-request that has never been answered runs at most at two targets at once.
+cleared; one that crashes a second target is refused on every host. Copies of
+a request that has never been answered run at one target at a time.
 """
 
 from __future__ import annotations
@@ -158,8 +158,7 @@
 class Isolation:
     """Keeps suspects of one pool apart; kept by the pool's home.
 
-    Copies of a request that was never answered share at most two targets,
-    less the targets that it has crashed.
+    Copies of a request that was never answered share one target.
     """
 
     def __init__(self) -> None:
@@ -184,21 +183,24 @@
             crashed: Targets that the request has crashed.
             live: Targets that take calls.
         """
-        hit = tuple(crashed)
-        if not hit and digest in self._proven:
-            return Anywhere()
-        placed = [self._placed[c].targets for c in self._copies.get(digest, ())]
-        shared = frozenset(t for item in placed if item for t in item)
-        unknown = sum(item is None for item in placed)
-        if len(hit) + len(shared) + unknown >= MAX_CRASHES:
-            if unknown or not shared:
-                return Wait()
-            self._note(call, _Placed(digest, bool(hit), shared))
-            return Only(shared)
-        if not hit:
+        hit = frozenset(crashed)
+        copies = self.copies(digest)
+        if not hit and (digest in self._proven or not copies):
             self._note(call, _Placed(digest, False, None))
             return Anywhere()
-        return self._place_suspect(call, digest, frozenset(hit), live)
+        if not copies:
+            return self._place_suspect(call, digest, hit, live)
+        shared = {self._placed[copy].targets for copy in copies}
+        if len(shared) > 1 or None in shared:
+            return Wait()
+        targets = shared.pop()
+        assert targets is not None
+        self._note(call, _Placed(digest, bool(hit), targets))
+        return Only(targets)
+
+    def copies(self, digest: str) -> frozenset[ids.CallId]:
+        """Returns the calls of a request that wait or run."""
+        return frozenset(self._copies.get(digest, ()))
 
     def _place_suspect(
         self,
@@ -247,8 +249,10 @@
                 self._proven.popitem(last=False)
 
     def crash(self, digest: str) -> None:
-        """A request has crashed a target; it is proven no longer."""
+        """A request has crashed a target; all its copies are suspects."""
         self._proven.pop(digest, None)
+        for copy in self.copies(digest):
+            self._placed[copy].is_suspect = True
 
     def _note(self, call: ids.CallId, placed: _Placed) -> None:
         self._placed[call] = placed
--- a/mangotally/settings/host.py
+++ b/mangotally/settings/host.py
@@ -54,6 +54,10 @@
         quarantine_ms: How long a request that crashed two targets is
             refused.
         weights_per_s: Fetches a second that the weight store allows.
+        sweep_ms: Interval between reads of what engines hold.
+        sweep_grace_ms: How long a call must be claimed by no host before
+            it is cancelled.
+        order_ms: Interval between reads of what engines have loaded.
     """
 
     model_config = pydantic.ConfigDict(
@@ -67,6 +71,9 @@
     retry_share: float = pydantic.Field(default=0.2, ge=0, le=1)
     quarantine_ms: int = pydantic.Field(default=600_000, ge=1000)
     weights_per_s: float = pydantic.Field(default=1.0, gt=0)
+    sweep_ms: int = pydantic.Field(default=2000, ge=10)
+    sweep_grace_ms: int = pydantic.Field(default=3000, ge=10)
+    order_ms: int = pydantic.Field(default=1000, ge=10)
 
 
 class CallerSettings(pydantic.BaseModel):
