--- a/tests/test_homes/test_pools.py
+++ b/tests/test_homes/test_pools.py
@@ -154,7 +154,7 @@
         self._finish("c1", "c1", K.STALLED)
         self.assertTrue(self.pool.releases and self.pool.cancels)
         self._set_targets(*({"t1", "t2", "t3"} - {target}))
-        self.assertEqual(self.pool.releases, set())
+        self.assertEqual(list(self.pool.releases), [])
         self.assertEqual(self.pool.cancels, set())
 
     async def test_report_after_a_change_of_home(self) -> None:
