Log lines of native libraries as events

Cause: gRPC writes lines of its own form to standard error, among them the only trace of a refused TLS handshake. Ruled out: verbosity ERROR, which hides refused handshakes; a hook in gRPC, which has none before the handshake ends.

--- a/mangotally/commands/process.py
+++ b/mangotally/commands/process.py
@@ -15,6 +15,8 @@
 
 import aiomisc
 
+from mangotally.util import native
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Coroutine
 
@@ -35,7 +37,11 @@
 
 
 async def _serve(open_service: Opener) -> None:
-    async with _stop_signal() as stopped, contextlib.AsyncExitStack() as stack:
+    async with (
+        native.NativeLines(),
+        _stop_signal() as stopped,
+        contextlib.AsyncExitStack() as stack,
+    ):
         waiting = asyncio.ensure_future(stopped.wait())
         stack.callback(waiting.cancel)
         starting = asyncio.ensure_future(
--- /dev/null
+++ b/tests/test_util/test_native.py
@@ -0,0 +1,41 @@
+"""Tests of lines that native libraries write."""
+
+from __future__ import annotations
+
+import os
+import sys
+import unittest
+
+from mangotally.util import native
+
+
+class NativeLinesTest(unittest.IsolatedAsyncioTestCase):
+    """Standard error while a process serves."""
+
+    async def test_lines_become_events(self) -> None:
+        """Each line is an event; a refused handshake has a name."""
+        before = os.readlink(f"/proc/self/fd/{native.STDERR_FD}")
+        python_stderr = sys.stderr
+        with self.assertLogs(native.logger, "INFO") as found:
+            async with native.NativeLines():
+                os.write(native.STDERR_FD, b"I1 a.cc:1] Got goa")
+                os.write(native.STDERR_FD, b"way\n\nE1 b.cc:2] Handshake ")
+                os.write(native.STDERR_FD, b"failed with error X\n")
+        self.assertEqual(
+            [(item.getMessage(), item.levelname) for item in found.records],
+            [("native_line", "INFO"), ("tls_handshake_failed", "WARNING")],
+        )
+        self.assertEqual(
+            vars(found.records[0])["text"], "I1 a.cc:1] Got goaway"
+        )
+        self.assertEqual(vars(found.records[1])["reason"], "with error X")
+        after = os.readlink(f"/proc/self/fd/{native.STDERR_FD}")
+        self.assertEqual((after, sys.stderr), (before, python_stderr))
+
+    async def test_a_full_pipe_blocks_nobody(self) -> None:
+        """What does not fit is lost; the writer goes on."""
+        with self.assertLogs(native.logger, "INFO"):
+            async with native.NativeLines():
+                with self.assertRaises(BlockingIOError):
+                    while True:
+                        os.write(native.STDERR_FD, b"x" * 1000 + b"\n")
