Count the calls inside a target that is listed again

Cause: a target that left the host list and came back while calls were inside was taken for empty; it got more calls than its slots, and its count fell below zero as the old ones ended. Change: such a target is remembered until its calls have ended. The cache estimate starts anew. Shown failing: test_returning_target_keeps_its_calls before the change.

--- a/mangotally/policy/placement.py
+++ b/mangotally/policy/placement.py
@@ -119,7 +119,11 @@
 
 
 class Fleet:
-    """The targets of a pool, the least loaded at hand."""
+    """The targets of a pool, the least loaded at hand.
+
+    A target that is no longer listed is remembered while calls are inside,
+    since it may be listed again before they end.
+    """
 
     def __init__(
         self, shares: fairness.Shares, speeds: Speeds, weights: Weights
@@ -132,6 +136,7 @@
         self._prefill_ms = speeds.prefill_ms(1)
         self._shares = shares
         self._heap: list[tuple[float, ids.TargetId, int]] = []
+        self._absent: dict[ids.TargetId, Target] = {}
 
     def replace(self, infos: Sequence[pools.TargetInfo]) -> list[Target]:
         """Replaces the targets; returns those that are gone."""
@@ -141,20 +146,32 @@
         ]
         for target in gone:
             del self.targets[target.info.target]
+            if target.inside:
+                self._absent[target.info.target] = target
         for name, info in named.items():
             found = self.targets.get(name)
             if found is None:
-                self.targets[name] = Target(info, self._shares)
-            else:
-                found.replace(info)
+                found = self._absent.pop(name, None)
+                found = found or Target(info, self._shares)
+                found.cache = prefixes.TargetCache()
+                self.targets[name] = found
+            found.replace(info)
         self.slots = 0
         for target in self.targets.values():
             self.slots += target.info.slots if target.live else 0
             self.touch(target)
         return gone
 
+    def find(self, name: ids.TargetId) -> Target | None:
+        """Returns a target that is listed, or absent with calls inside."""
+        return self.targets.get(name) or self._absent.get(name)
+
     def touch(self, target: Target) -> None:
         """Files a target again after a change of its load."""
+        if target not in self:
+            if not target.inside:
+                self._absent.pop(target.info.target, None)
+            return
         target.version += 1
         entry = (self._rank(target), target.info.target, target.version)
         heapq.heappush(self._heap, entry)
--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -237,7 +237,7 @@
 
     def _check_ready(self, target: placement.Target) -> None:
         name = target.info.target
-        if target.lane.size and target.has_room:
+        if target in self._fleet and target.lane.size and target.has_room:
             self._ready[name] = None
         else:
             self._ready.pop(name, None)
@@ -343,7 +343,7 @@
         done = report is not None and report.end is pools.CallEnd.DONE
         organisation = inside.call.organisation
         program = inside.call.program
-        target = self._fleet.targets.get(inside.target)
+        target = self._fleet.find(inside.target)
         if target is not None:
             target.change_inside(-1, now_ms)
             self._changed(target)
--- a/tests/test_policy/test_scheduler.py
+++ b/tests/test_policy/test_scheduler.py
@@ -386,6 +386,19 @@
         again = make_call(3, PROGRAMS[1], excluded=(target,))
         self.assertNotEqual(self.dispatch(again, 0.0), target)
 
+    def test_returning_target_keeps_its_calls(self) -> None:
+        """Calls still inside count when a target is listed again."""
+        for number in range(SLOTS):
+            call = make_call(number, ids.ProgramId(f"q{number}"))
+            self.scheduler.set_targets([make_info(NAMES[0])], 0.0)
+            self.dispatch(call, 0.0)
+        self.scheduler.set_targets([], 0.0)
+        self.scheduler.finish(done(ids.CallId("c0")), 0.0)
+        self.scheduler.set_targets([make_info(NAMES[0])], 0.0)
+        self.dispatch(make_call(10, ids.ProgramId("q10")), 0.0)
+        self.scheduler.submit(make_call(11, ids.ProgramId("q11")), 0.0)
+        self.assertEqual(self.scheduler.advance(0.0), [])
+
     def test_excluded_everywhere_is_refused(self) -> None:
         """A call that excludes every live target is refused."""
         call = make_call(1, excluded=tuple(NAMES))
--- a/tests/test_replay/test_runner.py
+++ b/tests/test_replay/test_runner.py
@@ -59,11 +59,11 @@
         self.assertEqual(run(name).run, run(name).run)
 
     def test_every_program_ends_once(self) -> None:
-        """A lost worker loses no program under any policy."""
-        source = replay.load("tornos-norte-worker-lost").unwrap()
+        """A lost place loses no program under any policy."""
+        source = replay.load("tornos-norte-place-lost").unwrap()
         wanted = {row.id for row in source.trace.programs}
         for policy in replay.POLICIES:
-            found = run("tornos-norte-worker-lost", policy).run
+            found = run("tornos-norte-place-lost", policy).run
             ended = [program.program for program in found.programs]
             self.assertEqual(set(ended), wanted, policy)
             self.assertEqual(len(ended), len(wanted), policy)
