--- a/mangotally/homes/organisations.py
+++ b/mangotally/homes/organisations.py
@@ -12,7 +12,7 @@
 
 from mangotally import errors, ids
 from mangotally.hosts import messages
-from mangotally.policy import limits
+from mangotally.policy import grants, limits
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
         self._hold_ms = hold_ms(lease_ms)
         self._limits = limits.Limits(members.state)
         self._lists: lists.Lists | None = None
-        self._known_plans: dict[ids.OrganisationId, limits.Terms] = {}
+        self._known_plans: dict[ids.OrganisationId, grants.Terms] = {}
         self._lines: dict[ids.OrganisationId, _Line] = {}
         self._moved = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -107,7 +107,7 @@
             decision = await self._wait_in_line(message, line)
         if line.calls == 0:
             self._lines.pop(message.organisation, None)
-        if isinstance(decision, limits.Admitted):
+        if isinstance(decision, grants.Admitted):
             return self._admit(message, terms, asked_ms)
         return _refuse(decision)
 
@@ -122,7 +122,7 @@
 
     async def hand_over(
         self, message: messages.HandOver
-    ) -> errors.Outcome[limits.BucketState]:
+    ) -> errors.Outcome[grants.BucketState]:
         """Hands an organisation's bucket to its new home."""
         terms = self._plans().get(message.organisation)
         if terms is None:
@@ -180,7 +180,7 @@
         self._limits.forget(self._clock.now_ms())
         self._moved.set()
 
-    def _plans(self) -> dict[ids.OrganisationId, limits.Terms]:
+    def _plans(self) -> dict[ids.OrganisationId, grants.Terms]:
         """Returns the terms of all organisations, made once per version."""
         current = self._live.current.lists
         if current is self._lists:
@@ -190,7 +190,7 @@
         if current is None:
             return self._known_plans
         terms = {
-            plan.name: limits.Terms(plan.rate_per_s, plan.burst)
+            plan.name: grants.Terms(plan.rate_per_s, plan.burst)
             for plan in current.uses.plans
         }
         for item in current.plans.organisations:
@@ -212,7 +212,7 @@
     def _admit(
         self,
         message: messages.TakeTokens,
-        terms: limits.Terms,
+        terms: grants.Terms,
         asked_ms: float,
     ) -> errors.Outcome[messages.TokensTaken]:
         now_ms = self._clock.now_ms()
@@ -230,22 +230,22 @@
 
     async def _wait_in_line(
         self, message: messages.TakeTokens, line: _Line
-    ) -> limits.Decision:
+    ) -> grants.Decision:
         line.calls += message.count
         try:
             async with asyncio.timeout(clock_lib.to_seconds(self._hold_ms)):
                 async with line.turn:
                     return await self._decide(message)
         except TimeoutError:
-            return limits.OverRate(self._hold_ms)
+            return grants.OverRate(self._hold_ms)
         finally:
             line.calls -= message.count
 
-    async def _decide(self, message: messages.TakeTokens) -> limits.Decision:
+    async def _decide(self, message: messages.TakeTokens) -> grants.Decision:
         while True:
             terms = self._plans().get(message.organisation)
             if terms is None:
-                return limits.Refusal.NOT_HOME
+                return grants.Refusal.NOT_HOME
             decision = self._limits.take(
                 message.organisation,
                 terms,
@@ -253,15 +253,15 @@
                 self._clock.now_ms(),
             )
             match decision:
-                case limits.AskPrevious():
+                case grants.AskPrevious():
                     await self._ask(message.organisation, decision)
-                case limits.Held(wait_ms):
+                case grants.Held(wait_ms):
                     await asyncio.sleep(clock_lib.to_seconds(wait_ms))
                 case _:
                     return decision
 
     async def _ask(
-        self, organisation: ids.OrganisationId, question: limits.AskPrevious
+        self, organisation: ids.OrganisationId, question: grants.AskPrevious
     ) -> None:
         answer = await self._peers.call(
             question.host,
@@ -270,7 +270,7 @@
         )
         terms = self._plans().get(organisation)
         match answer:
-            case result.Success(limits.BucketState() as state) if terms:
+            case result.Success(grants.BucketState() as state) if terms:
                 self._limits.accept(
                     organisation,
                     question.offset,
@@ -288,19 +288,19 @@
                 )
 
 
-def _is_open(decision: limits.Decision) -> bool:
-    return isinstance(decision, limits.Held | limits.AskPrevious)
+def _is_open(decision: grants.Decision) -> bool:
+    return isinstance(decision, grants.Held | grants.AskPrevious)
 
 
-def _refuse(decision: limits.Decision) -> errors.Outcome[Any]:
+def _refuse(decision: grants.Decision) -> errors.Outcome[Any]:
     match decision:
-        case limits.OverRate(wait_ms):
+        case grants.OverRate(wait_ms):
             return errors.failed(
                 errors.Reason.OVER_RATE,
                 "The organisation is over its rate.",
                 retry_after_ms=math.ceil(wait_ms),
             )
-        case limits.Refusal.NO_LEASE:
+        case grants.Refusal.NO_LEASE:
             return errors.failed(
                 errors.Reason.UNAVAILABLE,
                 "Rates cannot be checked now.",
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -5,13 +5,13 @@
 import dataclasses
 
 from mangotally import errors, ids
-from mangotally.policy import allowance, faults, limits, pools, records
+from mangotally.policy import allowance, faults, grants, pools, records
 from mangotally.util import codec
 
 registry = codec.Registry()
 registry.register(errors.Failure)
 registry.register(records.ProgramOpened)
-registry.register(limits.BucketState)
+registry.register(grants.BucketState)
 
 
 @registry.register
@@ -82,7 +82,7 @@
 class Bequeath:
     """Gives a bucket to the host that is its home once the giver is gone."""
 
-    bequest: limits.Bequest
+    bequest: grants.Bequest
 
 
 @registry.register
--- a/mangotally/policy/limits.py
+++ b/mangotally/policy/limits.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.policy import allowance, bucket, homes, tenure
+from mangotally.policy import allowance, bucket, grants, homes, tenure
 from mangotally.util import clock
 
 if TYPE_CHECKING:
@@ -25,86 +24,6 @@
 _NUMBERS = 1 << 24
 
 
-@dataclasses.dataclass(frozen=True)
-class Terms:
-    """What a plan allows.
-
-    Attributes:
-        rate_per_s: Calls a second over the whole fleet.
-        burst: Calls above the rate at once.
-    """
-
-    rate_per_s: float
-    burst: float
-
-
-class Refusal(enum.Enum):
-    """Why this host decides nothing about an organisation's calls."""
-
-    NOT_HOME = "not-home"
-    NO_LEASE = "no-lease"
-    CLOSING = "closing"
-
-
-@dataclasses.dataclass(frozen=True)
-class Admitted:
-    """The calls may run now."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Held:
-    """The calls may be within the rate; decide again later.
-
-    Attributes:
-        wait_ms: When that is worth while.
-    """
-
-    wait_ms: float
-
-
-@dataclasses.dataclass(frozen=True)
-class OverRate:
-    """The calls are over the rate.
-
-    Attributes:
-        wait_ms: When they would not be.
-    """
-
-    wait_ms: float
-
-
-@dataclasses.dataclass(frozen=True)
-class AskPrevious:
-    """The earlier home has to hand over first.
-
-    Attributes:
-        host: The earlier home.
-        offset: The record that moved the key.
-    """
-
-    host: ids.HostId
-    offset: ids.Offset
-
-
-Decision: TypeAlias = Admitted | Held | OverRate | AskPrevious | Refusal
-
-
-@dataclasses.dataclass(frozen=True)
-class BucketState:
-    """A bucket on its way to another home.
-
-    Attributes:
-        level: Tokens that are there for certain.
-        upper: Most tokens that can be there.
-        batches: Tokens that other hosts still hold; `expires_ms` counts
-            from the sending of this state.
-    """
-
-    level: float
-    upper: float
-    batches: tuple[bucket.Batch, ...] = ()
-
-
 @dataclasses.dataclass
 class _Account:
     """A bucket and the claim that it was made under."""
@@ -113,28 +32,11 @@
     offset: ids.Offset
 
 
-@dataclasses.dataclass(frozen=True)
-class Bequest:
-    """A bucket that a leaving host sends to the host that will be home.
-
-    Attributes:
-        heir: That host.
-        organisation: The organisation.
-        givers: The host that leaves, and those that left it to that host.
-        state: The bucket; no giver grants from it any more.
-    """
-
-    heir: ids.HostId
-    organisation: ids.OrganisationId
-    givers: tuple[tenure.Identity, ...]
-    state: BucketState
-
-
 @dataclasses.dataclass(frozen=True)
 class _Received:
     """A bequest and when it came."""
 
-    bequest: Bequest
+    bequest: grants.Bequest
     received_ms: float
 
 
@@ -155,11 +57,11 @@
     def take(
         self,
         organisation: ids.OrganisationId,
-        terms: Terms,
+        terms: grants.Terms,
         count: float,
         now_ms: float,
         ahead: float = 0,
-    ) -> Decision:
+    ) -> grants.Decision:
         """Admits calls, or says why not.
 
         Args:
@@ -170,22 +72,22 @@
             ahead: Calls that are held and come before these.
         """
         found = self.account(organisation, terms, now_ms)
-        if isinstance(found, Held) and ahead + count > terms.burst:
-            return OverRate(found.wait_ms)
+        if isinstance(found, grants.Held) and ahead + count > terms.burst:
+            return grants.OverRate(found.wait_ms)
         if not isinstance(found, bucket.Bucket):
             return found
         over_ms = found.refusal_ms(ahead + count, now_ms)
         if over_ms > 0:
-            return OverRate(over_ms)
+            return grants.OverRate(over_ms)
         if ahead:
-            return Held(ASK_AGAIN_MS)
+            return grants.Held(ASK_AGAIN_MS)
         wait_ms = found.take(count, now_ms)
-        return Held(wait_ms) if wait_ms > 0 else Admitted()
+        return grants.Held(wait_ms) if wait_ms > 0 else grants.Admitted()
 
     def spare(
         self,
         organisation: ids.OrganisationId,
-        terms: Terms,
+        terms: grants.Terms,
         wanted: float,
         now_ms: float,
     ) -> bucket.Batch | None:
@@ -229,19 +131,22 @@
             account.bucket.settle(returned.number, returned.unused, now_ms)
 
     def account(
-        self, organisation: ids.OrganisationId, terms: Terms, now_ms: float
-    ) -> bucket.Bucket | Decision:
+        self,
+        organisation: ids.OrganisationId,
+        terms: grants.Terms,
+        now_ms: float,
+    ) -> bucket.Bucket | grants.Decision:
         """Returns a bucket that this host may grant from, or why not."""
         key = homes.organisation_key(organisation)
         if self.closing:
-            return Refusal.CLOSING
+            return grants.Refusal.CLOSING
         if self._state.home_of(key) != self._state.me.host:
-            return Refusal.NOT_HOME
+            return grants.Refusal.NOT_HOME
         if not self._state.may_act(now_ms):
-            return Refusal.NO_LEASE
+            return grants.Refusal.NO_LEASE
         claim = self._claim(organisation)
         if claim is None:
-            return Refusal.NOT_HOME
+            return grants.Refusal.NOT_HOME
         account = self._accounts.get(organisation)
         if account is None or account.offset != claim.offset:
             opened = self._open(organisation, claim, terms, now_ms)
@@ -256,8 +161,8 @@
         self,
         organisation: ids.OrganisationId,
         offset: ids.Offset,
-        state: BucketState,
-        terms: Terms,
+        state: grants.BucketState,
+        terms: grants.Terms,
         now_ms: float,
     ) -> None:
         """Takes the bucket that the earlier home has handed over."""
@@ -274,9 +179,9 @@
         self,
         organisation: ids.OrganisationId,
         offset: ids.Offset,
-        terms: Terms,
+        terms: grants.Terms,
         now_ms: float,
-    ) -> BucketState | None:
+    ) -> grants.BucketState | None:
         """Returns the bucket for the home that a record has made.
 
         The record has been read here, so this host grants no more. The same
@@ -306,26 +211,26 @@
         if now_ms < claim.free_ms:
             return None
         level = _level_since(claim.free_ms, terms, now_ms)
-        return BucketState(level, terms.burst)
+        return grants.BucketState(level, terms.burst)
 
     def questions(
         self,
-        plans: Mapping[ids.OrganisationId, Terms],
+        plans: Mapping[ids.OrganisationId, grants.Terms],
         now_ms: float,
-    ) -> list[tuple[ids.OrganisationId, AskPrevious]]:
+    ) -> list[tuple[ids.OrganisationId, grants.AskPrevious]]:
         """Returns the buckets that this host has to ask for."""
         found = []
         for organisation, terms in plans.items():
             held = self.account(organisation, terms, now_ms)
-            if isinstance(held, AskPrevious):
+            if isinstance(held, grants.AskPrevious):
                 found.append((organisation, held))
         return found
 
     def bequests(
         self,
-        plans: Mapping[ids.OrganisationId, Terms],
+        plans: Mapping[ids.OrganisationId, grants.Terms],
         now_ms: float,
-    ) -> list[Bequest]:
+    ) -> list[grants.Bequest]:
         """Stops all grants and returns the buckets for the next homes.
 
         Each goes to two hosts, as the first may be leaving too; it counts
@@ -348,13 +253,13 @@
             key = homes.organisation_key(organisation)
             others = set(self._state.view.members) - gone
             found += [
-                Bequest(heir, organisation, givers, state)
+                grants.Bequest(heir, organisation, givers, state)
                 for heir in homes.ranked(key, others)[:HEIRS]
             ]
         self.closing = True
         return found
 
-    def receive_bequest(self, bequest: Bequest, now_ms: float) -> None:
+    def receive_bequest(self, bequest: grants.Bequest, now_ms: float) -> None:
         """Keeps a bucket that counts once its givers are gone."""
         received = _Received(bequest, now_ms)
         self._bequests[bequest.organisation] = received
@@ -404,9 +309,9 @@
         self,
         organisation: ids.OrganisationId,
         claim: tenure.Claim,
-        terms: Terms,
+        terms: grants.Terms,
         now_ms: float,
-    ) -> bucket.Bucket | Decision:
+    ) -> bucket.Bucket | grants.Decision:
         received = self._bequests.get(organisation)
         if received is not None and self._counts(received, claim):
             del self._bequests[organisation]
@@ -415,9 +320,9 @@
         if self._may_ask(organisation, claim, now_ms):
             assert claim.previous is not None
             self._asked_ms[organisation] = now_ms
-            return AskPrevious(claim.previous[0], claim.offset)
+            return grants.AskPrevious(claim.previous[0], claim.offset)
         if now_ms < claim.free_ms:
-            return Held(min(ASK_AGAIN_MS, claim.free_ms - now_ms))
+            return grants.Held(min(ASK_AGAIN_MS, claim.free_ms - now_ms))
         level = _level_since(claim.free_ms, terms, now_ms)
         return bucket.Bucket(terms.rate_per_s, terms.burst, level, now_ms)
 
@@ -445,7 +350,9 @@
         return now_ms - asked_ms >= ASK_AGAIN_MS
 
 
-def _make(state: BucketState, terms: Terms, now_ms: float) -> bucket.Bucket:
+def _make(
+    state: grants.BucketState, terms: grants.Terms, now_ms: float
+) -> bucket.Bucket:
     made = bucket.Bucket(terms.rate_per_s, terms.burst, state.level, now_ms)
     moved = TRANSFER_MS * terms.rate_per_s / clock.MS_PER_S
     made.limit_upper(state.upper + moved)
@@ -455,7 +362,7 @@
     return made
 
 
-def _aged(received: _Received, now_ms: float) -> BucketState:
+def _aged(received: _Received, now_ms: float) -> grants.BucketState:
     """Returns a received bucket with its batches' time that has passed."""
     state = received.bequest.state
     passed_ms = now_ms - received.received_ms
@@ -466,15 +373,15 @@
     return dataclasses.replace(state, batches=batches)
 
 
-def _state_of(found: bucket.Bucket, now_ms: float) -> BucketState:
+def _state_of(found: bucket.Bucket, now_ms: float) -> grants.BucketState:
     level = found.level(now_ms)
     batches = tuple(
         dataclasses.replace(item, expires_ms=item.expires_ms - now_ms)
         for item in found.batches
     )
-    return BucketState(level, found.upper(now_ms), batches)
+    return grants.BucketState(level, found.upper(now_ms), batches)
 
 
-def _level_since(free_ms: float, terms: Terms, now_ms: float) -> float:
+def _level_since(free_ms: float, terms: grants.Terms, now_ms: float) -> float:
     gained = (now_ms - free_ms) * terms.rate_per_s / clock.MS_PER_S
     return min(terms.burst, gained)
--- a/tests/test_policy/fleet.py
+++ b/tests/test_policy/fleet.py
@@ -5,14 +5,14 @@
 import dataclasses
 
 from mangotally import ids
-from mangotally.policy import allowance, limits, membership, records
+from mangotally.policy import allowance, grants, limits, membership, records
 
 TICK_MS = 100.0
 TIMES = membership.Times(heartbeat_ms=500.0, lease_ms=3000.0)
 ORGANISATIONS = tuple(ids.OrganisationId(f"o{n}") for n in range(2))
 TERMS = {
-    ORGANISATIONS[0]: limits.Terms(rate_per_s=0.2, burst=8.0),
-    ORGANISATIONS[1]: limits.Terms(rate_per_s=20.0, burst=40.0),
+    ORGANISATIONS[0]: grants.Terms(rate_per_s=0.2, burst=8.0),
+    ORGANISATIONS[1]: grants.Terms(rate_per_s=20.0, burst=40.0),
 }
 FAST = 1.004
 
@@ -214,24 +214,24 @@
 
     def take(
         self, entry: Host, organisation: ids.OrganisationId
-    ) -> limits.Decision:
+    ) -> grants.Decision:
         """Admits a call at a host as its I/O would."""
         allowed = entry.allowances[organisation]
         if allowed.take(entry.now()):
-            return limits.Admitted()
+            return grants.Admitted()
         home = self.find(entry.state.home_of(f"organisation/{organisation}"))
         if home is None:
-            return limits.Refusal.NOT_HOME
+            return grants.Refusal.NOT_HOME
         self.give_back(entry, organisation)
         decision = home.limits.take(
             organisation, TERMS[organisation], 1, home.now()
         )
-        if isinstance(decision, limits.AskPrevious):
+        if isinstance(decision, grants.AskPrevious):
             self._hand_over(home, organisation, decision)
             decision = home.limits.take(
                 organisation, TERMS[organisation], 1, home.now()
             )
-        if isinstance(decision, limits.Admitted):
+        if isinstance(decision, grants.Admitted):
             batch = home.limits.spare(
                 organisation, TERMS[organisation], allowed.wanted(), home.now()
             )
@@ -250,7 +250,7 @@
         self,
         home: Host,
         organisation: ids.OrganisationId,
-        question: limits.AskPrevious,
+        question: grants.AskPrevious,
     ) -> None:
         previous = self.find(question.host)
         if previous is None:
--- a/tests/test_policy/test_limits.py
+++ b/tests/test_policy/test_limits.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from mangotally.policy import limits
+from mangotally.policy import grants
 from tests import stateful as stateful_settings
 from tests.test_policy import fleet as fleet_lib
 
@@ -71,14 +71,14 @@
 
     def ask(
         self, index: int, organisation: ids.OrganisationId
-    ) -> limits.Decision | None:
+    ) -> grants.Decision | None:
         entry = self.host(index)
         if entry is None or entry.paused:
             return None
         decision = self.fleet.take(entry, organisation)
-        if isinstance(decision, limits.Admitted):
+        if isinstance(decision, grants.Admitted):
             self.oracle.admit(organisation, self.fleet.real_ms)
-        if isinstance(decision, limits.OverRate) and not self.faulty:
+        if isinstance(decision, grants.OverRate) and not self.faulty:
             level = self.oracle.level(organisation, self.fleet.real_ms)
             burst = fleet_lib.TERMS[organisation].burst
             slack = burst * (1 - 1 / fleet_lib.FAST**2)
@@ -123,7 +123,7 @@
         """Without faults a held call is admitted within the hold."""
         for _ in range(int(HOLD_MS / fleet_lib.TICK_MS)):
             decision = self.ask(index, organisation)
-            if isinstance(decision, limits.Admitted | limits.OverRate):
+            if isinstance(decision, grants.Admitted | grants.OverRate):
                 return
             self.fleet.advance(fleet_lib.TICK_MS)
         assert self.faulty, f"held too long: {decision}"
@@ -267,7 +267,7 @@
             (left,) = fleet.running()
             for organisation in fleet_lib.ORGANISATIONS:
                 self.assertEqual(
-                    fleet.take(left, organisation), limits.Admitted(), order
+                    fleet.take(left, organisation), grants.Admitted(), order
                 )
 
 
