Hold calls at the rate for as long as a change of home takes

Cause: while a new home waits for the old one's lease, calls beyond the burst were refused as over the rate, though they had arrived at the rate. The new test fails on the code before (an OverRate where a call has to be held).

Change: the line of held calls may hold the burst and what arrives at the rate in ten seconds. With the level known nothing changes: above the rate a call is refused at once.

--- a/mangotally/policy/limits.py
+++ b/mangotally/policy/limits.py
@@ -17,6 +17,7 @@
 
 ASK_AGAIN_MS = 250
 HEIRS = 2
+LINE_MS = 10_000
 KEPT_SHARE = 0.5
 BATCH_SHARE = 0.25
 MIN_BATCH_TOKENS = 2
@@ -69,14 +70,18 @@
             terms: Its plan.
             count: Calls to admit.
             now_ms: Current time.
-            ahead: Calls that are held and come before these.
+            ahead: Calls that are held and come before these; no more than
+                the burst and what arrives at the rate in `LINE_MS`.
         """
         found = self.account(organisation, terms, now_ms)
-        if isinstance(found, grants.Held) and ahead + count > terms.burst:
-            return grants.OverRate(found.wait_ms)
+        arriving = LINE_MS * terms.rate_per_s / clock.MS_PER_S
+        if isinstance(found, grants.Held):
+            is_over = ahead + count > terms.burst + arriving
+            return grants.OverRate(found.wait_ms) if is_over else found
         if not isinstance(found, bucket.Bucket):
             return found
-        over_ms = found.refusal_ms(ahead + count, now_ms)
+        in_excess = max(count, ahead + count - arriving)
+        over_ms = found.refusal_ms(in_excess, now_ms)
         if over_ms > 0:
             return grants.OverRate(over_ms)
         if ahead:
--- a/tests/test_policy/test_limits.py
+++ b/tests/test_policy/test_limits.py
@@ -250,6 +250,32 @@
 MACHINES = [LimitsMachine]
 
 
+class LineTest(unittest.TestCase):
+    """Calls that wait for a new home to be sure."""
+
+    def test_calls_at_the_rate_are_held_beyond_the_burst(self) -> None:
+        """A wait of a lease is no reason to refuse calls at the rate."""
+        fleet = fleet_lib.Fleet()
+        fleet.eager = False
+        old = fleet.start()
+        fleet.advance(1000)
+        while fleet.start().state.home_of("organisation/o1") == old.name:
+            fleet.advance(1000)
+        old.paused = True
+        home = fleet.hosts[-1]
+        terms = fleet_lib.TERMS[fleet_lib.ORGANISATIONS[1]]
+        arrived = terms.burst + 3 * terms.rate_per_s
+        decision: grants.Decision | None = None
+        for ahead in (arrived, arrived, 100 * terms.burst):
+            decision = home.limits.take(
+                fleet_lib.ORGANISATIONS[1], terms, 1, home.now(), ahead
+            )
+            if ahead == arrived:
+                waits = grants.Held | grants.AskPrevious
+                self.assertIsInstance(decision, waits)
+        self.assertIsInstance(decision, grants.OverRate)
+
+
 class LeaveTest(unittest.TestCase):
     """Orderly leaves close after one another."""
 
