Let a host be ready only when the others have read its join

Cause: records are read together, up to a tenth of a lease late, so a host that had not read a join yet sent a turn to the earlier home.

Ruled out: shorter pauses (they cost bytes and leave the race).

Change: joining waits 1.2 pauses more.

--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -26,6 +26,7 @@
 
 LEAVE_TIMEOUT_MS = 2000
 READ_PAUSE_LEASES = 0.1
+JOIN_PAUSES = 1.2
 
 
 class Membership:
@@ -83,7 +84,7 @@
         return self.state.lease
 
     async def __aenter__(self) -> Self:
-        """Joins the fleet and waits until this host is in its view."""
+        """Joins the fleet and waits until the view of all hosts has it."""
         await self._follower.__aenter__()
         await self._follower.wait_caught_up()
         self._tasks = [
@@ -91,6 +92,9 @@
             asyncio.create_task(self._watch()),
         ]
         await self._joined.wait()
+        # The other hosts read together what came during their pause.
+        pause_ms = self._times.lease_ms * READ_PAUSE_LEASES
+        await asyncio.sleep(clock_lib.to_seconds(pause_ms * JOIN_PAUSES))
         logger.info("host_joined", extra={"host": self.host})
         return self
 
