--- a/tests/test_policy/test_limits.py
+++ b/tests/test_policy/test_limits.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from mangotally.policy import limits
+from mangotally.policy import grants
 from tests import stateful as stateful_settings
 from tests.test_policy import fleet as fleet_lib
 
@@ -71,14 +71,14 @@
 
     def ask(
         self, index: int, organisation: ids.OrganisationId
-    ) -> limits.Decision | None:
+    ) -> grants.Decision | None:
         entry = self.host(index)
         if entry is None or entry.paused:
             return None
         decision = self.fleet.take(entry, organisation)
-        if isinstance(decision, limits.Admitted):
+        if isinstance(decision, grants.Admitted):
             self.oracle.admit(organisation, self.fleet.real_ms)
-        if isinstance(decision, limits.OverRate) and not self.faulty:
+        if isinstance(decision, grants.OverRate) and not self.faulty:
             level = self.oracle.level(organisation, self.fleet.real_ms)
             burst = fleet_lib.TERMS[organisation].burst
             slack = burst * (1 - 1 / fleet_lib.FAST**2)
@@ -123,7 +123,7 @@
         """Without faults a held call is admitted within the hold."""
         for _ in range(int(HOLD_MS / fleet_lib.TICK_MS)):
             decision = self.ask(index, organisation)
-            if isinstance(decision, limits.Admitted | limits.OverRate):
+            if isinstance(decision, grants.Admitted | grants.OverRate):
                 return
             self.fleet.advance(fleet_lib.TICK_MS)
         assert self.faulty, f"held too long: {decision}"
@@ -250,6 +250,32 @@
 MACHINES = [LimitsMachine]
 
 
+class LineTest(unittest.TestCase):
+    """Calls that wait for a new home to be sure."""
+
+    def test_calls_at_the_rate_are_held_beyond_the_burst(self) -> None:
+        """A wait of a lease is no reason to refuse calls at the rate."""
+        fleet = fleet_lib.Fleet()
+        fleet.eager = False
+        old = fleet.start()
+        fleet.advance(1000)
+        while fleet.start().state.home_of("organisation/o1") == old.name:
+            fleet.advance(1000)
+        old.paused = True
+        home = fleet.hosts[-1]
+        terms = fleet_lib.TERMS[fleet_lib.ORGANISATIONS[1]]
+        arrived = terms.burst + 3 * terms.rate_per_s
+        decision: grants.Decision | None = None
+        for ahead in (arrived, arrived, 100 * terms.burst):
+            decision = home.limits.take(
+                fleet_lib.ORGANISATIONS[1], terms, 1, home.now(), ahead
+            )
+            if ahead == arrived:
+                waits = grants.Held | grants.AskPrevious
+                self.assertIsInstance(decision, waits)
+        self.assertIsInstance(decision, grants.OverRate)
+
+
 class LeaveTest(unittest.TestCase):
     """Orderly leaves close after one another."""
 
@@ -267,7 +293,7 @@
             (left,) = fleet.running()
             for organisation in fleet_lib.ORGANISATIONS:
                 self.assertEqual(
-                    fleet.take(left, organisation), limits.Admitted(), order
+                    fleet.take(left, organisation), grants.Admitted(), order
                 )
 
 
