Take out settings that nothing reads

Cause: plans took 'concurrency' and 'objective', services 'honours_fencing'; no code read them, so an operator's promise would have been silently empty. Change: the fields are gone; files that name them are refused as before with any unknown field. The shipped traces are generated without them. Conclusion: a limit on calls under way needs what docs/design/rates.md says.

--- a/benches/members.py
+++ b/benches/members.py
@@ -72,9 +72,7 @@
 
     def __init__(self) -> None:
         self.current = self
-        plan = lists.Plan(
-            name="p", rate_per_s=1e6, burst=1e6, services=(), concurrency=1
-        )
+        plan = lists.Plan(name="p", rate_per_s=1e6, burst=1e6, services=())
         organisation = lists.Organisation(id=ORGANISATION, plan="p")
         self.lists = lists.Lists(
             plans=lists.PlanList(organisations=(organisation,)),
--- a/benches/standins.py
+++ b/benches/standins.py
@@ -33,7 +33,6 @@
         name="bench",
         rate_per_s=RATE_PER_S,
         burst=RATE_PER_S,
-        concurrency=1_000_000,
         services=(MODEL, PLAIN),
     )
     services = tuple(
--- a/mangotally/replay/generate.py
+++ b/mangotally/replay/generate.py
@@ -43,7 +43,6 @@
     rate_per_s: float,
     share: float,
     latency_ms: int,
-    objective: lists.Objective,
 ) -> lists.Plan:
     return lists.Plan(
         name=name,
@@ -53,19 +52,17 @@
         services=(service,),
         program_calls=120,
         program_latency_ms=latency_ms,
-        objective=objective,
     )
 
 
 def tornos_norte() -> Site:
     """Returns the booking desk: many short conversations."""
-    fair = lists.Objective.FAIRNESS
     return Site(
         deployments.tornos_norte(),
         (
-            _plan("grande", "assistente", 3.0, 4.0, 180_000, fair),
-            _plan("oficina", "assistente", 1.5, 2.0, 180_000, fair),
-            _plan("atelier", "assistente", 1.0, 1.0, 180_000, fair),
+            _plan("grande", "assistente", 3.0, 4.0, 180_000),
+            _plan("oficina", "assistente", 1.5, 2.0, 180_000),
+            _plan("atelier", "assistente", 1.0, 1.0, 180_000),
         ),
         {"grande": 0.36, "oficina": 0.13, "atelier": 0.06},
     )
@@ -73,12 +70,11 @@
 
 def lakeshore() -> Site:
     """Returns the commissioning company: fewer, longer conversations."""
-    latency = lists.Objective.LATENCY
     return Site(
         deployments.lakeshore(),
         (
-            _plan("fleet", "agent-llm", 3.0, 3.0, 240_000, latency),
-            _plan("crew", "agent-llm", 1.2, 1.0, 240_000, latency),
+            _plan("fleet", "agent-llm", 3.0, 3.0, 240_000),
+            _plan("crew", "agent-llm", 1.2, 1.0, 240_000),
         ),
         {"fleet": 0.19, "crew": 0.068},
     )
--- a/mangotally/settings/lists.py
+++ b/mangotally/settings/lists.py
@@ -55,13 +55,6 @@
     )
 
 
-class Objective(enum.Enum):
-    """What a plan weighs more when both cannot be had."""
-
-    FAIRNESS = "fairness"
-    LATENCY = "latency"
-
-
 class Plan(_Strict):
     """What a plan may use.
 
@@ -70,27 +63,23 @@
         rate_per_s: Calls a second over the whole fleet.
         burst: Calls above the rate at once.
         share: Weight against other plans when targets are contended.
-        concurrency: Calls under way at once over the whole fleet.
         services: The services that the plan may call.
         program_tokens: Tokens that one tree of programs may use.
         program_calls: Calls that one tree of programs may make.
         program_wall_ms: Wall time of one tree of programs.
         program_latency_ms: Promise for a program's latency in the worst
             minute.
-        objective: What the scheduler weighs more.
     """
 
     name: Name
     rate_per_s: float = pydantic.Field(gt=0, allow_inf_nan=False)
     burst: float = pydantic.Field(ge=1, allow_inf_nan=False)
     share: float = pydantic.Field(default=1.0, gt=0, allow_inf_nan=False)
-    concurrency: int = pydantic.Field(default=64, ge=1)
     services: tuple[Name, ...]
     program_tokens: int = pydantic.Field(default=2_000_000, ge=1)
     program_calls: int = pydantic.Field(default=500, ge=1)
     program_wall_ms: int = pydantic.Field(default=3_600_000, ge=1)
     program_latency_ms: int = pydantic.Field(default=600_000, ge=1)
-    objective: Objective = Objective.FAIRNESS
 
 
 class ServiceKind(enum.Enum):
@@ -140,7 +129,6 @@
         repeatable: Calls of a plain service that are idempotent; all
             others run at most once.
         worker_calls: Calls that one target runs at once.
-        honours_fencing: Whether the targets refuse old fencing numbers.
         engine: What model engines are to have loaded, or None to leave
             them as they are.
     """
@@ -149,7 +137,6 @@
     kind: ServiceKind
     repeatable: tuple[RepeatableCall, ...] = ()
     worker_calls: int = pydantic.Field(default=16, ge=1)
-    honours_fencing: bool = True
     engine: EngineSettings | None = None
 
     def may_repeat(self, method: str, path: str) -> bool:
--- a/mangotally/standins/deployments.py
+++ b/mangotally/standins/deployments.py
@@ -52,9 +52,9 @@
         "atelier-viana": "atelier",
     }
     plans = (
-        _plan("grande", 20.0, 40.0, 4.0, groups, lists.Objective.FAIRNESS),
-        _plan("oficina", 8.0, 16.0, 2.0, groups, lists.Objective.FAIRNESS),
-        _plan("atelier", 3.0, 8.0, 1.0, groups, lists.Objective.FAIRNESS),
+        _plan("grande", 20.0, 40.0, 4.0, groups),
+        _plan("oficina", 8.0, 16.0, 2.0, groups),
+        _plan("atelier", 3.0, 8.0, 1.0, groups),
     )
     return _deployment(
         "tornos-norte", ("porto", "braga", "guimaraes"), groups, names, plans
@@ -78,8 +78,8 @@
         "vanes-holland": "crew",
     }
     plans = (
-        _plan("fleet", 20.0, 40.0, 3.0, groups, lists.Objective.LATENCY),
-        _plan("crew", 6.0, 12.0, 1.0, groups, lists.Objective.LATENCY),
+        _plan("fleet", 20.0, 40.0, 3.0, groups),
+        _plan("crew", 6.0, 12.0, 1.0, groups),
     )
     return _deployment(
         "lakeshore",
@@ -99,7 +99,6 @@
     burst: float,
     share: float,
     groups: tuple[WorkerGroup, ...],
-    objective: lists.Objective,
 ) -> lists.Plan:
     return lists.Plan(
         name=name,
@@ -107,7 +106,6 @@
         burst=burst,
         share=share,
         services=tuple(group.service for group in groups),
-        objective=objective,
     )
 
 
