Own background tasks in one place, and start again those that raise

Change: util/background.py owns such tasks: one that raises is logged and started again after a second, a broken invariant stops the process.

--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -13,6 +13,7 @@
 from mangotally import ids
 from mangotally.log import follower
 from mangotally.policy import membership, records, view
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -50,7 +51,7 @@
         )
         salt = secrets.randbelow(membership.SALTS)
         self.state = membership.MembershipState(me, self._times, salt)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background(self._beat, self._watch)
         self._listeners: list[Callable[[], None]] = []
         self._leaving: list[Callable[[], Awaitable[None]]] = []
         self._joined = asyncio.Event()
@@ -87,10 +88,7 @@
         """Joins the fleet and waits until the view of all hosts has it."""
         await self._follower.__aenter__()
         await self._follower.wait_caught_up()
-        self._tasks = [
-            asyncio.create_task(self._beat()),
-            asyncio.create_task(self._watch()),
-        ]
+        self._background.start()
         await self._joined.wait()
         # The other hosts read together what came during their pause.
         pause_ms = self._times.lease_ms * READ_PAUSE_LEASES
@@ -106,8 +104,7 @@
     def abandon(self) -> None:
         """Stops the heartbeats without a word, as a killed process does."""
         self._has_left = True
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
 
     async def leave(self) -> None:
         """Leaves the fleet, after what `on_leave` asked for.
@@ -119,9 +116,7 @@
         self._has_left = True
         for leave in self._leaving:
             await leave()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
         self.lease.lapse()
         await self._append_leave()
         logger.info("host_left", extra={"host": self.host})
--- a/mangotally/homes/orders.py
+++ b/mangotally/homes/orders.py
@@ -17,6 +17,7 @@
 from mangotally.homes import weights
 from mangotally.hosts import messages
 from mangotally.policy import orders, pools, records
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -56,18 +57,16 @@
         self._clock = clock
         self._ordered_ms: dict[ids.TargetId, float] = {}
         self._fetched: set[tuple[ids.TargetId, str]] = set()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._run)
 
     async def __aenter__(self) -> Self:
         """Starts the rounds."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops the rounds."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     async def _run(self) -> None:
         while True:
--- a/mangotally/homes/organisations.py
+++ b/mangotally/homes/organisations.py
@@ -13,6 +13,7 @@
 from mangotally import errors, ids
 from mangotally.hosts import messages
 from mangotally.policy import grants, limits
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -64,21 +65,19 @@
         self._known_plans: dict[ids.OrganisationId, grants.Terms] = {}
         self._lines: dict[ids.OrganisationId, _Line] = {}
         self._moved = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._follow_homes)
         members.on_change(self._on_change)
         members.on_leave(self.hand_on)
 
     async def __aenter__(self) -> Self:
         """Starts to ask for the buckets of keys that move here."""
         self._moved.set()
-        self._task = asyncio.create_task(self._follow_homes())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to ask."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this home's handlers."""
--- a/mangotally/homes/partitions.py
+++ b/mangotally/homes/partitions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import random
 from typing import TYPE_CHECKING, Self
@@ -14,6 +13,7 @@
 from mangotally.log import partition as partition_log
 from mangotally.policy import homes, records
 from mangotally.policy import ledger as ledger_lib
+from mangotally.util import background
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,21 +61,18 @@
         self._listeners: list[Callable[[partition_log.Partition], None]] = []
         self._moved = asyncio.Event()
         self._random = random.Random(members.host)
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._adopt)
         members.on_change(self._on_change)
 
     async def __aenter__(self) -> Self:
         """Starts to load the partitions that this host is home of."""
         self._moved.set()
-        self._task = asyncio.create_task(self._adopt())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops all writers."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await self._background.stop()
         left = [*self._loaded.values(), *self._retired]
         await asyncio.gather(*(item.__aexit__() for item in left))
 
--- a/mangotally/homes/pools.py
+++ b/mangotally/homes/pools.py
@@ -16,6 +16,7 @@
 from mangotally.policy import breaker, homes, load, pools
 from mangotally.roster import base as roster_base
 from mangotally.settings import lists as list_settings
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -63,7 +64,9 @@
         self._entries: tuple[roster_base.RosterEntry, ...] = ()
         self._pools: dict[ids.ServiceId, pool_lib.Pool] = {}
         self._events: dict[ids.TargetId, int] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background(
+            self._poll_roster, self._poll_targets
+        )
         members.on_change(self._drop_moved)
 
     def attach(self, handlers: router.Router) -> None:
@@ -75,17 +78,12 @@
     async def __aenter__(self) -> Self:
         """Reads the host list once and starts the polls."""
         await self._read_roster()
-        self._tasks = [
-            asyncio.create_task(self._poll_roster()),
-            asyncio.create_task(self._poll_targets()),
-        ]
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops the polls."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
 
     async def acquire(
         self, message: messages.AcquireSlot
--- a/mangotally/homes/snapshots.py
+++ b/mangotally/homes/snapshots.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hashlib
 import logging
 from typing import TYPE_CHECKING, Self
@@ -11,6 +10,7 @@
 from returns import result
 
 from mangotally.policy import records
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -72,19 +72,16 @@
         self._interval_ms = interval_ms
         self._share = _share_of(host)
         self._started_wall_ms = clock.wall_ms()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._run)
 
     async def __aenter__(self) -> Self:
         """Starts to write."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to write."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await self._background.stop()
 
     async def write_if_due(self) -> bool:
         """Appends a snapshot if one is due; returns whether it did."""
--- a/mangotally/homes/sweeper.py
+++ b/mangotally/homes/sweeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import logging
 from typing import TYPE_CHECKING, Any, Self
@@ -12,6 +11,7 @@
 
 from mangotally.policy import calls, programs, records, snapshots
 from mangotally.policy import ledger as ledger_lib
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -46,19 +46,16 @@
         self._partitions = partitions
         self._home = home
         self._clock = clock
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._run)
 
     async def __aenter__(self) -> Self:
         """Starts the sweeps."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops the sweeps."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await self._background.stop()
 
     async def sweep(self, partition: partition_log.Partition) -> None:
         """Sweeps over one partition."""
--- a/mangotally/homes/sweeps.py
+++ b/mangotally/homes/sweeps.py
@@ -19,6 +19,7 @@
 from mangotally import errors, ids
 from mangotally.hosts import messages
 from mangotally.policy import memory, pools
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -63,7 +64,7 @@
         self._clock = clock
         self._calls: memory.Unclaimed[Held] = memory.Unclaimed(grace_ms)
         self._granted: memory.Unclaimed[ids.CallId] = memory.Unclaimed(grace_ms)
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._run)
 
     def attach(self, handlers: router.Router) -> None:
         """Adds this host's handler."""
@@ -71,14 +72,12 @@
 
     async def __aenter__(self) -> Self:
         """Starts to sweep."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to sweep."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     async def find_gone(
         self, message: messages.FindGonePrograms
--- a/mangotally/log/follower.py
+++ b/mangotally/log/follower.py
@@ -13,6 +13,7 @@
 
 from mangotally import ids
 from mangotally.policy import records
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
         self._read_ms: float | None = None
         self._caught_up = asyncio.Event()
         self._moved = asyncio.Condition()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._run)
 
     @property
     def next_offset(self) -> ids.Offset:
@@ -102,15 +103,12 @@
 
     async def __aenter__(self) -> Self:
         """Starts to read."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to read."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await self._background.stop()
 
     async def wait_caught_up(self) -> None:
         """Waits until the stream has been read up to its end once."""
--- /dev/null
+++ b/mangotally/util/background.py
@@ -0,0 +1,66 @@
+"""Tasks that run for as long as their owner is entered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from mangotally import errors
+from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+RESTART_MS = 1000
+Run = Callable[[], Coroutine[Any, Any, None]]
+
+
+class Background:
+    """Owns tasks that are started and stopped together.
+
+    A task that raises is logged and started again after a pause, so that
+    one bad input does not end it for good. A broken invariant stops the
+    process.
+    """
+
+    def __init__(self, *runs: Run) -> None:
+        """Makes the owner.
+
+        Args:
+            runs: What to run; each in a task of its own.
+        """
+        self._runs = runs
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Starts the tasks."""
+        self._tasks = [
+            asyncio.create_task(_supervise(run)) for run in self._runs
+        ]
+
+    def cancel(self) -> None:
+        """Asks the tasks to end, and waits for none."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Ends the tasks and waits for them."""
+        self.cancel()
+        tasks, self._tasks = self._tasks, []
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _supervise(run: Run) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except errors.InvariantError:
+            logger.critical("invariant_broken", exc_info=True)
+            signal.raise_signal(signal.SIGTERM)
+            return
+        except Exception:
+            logger.exception("task_failed", extra={"task": run.__qualname__})
+        await asyncio.sleep(clock_lib.to_seconds(RESTART_MS))
--- a/mangotally/util/certificates.py
+++ b/mangotally/util/certificates.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import os
 import ssl
 from typing import TYPE_CHECKING, Self
 
+from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -50,19 +50,16 @@
         self.context.minimum_version = ssl.TLSVersion.TLSv1_2
         self._stamp: _Stamp | None = None
         self._load()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background(self._watch)
 
     async def __aenter__(self) -> Self:
         """Starts to watch the files."""
-        self._task = asyncio.create_task(self._watch())
+        self._background.start()
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
         """Stops to watch the files."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await self._background.stop()
 
     def reload(self) -> bool:
         """Reads the files again if they changed; returns whether it did.
