--- a/mangotally/homes/membership.py
+++ b/mangotally/homes/membership.py
@@ -163,7 +163,7 @@
             return
         hosts = len(self.view.members)
         logger.info("view_changed", extra={"hosts": hosts, "offset": offset})
-        if was_member and not self.state.is_member():
+        if was_member and not (self._has_left or self.state.is_member()):
             logger.warning("host_evicted", extra={"host": self.host})
         for listener in self._listeners:
             listener()
--- a/mangotally/replay/plot.py
+++ b/mangotally/replay/plot.py
@@ -58,5 +58,10 @@
     names = [row.organisation for row in results.rows(items[0].run)]
     chart.set_xticks(range(len(names)), names, fontsize=6)
     chart.set_ylabel("worst minute, s")
-    chart.set_title(items[0].run.trace, fontsize=8)
-    chart.legend(fontsize=6)
+    chart.set_title(items[0].run.trace, fontsize=8, loc="left")
+    chart.legend(
+        fontsize=6,
+        ncols=len(items),
+        loc="lower right",
+        bbox_to_anchor=(1.0, 1.0),
+    )
