Keep retry budgets and bounded reads in one place each

Change: retries.RetryBudgets and util/responses.read_limited serve both; the dead dumps are gone. Behaviour is unchanged.

--- a/mangotally/engines/http.py
+++ b/mangotally/engines/http.py
@@ -15,6 +15,7 @@
 from mangotally.engines import client, events
 from mangotally.policy import faults, orders, pools
 from mangotally.util import clock as clock_lib
+from mangotally.util import responses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping, Sequence
@@ -179,12 +180,10 @@
 async def _read_json(
     response: aiohttp.ClientResponse,
 ) -> errors.Outcome[Any]:
-    data = bytearray()
-    async for part in response.content.iter_any():
-        data += part
-        if len(data) > MAX_CONTROL_BYTES:
-            return _failed("an oversize answer")
-    return result.Success(pydantic_core.from_json(bytes(data)))
+    data = await responses.read_limited(response, MAX_CONTROL_BYTES)
+    if data is None:
+        return _failed("an oversize answer")
+    return result.Success(pydantic_core.from_json(data))
 
 
 def fault_of(error: Exception) -> faults.Fault:
--- a/mangotally/homes/turns.py
+++ b/mangotally/homes/turns.py
@@ -100,10 +100,9 @@
         self._slots = slots
         self._engine = engine
         self._quarantine = quarantine
-        self._share = retry_share
+        self._budgets = retries.RetryBudgets(retry_share)
         self._clock = clock
         self._random = random
-        self._budgets: dict[ids.ServiceId, retries.RetryBudget] = {}
 
     async def generate(
         self,
@@ -148,7 +147,7 @@
         )
         due_ms = self._clock.now_ms() + message.timeout_ms
         turn = _Turn(message, call, tuple(prompt), due_ms, permit)
-        budget = self._budget(message.service)
+        budget = self._budgets.of(message.service)
         budget.earn()
         while True:
             turn.attempt += 1
@@ -180,25 +179,11 @@
         """Has a gone program's calls cancelled and its prefixes released."""
         self._slots.end_program(service, program, organisation)
 
-    def dump(self) -> dict[str, object]:
-        """Returns the retry budgets, for the state dump."""
-        return {
-            service: budget.dump()
-            for service, budget in sorted(self._budgets.items())
-        }
-
     def _is_quarantined(self, turn: _Turn) -> bool:
         if len(turn.crashes) >= quarantine.MAX_CRASHES:
             return True
         return self._quarantine.is_refused(turn.call.digest)
 
-    def _budget(self, service: ids.ServiceId) -> retries.RetryBudget:
-        found = self._budgets.get(service)
-        if found is None:
-            found = retries.RetryBudget(self._share)
-            self._budgets[service] = found
-        return found
-
     def _decide(
         self,
         turn: _Turn,
--- a/mangotally/policy/retries.py
+++ b/mangotally/policy/retries.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from mangotally.policy import faults
 
+if TYPE_CHECKING:
+    from mangotally import ids
+
 MAX_ATTEMPTS = 4
 BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 2000.0
@@ -44,9 +48,26 @@
         self._level -= 1
         return True
 
-    def dump(self) -> dict[str, float]:
-        """Returns the state, for the state dump."""
-        return {"retries_left": round(self._level, 3)}
+
+class RetryBudgets:
+    """A retry budget for each service."""
+
+    def __init__(self, share: float) -> None:
+        """Makes no budgets yet; each is full on its first use.
+
+        Args:
+            share: Retries earned by each request.
+        """
+        self._share = share
+        self._budgets: dict[ids.ServiceId, RetryBudget] = {}
+
+    def of(self, service: ids.ServiceId) -> RetryBudget:
+        """Returns the budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = RetryBudget(self._share)
+            self._budgets[service] = found
+        return found
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/services/client.py
+++ b/mangotally/services/client.py
@@ -14,6 +14,7 @@
 from mangotally.hosts import messages
 from mangotally.policy import faults
 from mangotally.util import clock as clock_lib
+from mangotally.util import responses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -125,7 +126,7 @@
                 http_engine.parse_retry_after(response.headers),
             )
         )
-    body = await _read_limited(response)
+    body = await responses.read_limited(response, MAX_ANSWER_BYTES)
     if body is None:
         return result.Failure(
             faults.Fault(faults.FaultKind.OVERSIZE, "the answer is too large")
@@ -138,14 +139,3 @@
             replayed=False,
         )
     )
-
-
-async def _read_limited(response: aiohttp.ClientResponse) -> bytes | None:
-    parts = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            return None
-        parts.append(part)
-    return b"".join(parts)
--- a/mangotally/services/runner.py
+++ b/mangotally/services/runner.py
@@ -105,10 +105,9 @@
         self._live = live
         self._client = client
         self._quarantine = quarantine
-        self._share = retry_share
+        self._budgets = retries.RetryBudgets(retry_share)
         self._clock = clock
         self._random = random
-        self._budgets: dict[str, retries.RetryBudget] = {}
 
     async def run(
         self, message: messages.RunCall
@@ -123,9 +122,7 @@
             call was written to any target.
         """
         run = self._start(message)
-        budget = self._budgets.setdefault(
-            message.service, retries.RetryBudget(self._share)
-        )
+        budget = self._budgets.of(message.service)
         budget.earn()
         while True:
             run.attempt += 1
