--- a/Makefile
+++ b/Makefile
@@ -42,4 +42,5 @@
 
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
-	  --grpc_python_out=. mangotally/hosts/hosts.proto
+	  --grpc_python_out=. mangotally/hosts/hosts.proto \
+	  mangotally/entry/entry.proto
--- a/mangotally/commands/process.py
+++ b/mangotally/commands/process.py
@@ -25,10 +25,18 @@
 Opener = Callable[[], AbstractAsyncContextManager[object]]
 
 
-def run_until_stopped(open_service: Opener) -> None:
-    """Runs a service until SIGTERM or SIGINT, then closes it in order."""
+def run_until_stopped(
+    open_service: Opener,
+    log_handler: AbstractAsyncContextManager[object] | None = None,
+) -> None:
+    """Runs a service until SIGTERM or SIGINT, then closes it in order.
+
+    Args:
+        open_service: Makes the service.
+        log_handler: Entered before and left after the service, or None.
+    """
     with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
-        loop.run_until_complete(_serve(open_service))
+        loop.run_until_complete(_serve(open_service, log_handler))
 
 
 def run(work: Coroutine[Any, Any, None]) -> None:
@@ -37,9 +45,13 @@
         loop.run_until_complete(work)
 
 
-async def _serve(open_service: Opener) -> None:
+async def _serve(
+    open_service: Opener,
+    log_handler: AbstractAsyncContextManager[object] | None,
+) -> None:
     async with (
         native.NativeLines(),
+        log_handler or contextlib.nullcontext(),
         _stop_signal() as stopped,
         contextlib.AsyncExitStack() as stack,
     ):
--- /dev/null
+++ b/mangotally/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a caller's request to a target, for any service."""
--- /dev/null
+++ b/mangotally/entry/application.py
@@ -0,0 +1,233 @@
+"""Wires the parts of an entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import secrets
+import signal
+from typing import TYPE_CHECKING, Self
+
+from aiohttp import web
+
+from mangotally import ids
+from mangotally.entry import (
+    attempts,
+    budgets,
+    directory,
+    handler,
+    history,
+    homes,
+    knowledge,
+    monitor,
+    peers,
+    places,
+    rates,
+    sending,
+    server,
+)
+from mangotally.platform import (
+    failover,
+    followers,
+    groups,
+    headers,
+    http,
+    relay,
+    store,
+)
+from mangotally.util import background
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from mangotally.entry import entry_pb2
+    from mangotally.settings import entry as settings_lib
+
+logger = logging.getLogger(__name__)
+
+# New connections come until the balancer has asked twice.
+LEAVE_MS = 2600
+# Time kept at the end of the grace for closing.
+CLOSE_MS = 500
+POLL_MS = 50
+# Knowledge of this age still leaves time to serve a request.
+READY_AGE_MS = 3500.0
+
+
+class Application:
+    """One entry host, while entered."""
+
+    def __init__(self, settings: settings_lib.EntrySettings) -> None:
+        """Makes the host.
+
+        Args:
+            settings: Checked settings.
+        """
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._clock = clock_lib.BootClock()
+        # A process that starts again must not be taken for the one before.
+        self._host = ids.HostId(f"{settings.host}.{secrets.token_hex(4)}")
+
+    async def __aenter__(self) -> Self:
+        """Starts to serve."""
+        settings = self._settings
+        enter = self._stack.enter_async_context
+        logger.info(
+            "start",
+            extra={"host": self._host, "domain": settings.failure_domain},
+        )
+        self._direct = await enter(http.DirectTransport(settings.store.address))
+        links = await enter(peers.Peers())
+        self._wire_store(links)
+        await self._wire_path(links)
+        await enter(peers.Server(settings.listen.hosts, self))
+        listen = settings.listen
+        await enter(server.HttpServer(listen.metrics, self._serve_metrics))
+        await enter(server.HttpServer(listen.readiness, self._serve_ready))
+        await enter(server.HttpServer(listen.callers, self._handler.handle))
+        tasks = background.Background(
+            self._configuration.run,
+            self._targets.run,
+            self._member.run,
+            self._places.run,
+            self._places.run_clock,
+        )
+        tasks.start()
+        self._stack.push_async_callback(tasks.stop)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        logger.info("serving", extra={"host": self._host})
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Lets requests under way end, then closes."""
+        logger.info("stop", extra={"under_way": self._handler.under_way})
+        self._handler.is_leaving = True
+        stop_ms = self._clock.now_ms()
+        end_ms = stop_ms + self._settings.bounds.grace_s * 1000 - CLOSE_MS
+        await self._member.leave()
+        while self._clock.now_ms() < end_ms:
+            is_quiet = not self._handler.under_way
+            if is_quiet and self._clock.now_ms() > stop_ms + LEAVE_MS:
+                break
+            await asyncio.sleep(clock_lib.to_seconds(POLL_MS))
+        await self._stack.aclose()
+        logger.info("stopped", extra={"under_way": self._handler.under_way})
+
+    async def call_store(
+        self, request: entry_pb2.StoreCall
+    ) -> entry_pb2.StoreReply:
+        """Passes a call on to the store."""
+        return await relay.call_for_other(self._direct, request)
+
+    async def take_tokens(
+        self, request: entry_pb2.TakeRequest
+    ) -> entry_pb2.TakeReply:
+        """Grants tokens of an organisation's rate."""
+        return self._rate_home.take(request)
+
+    async def place(
+        self, request: entry_pb2.PlaceRequest
+    ) -> entry_pb2.PlaceReply:
+        """Grants a place at a target."""
+        return await self._places.handle_place(request)
+
+    async def report(
+        self, request: entry_pb2.PlaceReport
+    ) -> entry_pb2.ReportReply:
+        """Takes a report on places."""
+        return await self._places.handle_report(request)
+
+    def _wire_store(self, links: peers.Peers) -> None:
+        settings, clock = self._settings, self._clock
+        this_host = homes.HostAddress(
+            self._host,
+            settings.listen.hosts,
+            ids.PlaceId(settings.failure_domain),
+        )
+        relays = relay.StoreRelay(links)
+        transport = failover.FailoverTransport(self._direct, relays, clock)
+        self._store = store.Store(transport)
+        self._member = groups.HomesMember(
+            self._store, this_host, settings.store.partitions, clock
+        )
+        relays.use(self._member)
+        self._knowledge = knowledge.Knowledge(
+            clock, settings.bounds.withdrawn_key_ms
+        )
+        self._directory = directory.Directory(clock)
+        self._configuration = followers.ConfigurationFollower(
+            self._store, self._knowledge, clock
+        )
+        self._targets = followers.TargetsFollower(
+            self._store, self._directory, clock
+        )
+
+    async def _wire_path(self, links: peers.Peers) -> None:
+        settings, clock = self._settings, self._clock
+        domain = ids.PlaceId(settings.failure_domain)
+        partitions = settings.store.partitions
+        sender = await self._stack.enter_async_context(
+            sending.Sender(headers.NAMES, clock)
+        )
+        self._places = places.Places(
+            self._host, self._member, links, self._directory, clock
+        )
+        self._rate_home = rates.RateHome(self._member, self._knowledge, clock)
+        bounds = settings.bounds
+        limits = rates.Bounds(
+            bounds.rate_window_s * clock_lib.MS_PER_S,
+            bounds.rate_overshoot,
+            bounds.rate_slack,
+        )
+        self._monitor = monitor.Monitor(clock)
+        parts = handler.Parts(
+            knowledge=self._knowledge,
+            refresh=self._configuration.read_now,
+            rates=rates.Rates(
+                self._rate_home, self._member, links, limits, clock
+            ),
+            budgets=budgets.Budgets(
+                self._store, self._host, partitions, clock
+            ),
+            history=history.History(
+                self._store, self._host, partitions, clock
+            ),
+            attempts=attempts.Attempts(
+                self._host,
+                domain,
+                self._places,
+                sender,
+                self._directory,
+                headers.NAMES,
+                clock,
+            ),
+            names=headers.NAMES,
+            monitor=self._monitor,
+            clock=clock,
+        )
+        self._handler = handler.Handler(parts)
+
+    @property
+    def _is_ready(self) -> bool:
+        return (
+            not self._handler.is_leaving
+            and self._targets.has_listed
+            and self._knowledge.configuration is not None
+            and self._knowledge.age_ms < READY_AGE_MS
+        )
+
+    async def _serve_ready(self, _request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._is_ready else 503)
+
+    async def _serve_metrics(self, _request: web.BaseRequest) -> web.Response:
+        self._monitor.gauges["requests_under_way"] = self._handler.under_way
+        self._monitor.gauges["proof_age_ms"] = self._knowledge.age_ms
+        return web.Response(
+            body=self._monitor.render(), content_type="text/plain"
+        )
+
+    def _note_reload(self) -> None:
+        # Addresses are read once; all else comes from the store.
+        logger.info("reload", extra={"changed": "nothing"})
--- /dev/null
+++ b/mangotally/entry/attempts.py
@@ -0,0 +1,376 @@
+"""Runs a request: a place, a target, and another try where that is safe."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import logging
+from typing import TYPE_CHECKING, TypeAlias
+
+from mangotally import ids
+from mangotally.entry import answers, events, model, places, sending
+from mangotally.policy import dispatch
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import multidict
+
+    from mangotally.entry import directory as directory_lib
+    from mangotally.entry import headers as headers_lib
+    from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+# Targets that could not be reached at all, for one request.
+MAX_UNREACHED = 3
+# Work before the first event, in events.
+PREFILL_UNITS = 0.6
+ROUTE_WEIGHT = 0.05
+FIRST_ROUTE_MS = 100.0
+MIN_SEND_MS = 5.0
+# A full target is expected to have room again after this time.
+NOT_RUN_RETRY_MS = 100.0
+_SERVER_FAULT = 500
+
+
+@dataclasses.dataclass
+class Flow:
+    """A request on its way, and what is learnt of it.
+
+    Attributes:
+        id: Its id.
+        method: HTTP method.
+        path: Path and query, as received.
+        body: Body for the target.
+        make_headers: Makes its headers, from those that depend on the
+            attempt.
+        route: Its route.
+        service: The service that it goes to.
+        priority: Rank; 0 is the highest.
+        is_new: Whether it begins a program.
+        session: Requests with the same value share a cached prefix.
+        due_ms: When its program should be finished.
+        deadline_ms: When an answer is of no use any more.
+        attempts: Targets that it was sent to.
+        target: The last of them.
+        waited_ms: How long it waited for places.
+        source: Who placed it last.
+        passed_events: Events that the caller has been sent.
+        last_event: Id of the last one, or None.
+    """
+
+    id: model.RequestId
+    method: str
+    path: str
+    body: bytes
+    make_headers: Callable[[dict[str, str]], multidict.CIMultiDict[str]]
+    route: model.Route
+    service: ids.ServiceId
+    priority: int
+    is_new: bool
+    session: str
+    due_ms: float
+    deadline_ms: float
+    attempts: int = 0
+    target: ids.TargetId | None = None
+    waited_ms: float = 0.0
+    source: str = ""
+    passed_events: int = 0
+    last_event: int | None = None
+
+
+class EventSink:
+    """Takes the events of a stream; a subclass passes them on."""
+
+    async def begin(
+        self, headers: multidict.CIMultiDictProxy[str]
+    ) -> None:
+        """Takes the headers, before the first event."""
+        raise NotImplementedError
+
+    async def pass_on(self, found: list[events.Event]) -> None:
+        """Takes events that have become whole."""
+        raise NotImplementedError
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamEnded:
+    """A stream was passed on whole."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamBroken:
+    """A stream broke off after events had been passed on.
+
+    Attributes:
+        reason: What was seen.
+    """
+
+    reason: str
+
+
+Result: TypeAlias = (
+    sending.Whole | StreamEnded | StreamBroken | answers.Refusal
+)
+
+
+class Attempts:
+    """Runs requests at targets."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        failure_domain: ids.PlaceId,
+        finder: places.Places,
+        sender: sending.Sender,
+        directory: directory_lib.Directory,
+        names: headers_lib.HeaderNames,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes the runner.
+
+        Args:
+            host: This host and start.
+            failure_domain: Where this host is.
+            finder: Finds places.
+            sender: Connections to the targets.
+            directory: Lists the targets.
+            names: Names of headers.
+            clock: Time.
+        """
+        self._host = host
+        self._failure_domain = failure_domain
+        self._finder = finder
+        self._sender = sender
+        self._directory = directory
+        self._names = names
+        self._clock = clock
+        self._tickets = itertools.count()
+        self._route_ms: dict[model.RouteId, float] = {}
+
+    async def run(self, flow: Flow, sink: EventSink) -> Result:
+        """Returns how a request ended."""
+        excluded: set[ids.TargetId] = set()
+        unreached = 0
+        broken: sending.Broken | None = None
+        while True:
+            place = await self._find(flow, frozenset(excluded))
+            if isinstance(place, places.NoPlace):
+                if broken is not None:
+                    return _after_broken(broken, flow)
+                return _no_place(place)
+            outcome = await self._try(flow, place, sink)
+            match outcome:
+                case sending.NotRun():
+                    excluded.add(place.target)
+                    unreached += not outcome.is_reached
+                    flow.attempts += outcome.is_reached
+                    if (
+                        flow.attempts < flow.route.max_attempts
+                        and unreached < MAX_UNREACHED
+                    ):
+                        continue
+                    if broken is not None:
+                        return _after_broken(broken, flow)
+                    return _after_not_run(outcome)
+                case sending.Broken():
+                    broken = outcome
+                    excluded.add(place.target)
+                    flow.attempts += 1
+                    if self._may_repeat(flow):
+                        continue
+                    return _after_broken(outcome, flow)
+                case _:
+                    flow.attempts += 1
+                    return outcome
+
+    def _may_repeat(self, flow: Flow) -> bool:
+        left_ms = flow.deadline_ms - self._clock.now_ms()
+        return (
+            flow.route.is_repeatable
+            and flow.attempts < flow.route.max_attempts
+            and left_ms > MIN_SEND_MS
+        )
+
+    async def _find(
+        self, flow: Flow, excluded: frozenset[ids.TargetId]
+    ) -> places.Place | places.NoPlace:
+        ticket = dispatch.Ticket(f"{self._host}/{next(self._tickets)}")
+        work = dispatch.Work(
+            ticket=ticket,
+            host=self._host,
+            failure_domain=self._failure_domain,
+            priority=flow.priority,
+            is_new=flow.is_new,
+            due_ms=flow.due_ms,
+            deadline_ms=flow.deadline_ms,
+            session=flow.session,
+            excluded=excluded,
+        )
+        found = await self._finder.find(flow.service, work)
+        if isinstance(found, places.Place):
+            flow.waited_ms += found.waited_ms
+            flow.source = found.source
+        return found
+
+    async def _try(
+        self, flow: Flow, place: places.Place, sink: EventSink
+    ) -> sending.Whole | sending.NotRun | sending.Broken | (
+        StreamEnded | StreamBroken
+    ):
+        flow.target = place.target
+        end = dispatch.End.CANCELLED
+        units = 0.0
+        passed_before = flow.passed_events
+        try:
+            outcome = await self._send(flow, place, sink)
+            end = _end_of(outcome)
+            if isinstance(outcome, sending.Whole):
+                units = self._service_units(flow.route.id, place)
+            elif isinstance(outcome, StreamEnded):
+                passed = flow.passed_events - passed_before
+                units = PREFILL_UNITS + passed
+        finally:
+            self._finder.finish(place, end, units)
+        if end is not dispatch.End.DONE:
+            self._log_fault(flow, place, outcome)
+        return outcome
+
+    async def _send(
+        self, flow: Flow, place: places.Place, sink: EventSink
+    ) -> sending.Whole | sending.NotRun | sending.Broken | (
+        StreamEnded | StreamBroken
+    ):
+        target = self._directory.find(place.target)
+        if target is None:
+            return sending.NotRun("target-gone", is_reached=False)
+        left_ms = flow.deadline_ms - self._clock.now_ms()
+        if left_ms < MIN_SEND_MS:
+            return sending.NotRun("no-time-left", is_reached=False)
+        own = {
+            self._names.expected_target: target.id,
+            self._names.time_left: str(int(left_ms)),
+        }
+        if flow.last_event is not None:
+            own[self._names.last_event] = str(flow.last_event)
+        request = sending.Outgoing(
+            flow.id,
+            flow.method,
+            flow.path,
+            flow.make_headers(own),
+            flow.body,
+            flow.deadline_ms,
+        )
+        outcome = await self._sender.send(target.address, request)
+        if isinstance(outcome, sending.Stream):
+            return await self._pass_stream(flow, outcome, sink)
+        return outcome
+
+    async def _pass_stream(
+        self, flow: Flow, stream: sending.Stream, sink: EventSink
+    ) -> StreamEnded | StreamBroken | sending.Broken:
+        splitter = events.EventSplitter()
+        try:
+            if not flow.passed_events:
+                await sink.begin(stream.headers)
+            async for chunk in stream.chunks():
+                found = _unseen(splitter.feed(chunk), flow.last_event)
+                if not found:
+                    continue
+                flow.passed_events += len(found)
+                flow.last_event = found[-1].number
+                await sink.pass_on(found)
+        except ValueError:
+            stream.failure = sending.Broken("bad-event")
+        finally:
+            if stream.failure is not None or not stream.is_done:
+                stream.close()
+        failure = stream.failure
+        if failure is None and splitter.has_rest:
+            failure = sending.Broken("event-broken-off")
+        if failure is None:
+            return StreamEnded()
+        if flow.passed_events and not self._can_resume(flow):
+            return StreamBroken(failure.reason)
+        return failure
+
+    def _can_resume(self, flow: Flow) -> bool:
+        return (
+            flow.last_event is not None
+            and flow.route.is_repeatable
+            and flow.attempts + 1 < flow.route.max_attempts
+        )
+
+    def _service_units(
+        self, route: model.RouteId, place: places.Place
+    ) -> float:
+        """Returns the usual time of a route's requests as their size."""
+        run_ms = self._clock.now_ms() - place.since_ms
+        usual_ms = self._route_ms.get(route, FIRST_ROUTE_MS)
+        self._route_ms[route] = usual_ms + ROUTE_WEIGHT * (run_ms - usual_ms)
+        return usual_ms
+
+    def _log_fault(
+        self, flow: Flow, place: places.Place, outcome: object
+    ) -> None:
+        logger.info(
+            "attempt_failed",
+            extra={
+                "request": flow.id,
+                "target": place.target,
+                "attempt": flow.attempts + 1,
+                "placed_by": place.source,
+                "outcome": type(outcome).__name__,
+                "reason": getattr(outcome, "reason", ""),
+                "events": flow.passed_events,
+            },
+        )
+
+
+def _unseen(
+    found: list[events.Event], last: int | None
+) -> list[events.Event]:
+    """Leaves out events that the caller has had from another run."""
+    if last is None:
+        return found
+    return [
+        each for each in found if each.number is None or each.number > last
+    ]
+
+
+def _end_of(outcome: object) -> dispatch.End:
+    match outcome:
+        case sending.Whole() if outcome.status >= _SERVER_FAULT:
+            return dispatch.End.CANCELLED
+        case sending.Whole() | StreamEnded():
+            return dispatch.End.DONE
+        case sending.NotRun() if outcome.is_reached:
+            return dispatch.End.REJECTED
+        case sending.Broken() if outcome.is_timeout:
+            return dispatch.End.CANCELLED
+        case _:
+            return dispatch.End.FAILED
+
+
+def _no_place(place: places.NoPlace) -> answers.Refusal:
+    detail = f"{place.reason} by {place.source}"
+    return answers.Refusal(
+        answers.Cause.NO_PLACE, detail, place.retry_after_ms
+    )
+
+
+def _after_not_run(outcome: sending.NotRun) -> answers.Refusal:
+    return answers.Refusal(
+        answers.Cause.NOT_RUN, outcome.reason, NOT_RUN_RETRY_MS
+    )
+
+
+def _after_broken(
+    outcome: sending.Broken, flow: Flow
+) -> StreamBroken | answers.Refusal:
+    if flow.passed_events:
+        return StreamBroken(outcome.reason)
+    if outcome.is_timeout:
+        return answers.Refusal(answers.Cause.TIMEOUT, outcome.reason)
+    return answers.Refusal(answers.Cause.MAY_HAVE_RUN, outcome.reason)
--- /dev/null
+++ b/mangotally/entry/handler.py
@@ -0,0 +1,485 @@
+"""Takes a caller's request through all decisions to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import math
+import random
+from typing import TYPE_CHECKING, TypeAlias
+
+from aiohttp import web
+
+from mangotally import ids
+from mangotally.entry import (
+    answers,
+    attempts,
+    budgets,
+    events,
+    headers,
+    history,
+    model,
+    rates,
+    requests,
+    sending,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    import multidict
+
+    from mangotally.entry import knowledge as knowledge_lib
+    from mangotally.entry import monitor as monitor_lib
+    from mangotally.policy import spending
+    from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+# Callers come back after this time if the configuration is not known.
+CONFIGURATION_RETRY_MS = 300.0
+STORE_RETRY_MS = 250.0
+# A key or route that is not known is denied only by fresher knowledge.
+DENIAL_AGE_MS = 100.0
+# The end of an answer waits so long for its turn to be kept; callers leave
+# a silent stream after two seconds.
+KEEP_MS = 1800.0
+# Organisations rank before routes.
+ORGANISATION_RANK = 1000
+MAX_PROGRAMS = 20_000
+DEFAULT_TIME_MS = 60_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Access:
+    """What a request may use.
+
+    Attributes:
+        configuration: The version that allows it.
+        route: Its route.
+        organisation: Its organisation, or None on public routes.
+    """
+
+    configuration: model.Configuration
+    route: model.Route
+    organisation: model.Organisation | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What the handler decides with.
+
+    Attributes:
+        knowledge: The configuration.
+        refresh: Reads the configuration now; returns whether it could.
+        rates: Organisations' rates.
+        budgets: Programs' token budgets.
+        history: Turns that are kept.
+        attempts: Runs requests at targets.
+        names: Names of headers.
+        monitor: Counts and logs.
+        clock: A clock that counts suspensions.
+    """
+
+    knowledge: knowledge_lib.Knowledge
+    refresh: Callable[[], Awaitable[bool]]
+    rates: rates.Rates
+    budgets: budgets.Budgets
+    history: history.History
+    attempts: attempts.Attempts
+    names: headers.HeaderNames
+    monitor: monitor_lib.Monitor
+    clock: clock_lib.Clock
+
+
+Answer: TypeAlias = (
+    sending.Whole
+    | attempts.StreamEnded
+    | attempts.StreamBroken
+    | answers.Refusal
+)
+
+
+class Handler:
+    """Answers callers' requests."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Makes the handler.
+
+        Args:
+            parts: What it decides with.
+        """
+        self._parts = parts
+        self._programs: collections.OrderedDict[str, None]
+        self._programs = collections.OrderedDict()
+        self.is_leaving = False
+        self.under_way = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        received = requests.read(
+            request.method,
+            request.raw_path,
+            request.headers,
+            self._parts.names,
+            self._parts.clock.now_ms(),
+        )
+        sink = _Sink(request, self)
+        self.under_way += 1
+        story = Story(received)
+        answer: Answer | None = None
+        try:
+            answer = await self._answer(request, received, sink, story)
+            return await self._respond(answer, request, received, sink)
+        except asyncio.CancelledError:
+            story.outcome = "caller-left"
+            raise
+        finally:
+            self.under_way -= 1
+            self._parts.monitor.record(story, answer)
+
+    def mark(self, response: web.StreamResponse) -> None:
+        """Ends the connection after the answer if this host leaves."""
+        if self.is_leaving:
+            response.force_close()
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        received: requests.Received,
+        sink: _Sink,
+        story: Story,
+    ) -> Answer:
+        access = await self._check_access(received, story)
+        if isinstance(access, answers.Refusal):
+            return access
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return answers.Refusal(answers.Cause.TOO_LARGE)
+        if len(body) > access.configuration.max_body_bytes:
+            return answers.Refusal(answers.Cause.TOO_LARGE)
+        if access.organisation is not None:
+            over = await self._parts.rates.admit(access.organisation)
+            if over is not None:
+                return answers.Refusal(
+                    answers.Cause.OVER_RATE, over.source, over.retry_after_ms
+                )
+        return await self._run(received, access, body, sink, story)
+
+    async def _run(
+        self,
+        received: requests.Received,
+        access: Access,
+        body: bytes,
+        sink: _Sink,
+        story: Story,
+    ) -> Answer:
+        flow = self._flow(received, access, body)
+        story.flow = flow
+        if access.route.is_retained and received.parent_turn is not None:
+            before = await self._find_chain(received, access, flow, story)
+            if isinstance(before, answers.Refusal):
+                return before
+            flow.body = before + body
+        if not received.is_turn:
+            return await self._parts.attempts.run(flow, sink)
+        purse = await self._reserve(received, access, flow)
+        if isinstance(purse, answers.Refusal):
+            return purse
+        try:
+            answer = await self._parts.attempts.run(flow, sink)
+        finally:
+            spent = flow.passed_events * _event_tokens(access, flow.service)
+            purse.settle(received.max_tokens, spent)
+        if access.route.is_retained and isinstance(
+            answer, attempts.StreamEnded
+        ):
+            return await self._keep(received, access, body, sink, answer)
+        return answer
+
+    async def _check_access(
+        self, received: requests.Received, story: Story
+    ) -> Access | answers.Refusal:
+        """Returns what a request may use; denies only on fresh knowledge."""
+        knowledge = self._parts.knowledge
+        found = self._look_up(received)
+        if isinstance(found, answers.Refusal) and _is_denial(found):
+            if knowledge.age_ms > DENIAL_AGE_MS:
+                if not await self._parts.refresh():
+                    return _unsure(found)
+                found = self._look_up(received)
+        configuration = knowledge.configuration
+        story.version = configuration.version if configuration else 0
+        story.proof_age_ms = knowledge.age_ms
+        return found
+
+    def _look_up(
+        self, received: requests.Received
+    ) -> Access | answers.Refusal:
+        knowledge = self._parts.knowledge
+        configuration = knowledge.configuration
+        if configuration is None:
+            return answers.Refusal(
+                answers.Cause.NO_CONFIGURATION,
+                retry_after_ms=CONFIGURATION_RETRY_MS,
+            )
+        route = configuration.find_route(received.host, received.path_only)
+        if route is None or not route.backends:
+            return answers.Refusal(answers.Cause.NO_ROUTE)
+        if route.is_public or not configuration.organisations:
+            return Access(configuration, route, None)
+        if not knowledge.is_fresh:
+            return answers.Refusal(
+                answers.Cause.STALE_CONFIGURATION,
+                f"age {knowledge.age_ms:.0f} ms",
+                CONFIGURATION_RETRY_MS,
+            )
+        organisation = configuration.organisation_of(received.key or "")
+        if organisation is None:
+            return answers.Refusal(answers.Cause.BAD_KEY)
+        return Access(configuration, route, organisation)
+
+    def _flow(
+        self, received: requests.Received, access: Access, body: bytes
+    ) -> attempts.Flow:
+        route = access.route
+        limit_ms = min(
+            received.time_left_ms,
+            route.timeout_ms or math.inf,
+            DEFAULT_TIME_MS,
+        )
+        left_ms = received.program_left_ms
+        due_ms = route.objective_ms if left_ms is None else left_ms
+        organisation = access.organisation
+        rank = organisation.priority or 0 if organisation else 0
+        return attempts.Flow(
+            id=received.id,
+            method=received.method,
+            path=received.path,
+            body=body,
+            make_headers=lambda own: self._headers(received, access, own),
+            route=route,
+            service=_choose_service(route),
+            priority=rank * ORGANISATION_RANK + route.priority,
+            is_new=self._is_new(received),
+            session=received.session or received.program or "",
+            due_ms=received.arrived_ms + due_ms,
+            deadline_ms=received.arrived_ms + limit_ms,
+        )
+
+    def _headers(
+        self,
+        received: requests.Received,
+        access: Access,
+        own: dict[str, str],
+    ) -> multidict.CIMultiDict[str]:
+        if access.organisation is not None:
+            own[self._parts.names.organisation] = access.organisation.id
+        return headers.request_headers(
+            received.headers, self._parts.names, own
+        )
+
+    def _is_new(self, received: requests.Received) -> bool:
+        if received.program is None:
+            return False
+        is_known = received.program in self._programs
+        self._programs[received.program] = None
+        self._programs.move_to_end(received.program)
+        if len(self._programs) > MAX_PROGRAMS:
+            self._programs.popitem(last=False)
+        return not is_known and received.parent_turn is None
+
+    async def _find_chain(
+        self,
+        received: requests.Received,
+        access: Access,
+        flow: attempts.Flow,
+        story: Story,
+    ) -> bytes | answers.Refusal:
+        assert received.parent_turn is not None
+        until_ms = received.arrived_ms + access.route.objective_ms
+        found = await self._parts.history.chain(
+            received.parent_turn,
+            _organisation_id(access),
+            min(until_ms, flow.deadline_ms),
+        )
+        match found:
+            case history.Chain():
+                story.chain_turns = found.turns
+                return found.content
+            case history.NoSuchTurn():
+                return answers.Refusal(
+                    answers.Cause.NO_TURN, f"parent {received.parent_turn}"
+                )
+            case history.Unknown():
+                return answers.Refusal(
+                    answers.Cause.TURN_UNKNOWN, found.reason, STORE_RETRY_MS
+                )
+
+    async def _reserve(
+        self,
+        received: requests.Received,
+        access: Access,
+        flow: attempts.Flow,
+    ) -> spending.Purse | answers.Refusal:
+        assert received.program is not None
+        assert received.token_budget is not None
+        until_ms = received.arrived_ms + access.route.objective_ms
+        verdict = await self._parts.budgets.reserve(
+            budgets.program_key(_organisation_id(access), received.program),
+            received.token_budget,
+            received.max_tokens,
+            min(until_ms, flow.deadline_ms),
+        )
+        if verdict.purse is not None:
+            return verdict.purse
+        if verdict.is_spent:
+            return answers.Refusal(
+                answers.Cause.BUDGET_SPENT,
+                f"granted {verdict.granted} of {received.token_budget}, "
+                f"turn {received.max_tokens}",
+            )
+        return answers.Refusal(
+            answers.Cause.BUDGET_UNKNOWN, retry_after_ms=STORE_RETRY_MS
+        )
+
+    async def _keep(
+        self,
+        received: requests.Received,
+        access: Access,
+        body: bytes,
+        sink: _Sink,
+        answer: attempts.StreamEnded,
+    ) -> Answer:
+        data = b"".join(each + b"\n" for each in sink.data)
+        turn = history.Turn(
+            model.TurnId(received.id),
+            _organisation_id(access),
+            received.parent_turn,
+            body + data,
+        )
+        until_ms = self._parts.clock.now_ms() + KEEP_MS
+        if await self._parts.history.keep(turn, until_ms):
+            return answer
+        return attempts.StreamBroken("turn-not-kept")
+
+    async def _respond(
+        self,
+        answer: Answer,
+        request: web.BaseRequest,
+        received: requests.Received,
+        sink: _Sink,
+    ) -> web.StreamResponse:
+        match answer:
+            case attempts.StreamEnded():
+                return await sink.end()
+            case attempts.StreamBroken():
+                sink.abort()
+                raise ConnectionAbortedError(answer.reason)
+            case sending.Whole():
+                response = web.Response(
+                    status=answer.status,
+                    headers=headers.response_headers(answer.headers),
+                    body=answer.body,
+                )
+            case answers.Refusal():
+                response = answer.response(
+                    self._parts.names.request_id, received.id
+                )
+        self.mark(response)
+        return response
+
+
+class Story:
+    """What is logged of a request.
+
+    Attributes:
+        received: The request.
+        flow: Its way, once there is a route.
+        version: Version of the configuration.
+        proof_age_ms: Age of the proof that it is the newest.
+        chain_turns: Turns before it.
+        outcome: Set if there is no answer.
+    """
+
+    def __init__(self, received: requests.Received) -> None:
+        """Makes the story of a request that has just arrived."""
+        self.received = received
+        self.flow: attempts.Flow | None = None
+        self.version = 0
+        self.proof_age_ms = math.inf
+        self.chain_turns = 0
+        self.outcome = ""
+
+
+class _Sink(attempts.EventSink):
+    """Passes events on to the caller of a request."""
+
+    def __init__(self, request: web.BaseRequest, handler: Handler) -> None:
+        self._request = request
+        self._handler = handler
+        self._response: web.StreamResponse | None = None
+        self.data: list[bytes] = []
+
+    async def begin(
+        self, headers_: multidict.CIMultiDictProxy[str]
+    ) -> None:
+        self._response = web.StreamResponse(
+            headers=headers.response_headers(headers_)
+        )
+
+    async def pass_on(self, found: list[events.Event]) -> None:
+        response = await self._prepared()
+        self.data += [each.data for each in found]
+        await response.write(b"".join(each.raw for each in found))
+
+    async def end(self) -> web.StreamResponse:
+        response = await self._prepared()
+        await response.write_eof()
+        return response
+
+    def abort(self) -> None:
+        """Ends the connection so that the answer can't look complete."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _prepared(self) -> web.StreamResponse:
+        assert self._response is not None
+        if not self._response.prepared:
+            self._handler.mark(self._response)
+            await self._response.prepare(self._request)
+        return self._response
+
+
+def _is_denial(refusal: answers.Refusal) -> bool:
+    return refusal.cause in (answers.Cause.NO_ROUTE, answers.Cause.BAD_KEY)
+
+
+def _unsure(refusal: answers.Refusal) -> answers.Refusal:
+    return answers.Refusal(
+        answers.Cause.STALE_CONFIGURATION,
+        f"not fresh enough for {refusal.cause.value}",
+        CONFIGURATION_RETRY_MS,
+    )
+
+
+def _choose_service(route: model.Route) -> ids.ServiceId:
+    weights = [each.weight for each in route.backends]
+    if len(weights) == 1 or not sum(weights):
+        return route.backends[0].service
+    return random.choices(route.backends, weights)[0].service
+
+
+def _organisation_id(access: Access) -> ids.OrganisationId:
+    if access.organisation is None:
+        return ids.OrganisationId("")
+    return access.organisation.id
+
+
+def _event_tokens(access: Access, service: ids.ServiceId) -> int:
+    found = access.configuration.services.get(service)
+    engine = found.engine if found else None
+    return engine.tokens_per_event if engine else 1
--- /dev/null
+++ b/mangotally/entry/homes.py
@@ -0,0 +1,36 @@
+"""Which host decides for a key."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Protocol
+
+from mangotally import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class HostAddress:
+    """Where other hosts reach a host.
+
+    Attributes:
+        host: Its id.
+        address: IP address and port.
+        failure_domain: Where it runs.
+    """
+
+    host: ids.HostId
+    address: str
+    failure_domain: ids.PlaceId
+
+
+class Homes(Protocol):
+    """Knows the homes of keys."""
+
+    def home_of(self, key: str) -> HostAddress | None:
+        """Returns the home of a key as last read, or None."""
+
+    def owned_since_ms(self, key: str) -> float | None:
+        """Returns since when this host is the home of a key, or None."""
+
+    def others(self) -> list[HostAddress]:
+        """Returns other hosts that are up, as far as it is known."""
--- /dev/null
+++ b/mangotally/entry/monitor.py
@@ -0,0 +1,133 @@
+"""Counts and logs what becomes of requests."""
+
+from __future__ import annotations
+
+import collections
+import logging
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import metrics_core, registry
+
+from mangotally.entry import answers, attempts, sending
+from mangotally.metrics import series
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mangotally.entry import handler
+    from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger("mangotally.requests")
+
+
+class Monitor:
+    """Takes the story of each request."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        """Makes a monitor that has counted nothing."""
+        self._clock = clock
+        self._outcomes: collections.Counter[tuple[str, str]]
+        self._outcomes = collections.Counter()
+        self._latency: dict[str, series.Histogram] = {}
+        self.gauges: dict[str, float] = {}
+
+    def record(
+        self, story: handler.Story, answer: handler.Answer | None
+    ) -> None:
+        """Counts and logs one request."""
+        total_ms = self._clock.now_ms() - story.received.arrived_ms
+        outcome = _outcome(story, answer)
+        route = story.flow.route.id if story.flow else ""
+        self._outcomes[route, outcome] += 1
+        if isinstance(answer, sending.Whole | attempts.StreamEnded):
+            found = self._latency.setdefault(route, series.Histogram())
+            found.record(total_ms)
+        level = logging.INFO
+        if isinstance(answer, answers.Refusal | attempts.StreamBroken):
+            level = logging.WARNING
+        logger.log(level, "request", extra=_fields(story, answer, total_ms))
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        target = registry.CollectorRegistry(auto_describe=False)
+        target.register(_Collector(self))
+        return prometheus_client.generate_latest(target)
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Yields all metrics."""
+        outcomes = metrics_core.CounterMetricFamily(
+            "mangotally_requests",
+            "Requests by route and outcome.",
+            labels=["route", "outcome"],
+        )
+        for (route, outcome), count in sorted(self._outcomes.items()):
+            outcomes.add_metric([route, outcome], count)
+        yield outcomes
+        latency = metrics_core.HistogramMetricFamily(
+            "mangotally_request_latency_ms",
+            "Latency of answered requests by route, in ms.",
+            labels=["route"],
+        )
+        for route, found in sorted(self._latency.items()):
+            latency.add_metric([route], *found.buckets())
+        yield latency
+        for name, value in sorted(self.gauges.items()):
+            yield metrics_core.GaugeMetricFamily(
+                f"mangotally_{name}", name.replace("_", " "), value
+            )
+
+
+class _Collector(registry.Collector):
+    """Shows a monitor to the exposition library."""
+
+    def __init__(self, monitor: Monitor) -> None:
+        self._monitor = monitor
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        yield from self._monitor.collect()
+
+
+def _outcome(story: handler.Story, answer: handler.Answer | None) -> str:
+    match answer:
+        case sending.Whole():
+            return f"status-{answer.status}"
+        case attempts.StreamEnded():
+            return "streamed"
+        case attempts.StreamBroken():
+            return "stream-broken"
+        case answers.Refusal():
+            return answer.cause.value
+        case None:
+            return story.outcome or "error"
+
+
+def _fields(
+    story: handler.Story, answer: handler.Answer | None, total_ms: float
+) -> dict[str, object]:
+    received, flow = story.received, story.flow
+    fields: dict[str, object] = {
+        "request": received.id,
+        "outcome": _outcome(story, answer),
+        "total_ms": round(total_ms, 1),
+        "version": story.version,
+        "proof_age_ms": round(story.proof_age_ms),
+    }
+    if received.program:
+        fields["program"] = received.program
+    if flow is not None:
+        fields["route"] = flow.route.id
+        fields["attempts"] = flow.attempts
+        fields["waited_ms"] = round(flow.waited_ms, 1)
+        fields["placed_by"] = flow.source
+        fields["events"] = flow.passed_events
+        if flow.target is not None:
+            fields["target"] = flow.target
+    if story.chain_turns:
+        fields["chain_turns"] = story.chain_turns
+    if isinstance(answer, answers.Refusal):
+        fields["detail"] = answer.detail
+        fields["retry_after_ms"] = answer.retry_after_ms
+    if isinstance(answer, attempts.StreamBroken):
+        fields["detail"] = answer.reason
+    return fields
--- /dev/null
+++ b/mangotally/entry/peers.py
@@ -0,0 +1,184 @@
+"""Calls between entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any, Protocol, Self
+
+import grpc
+
+from mangotally.entry import entry_pb2, entry_pb2_grpc
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+KEEPALIVE_MS = 2000
+KEEPALIVE_TIMEOUT_MS = 1000
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 500
+IDLE_LINK_MS = 60_000
+OPTIONS = (
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.so_reuseport", 0),
+)
+
+
+class Handlers(Protocol):
+    """What this host does for others."""
+
+    async def call_store(
+        self, request: entry_pb2.StoreCall
+    ) -> entry_pb2.StoreReply:
+        """Passes a call on to the store."""
+
+    async def take_tokens(
+        self, request: entry_pb2.TakeRequest
+    ) -> entry_pb2.TakeReply:
+        """Grants tokens of an organisation's rate."""
+
+    async def place(
+        self, request: entry_pb2.PlaceRequest
+    ) -> entry_pb2.PlaceReply:
+        """Grants a place at a target."""
+
+    async def report(
+        self, request: entry_pb2.PlaceReport
+    ) -> entry_pb2.ReportReply:
+        """Takes a report on places."""
+
+
+class Peers:
+    """Links to other hosts; each opens on first use."""
+
+    def __init__(self) -> None:
+        """Makes an owner of no links."""
+        self._links: dict[str, grpc.aio.Channel] = {}
+        self._silent: set[str] = set()
+
+    async def __aenter__(self) -> Self:
+        """Returns the owner."""
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes all links."""
+        links, self._links = self._links, {}
+        await asyncio.gather(*(link.close() for link in links.values()))
+
+    async def call_store(
+        self, address: str, request: entry_pb2.StoreCall, timeout_ms: float
+    ) -> entry_pb2.StoreReply | None:
+        """Has another host call the store; None if it does not answer."""
+        return await self._call(address, "CallStore", request, timeout_ms)
+
+    async def take_tokens(
+        self, address: str, request: entry_pb2.TakeRequest, timeout_ms: float
+    ) -> entry_pb2.TakeReply | None:
+        """Asks an organisation's home; None if it does not answer."""
+        return await self._call(address, "TakeTokens", request, timeout_ms)
+
+    async def place(
+        self, address: str, request: entry_pb2.PlaceRequest, timeout_ms: float
+    ) -> entry_pb2.PlaceReply | None:
+        """Asks a service's home; None if it does not answer."""
+        return await self._call(address, "Place", request, timeout_ms)
+
+    async def report(
+        self, address: str, request: entry_pb2.PlaceReport, timeout_ms: float
+    ) -> entry_pb2.ReportReply | None:
+        """Reports to a service's home; None if it does not answer."""
+        return await self._call(address, "Report", request, timeout_ms)
+
+    async def _call(
+        self, address: str, method: str, request: Any, timeout_ms: float
+    ) -> Any:
+        stub = entry_pb2_grpc.EntryStub(self._link(address))
+        try:
+            reply = await getattr(stub, method)(
+                request, timeout=clock_lib.to_seconds(timeout_ms)
+            )
+        except grpc.aio.AioRpcError as error:
+            self._note_silent(address, method, error.code().name)
+            return None
+        if address in self._silent:
+            self._silent.discard(address)
+            logger.info("host_regained", extra={"address": address})
+        return reply
+
+    def _link(self, address: str) -> grpc.aio.Channel:
+        link = self._links.get(address)
+        if link is None:
+            link = grpc.aio.insecure_channel(address, options=OPTIONS)
+            self._links[address] = link
+        return link
+
+    def _note_silent(self, address: str, method: str, reason: str) -> None:
+        if address in self._silent:
+            return
+        self._silent.add(address)
+        logger.warning(
+            "host_lost",
+            extra={"address": address, "call": method, "reason": reason},
+        )
+
+
+class Server:
+    """Serves other hosts while entered."""
+
+    def __init__(self, address: str, handlers: Handlers) -> None:
+        """Makes a server.
+
+        Args:
+            address: IP address and port to listen at.
+            handlers: What is done.
+        """
+        self._address = address
+        self._handlers = handlers
+        self._stack = contextlib.AsyncExitStack()
+        self._server: grpc.aio.Server
+
+    async def __aenter__(self) -> Self:
+        """Listens."""
+        self._server = grpc.aio.server(options=OPTIONS)
+        entry_pb2_grpc.add_EntryServicer_to_server(
+            _Servicer(self._handlers), self._server
+        )
+        self._server.add_insecure_port(self._address)
+        await self._server.start()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stops listening."""
+        await self._server.stop(0)
+
+
+class _Servicer(entry_pb2_grpc.EntryServicer):  # type: ignore[misc]
+    """Hands calls to the handlers; the names are the protocol's."""
+
+    def __init__(self, handlers: Handlers) -> None:
+        self.CallStore = _unary(handlers.call_store)
+        self.TakeTokens = _unary(handlers.take_tokens)
+        self.Place = _unary(handlers.place)
+        self.Report = _unary(handlers.report)
+
+
+def _unary(
+    handler: Callable[[Any], Awaitable[Any]],
+) -> Callable[[Any, Any], Awaitable[Any]]:
+    async def handle(request: Any, _context: Any) -> Any:
+        return await handler(request)
+
+    return handle
--- /dev/null
+++ b/mangotally/entry/server.py
@@ -0,0 +1,79 @@
+"""HTTP servers of an entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any, Self
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+# Longer than any idle time that operators allow callers.
+IDLE_CALLER_S = 75.0
+BACKLOG = 1024
+
+
+class HttpServer:
+    """An HTTP server at one address, while entered."""
+
+    def __init__(
+        self,
+        address: str,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        """Makes a server.
+
+        Args:
+            address: IP address and port to listen at.
+            handle: Answers a request; is cancelled if the caller leaves.
+        """
+        self._address = address
+        self._handle = handle
+        self._runner: web.ServerRunner
+        self._site: web.TCPSite
+
+    async def __aenter__(self) -> Self:
+        """Listens."""
+        server = web.Server(
+            self._handle,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_CALLER_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
+            lingering_time=0.0,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        self._site = web.TCPSite(
+            self._runner, host, int(port), backlog=BACKLOG
+        )
+        await self._site.start()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes all connections."""
+        await self._runner.cleanup()
+
+    def _make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=MAX_BODY_BYTES,
+        )
--- a/mangotally/metrics/exposition.py
+++ b/mangotally/metrics/exposition.py
@@ -2,25 +2,19 @@
 
 from __future__ import annotations
 
-import bisect
 from typing import TYPE_CHECKING
 
 import prometheus_client
 from prometheus_client import metrics_core, registry
 
+from mangotally.metrics import series as series_lib
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from hdrh import histogram
-
     from mangotally.metrics import store
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
-# Upper bounds of the buckets shown, in ms.
-BOUNDS_MS = (
-    5, 10, 25, 50, 100, 250, 500, 760, 1000, 2500, 5000, 10_000, 30_000,
-    60_000, 300_000,
-)  # fmt: skip
 
 
 def render(found: store.MetricsStore) -> bytes:
@@ -71,27 +65,9 @@
         labels=[label],
     )
     for name, series in series_set.items():
-        latency.add_metric([name], *_buckets(series.latency))
-        first_token.add_metric([name], *_buckets(series.first_token))
+        latency.add_metric([name], *series_lib.buckets(series.latency))
+        first_token.add_metric([name], *series_lib.buckets(series.first_token))
         tokens.add_metric([name], series.generated_tokens)
     yield latency
     yield first_token
     yield tokens
-
-
-def _buckets(
-    found: histogram.HdrHistogram,
-) -> tuple[list[tuple[str, float]], float]:
-    counts = [0] * (len(BOUNDS_MS) + 1)
-    total_ms = 0.0
-    for step in found.get_recorded_iterator():
-        count = step.count_added_in_this_iter_step
-        counts[bisect.bisect_left(BOUNDS_MS, step.value_iterated_to)] += count
-        total_ms += count * step.value_iterated_to
-    shown: list[tuple[str, float]] = []
-    seen = 0
-    for bound_ms, count in zip(BOUNDS_MS, counts, strict=False):
-        seen += count
-        shown.append((str(bound_ms), seen))
-    shown.append(("+Inf", seen + counts[-1]))
-    return shown, total_ms
--- a/mangotally/metrics/store.py
+++ b/mangotally/metrics/store.py
@@ -4,30 +4,22 @@
 
 import collections
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
-from hdrh import histogram
+from mangotally.metrics import series as series_lib
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from hdrh import histogram
+
     from mangotally import errors
     from mangotally.metrics import recorder
 
 MAX_SERIES = 128
-MAX_LATENCY_MS = 3_600_000
-SIGNIFICANT_DIGITS = 2
-_WORD_BYTES = 4
 OTHER = "other"
 
 
-def _new_histogram() -> histogram.HdrHistogram:
-    return histogram.HdrHistogram(
-        1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS, word_size=_WORD_BYTES
-    )
-
-
 @dataclasses.dataclass
 class Series:
     """Measurements of one organisation or target.
@@ -39,10 +31,10 @@
     """
 
     latency: histogram.HdrHistogram = dataclasses.field(
-        default_factory=_new_histogram
+        default_factory=series_lib.new_histogram
     )
     first_token: histogram.HdrHistogram = dataclasses.field(
-        default_factory=_new_histogram
+        default_factory=series_lib.new_histogram
     )
     generated_tokens: int = 0
 
@@ -70,10 +62,10 @@
             series = self._series[name] = Series()
             self._evict()
         self._series.move_to_end(name)
-        series.latency.record_value(_clamp(record.latency_ms))
+        series.latency.record_value(series_lib.clamp(record.latency_ms))
         series.generated_tokens += record.generated_tokens
         if record.first_token_ms is not None:
-            series.first_token.record_value(_clamp(record.first_token_ms))
+            series.first_token.record_value(series_lib.clamp(record.first_token_ms))
 
     def items(self) -> Iterator[tuple[str, Series]]:
         """Yields all series by name."""
@@ -149,7 +141,3 @@
         "p99": found.get_value_at_percentile(99),
         "max": found.get_max_value(),
     }
-
-
-def _clamp(value_ms: float) -> int:
-    return min(MAX_LATENCY_MS, max(1, math.ceil(value_ms)))
--- /dev/null
+++ b/mangotally/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter: the platform's store, records and names of headers."""
--- /dev/null
+++ b/mangotally/platform/failover.py
@@ -0,0 +1,96 @@
+"""Reaches the store directly, or through a host that does."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Protocol
+
+from mangotally.platform import store
+
+if TYPE_CHECKING:
+    from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+# How often the direct way is tried while it is lost.
+RETRY_DIRECT_MS = 700
+_BUSY = frozenset({429, 503})
+
+
+class Relay(Protocol):
+    """Other hosts that pass calls on."""
+
+    async def relay(self, call: store.Call) -> store.Reply | store.Unavailable:
+        """Returns the store's answer to a call made by another host."""
+
+
+class FailoverTransport:
+    """Carries calls directly, and through other hosts while that fails."""
+
+    def __init__(
+        self,
+        direct: store.Transport,
+        relay: Relay,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes the transport.
+
+        Args:
+            direct: Connections of this host.
+            relay: Other hosts.
+            clock: Time.
+        """
+        self._direct = direct
+        self._relay = relay
+        self._clock = clock
+        self._lost_ms: float | None = None
+        self._retry_ms = 0.0
+        self.regained_ms = 0.0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the direct way fails."""
+        return self._lost_ms is not None
+
+    async def call(self, call: store.Call) -> store.Reply | store.Unavailable:
+        """Returns the store's answer."""
+        now_ms = self._clock.now_ms()
+        if self._lost_ms is None or now_ms >= self._retry_ms:
+            self._retry_ms = now_ms + RETRY_DIRECT_MS
+            reply = await self._direct.call(call)
+            if _is_good(reply):
+                self._regain()
+                return reply
+            self._lose(reply)
+        relayed = await self._relay.relay(call)
+        if _is_good(relayed):
+            return relayed
+        return _as_unavailable(relayed)
+
+    def _lose(self, reply: store.Reply | store.Unavailable) -> None:
+        if self._lost_ms is not None:
+            return
+        self._lost_ms = self._clock.now_ms()
+        logger.warning(
+            "store_lost", extra={"reason": _as_unavailable(reply).reason}
+        )
+
+    def _regain(self) -> None:
+        if self._lost_ms is None:
+            return
+        lost_for_ms = self._clock.now_ms() - self._lost_ms
+        self._lost_ms = None
+        self.regained_ms = self._clock.now_ms()
+        logger.info("store_regained", extra={"lost_for_ms": lost_for_ms})
+
+
+def _is_good(reply: store.Reply | store.Unavailable) -> bool:
+    return isinstance(reply, store.Reply) and reply.status not in _BUSY
+
+
+def _as_unavailable(
+    reply: store.Reply | store.Unavailable,
+) -> store.Unavailable:
+    if isinstance(reply, store.Unavailable):
+        return reply
+    return store.Unavailable(f"status {reply.status}")
--- /dev/null
+++ b/mangotally/platform/groups.py
@@ -0,0 +1,158 @@
+"""Divides keys over the hosts by a group of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from mangotally import ids
+from mangotally.entry import homes
+from mangotally.entry import partitions as partition_lib
+from mangotally.platform import store
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+logger = logging.getLogger(__name__)
+
+GROUP = "homes"
+TOPIC = store.Topic("homes")
+LIFETIME_MS = 2500
+JOIN_MS = 800
+RETRY_MS = 150
+# The owners are asked for again after this time, changes or not.
+OWNERS_MS = 4000
+_SEPARATOR = "|"
+
+
+class HomesMember:
+    """This host in the group whose members are the homes of keys."""
+
+    def __init__(
+        self,
+        client: store.Store,
+        this_host: homes.HostAddress,
+        partitions: int,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes a member that has not joined.
+
+        Args:
+            client: The store.
+            this_host: Where other hosts reach this one.
+            partitions: Partitions of a topic.
+            clock: A clock that counts suspensions.
+        """
+        self._client = client
+        self._this_host = this_host
+        self._member = _name(this_host)
+        self._partitions = partitions
+        self._clock = clock
+        self._generation = 0
+        self._owned: frozenset[int] = frozenset()
+        self._owned_until_ms = 0.0
+        self._owned_since: dict[int, float] = {}
+        self._owners: dict[int, homes.HostAddress] = {}
+        self._owners_ms = -float("inf")
+        self._owners_generation = -1
+
+    def home_of(self, key: str) -> homes.HostAddress | None:
+        """Returns the home of a key as last read, or None."""
+        return self._owners.get(self._partition(key))
+
+    def owned_since_ms(self, key: str) -> float | None:
+        """Returns since when this host is the home of a key, or None."""
+        partition = self._partition(key)
+        if self._clock.now_ms() >= self._owned_until_ms:
+            return None
+        return self._owned_since.get(partition)
+
+    def others(self) -> list[homes.HostAddress]:
+        """Returns the other hosts that are homes of some keys."""
+        found = {each.host: each for each in self._owners.values()}
+        found.pop(self._this_host.host, None)
+        return list(found.values())
+
+    async def run(self) -> None:
+        """Stays in the group until cancelled."""
+        while True:
+            is_in = await self._join()
+            if is_in:
+                await self._read_owners()
+            pause_ms = JOIN_MS if is_in else RETRY_MS
+            pause_ms *= random.uniform(0.8, 1.2)
+            await asyncio.sleep(clock_lib.to_seconds(pause_ms))
+
+    async def leave(self) -> None:
+        """Gives up this host's keys at once."""
+        self._owned_until_ms = 0.0
+        await self._client.leave(GROUP, self._member)
+
+    async def _join(self) -> bool:
+        sent_ms = self._clock.now_ms()
+        joined = await self._client.join(
+            GROUP, self._member, [TOPIC], LIFETIME_MS, self._generation
+        )
+        if isinstance(joined, store.Unavailable):
+            return False
+        owned = frozenset(number for _, number in joined.partitions)
+        if self._clock.now_ms() >= self._owned_until_ms:
+            # Another host may have been home in between.
+            self._owned_since.clear()
+            self._change(joined.generation, owned)
+        elif joined.generation != self._generation or owned != self._owned:
+            self._change(joined.generation, owned)
+        self._owned_until_ms = sent_ms + LIFETIME_MS
+        return True
+
+    def _change(self, generation: int, owned: frozenset[int]) -> None:
+        now_ms = self._clock.now_ms()
+        self._owned_since = {
+            number: self._owned_since.get(number, now_ms) for number in owned
+        }
+        logger.info(
+            "homes_changed",
+            extra={
+                "generation": generation,
+                "before": self._generation,
+                "owned": sorted(owned),
+            },
+        )
+        self._generation = generation
+        self._owned = owned
+
+    async def _read_owners(self) -> None:
+        now_ms = self._clock.now_ms()
+        is_current = self._owners_generation == self._generation
+        if is_current and now_ms - self._owners_ms < OWNERS_MS:
+            return
+        rows = await self._client.owners(GROUP)
+        if isinstance(rows, store.Unavailable):
+            return
+        self._owners_ms = now_ms
+        self._owners_generation = self._generation
+        self._owners = _owners(rows)
+
+    def _partition(self, key: str) -> int:
+        return partition_lib.partition_of(key, self._partitions)
+
+
+def _name(host: homes.HostAddress) -> str:
+    return _SEPARATOR.join((host.host, host.address, host.failure_domain))
+
+
+def _owners(
+    rows: Mapping[tuple[str, int], str],
+) -> dict[int, homes.HostAddress]:
+    found = {}
+    for (_, number), member in rows.items():
+        fields = member.split(_SEPARATOR)
+        if len(fields) == len(dataclasses.fields(homes.HostAddress)):
+            found[number] = homes.HostAddress(
+                ids.HostId(fields[0]), fields[1], ids.PlaceId(fields[2])
+            )
+    return found
--- /dev/null
+++ b/mangotally/platform/http.py
@@ -0,0 +1,73 @@
+"""Carries calls to the store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Self
+
+import aiohttp
+import yarl
+
+from mangotally.platform import store
+from mangotally.util import clock as clock_lib
+
+CONNECT_TIMEOUT_MS = 400
+IDLE_CONNECTION_MS = 20_000
+MAX_CONNECTIONS = 16
+
+
+class DirectTransport:
+    """Connections of this host to the store.
+
+    A connection without an answer in time is closed, so that one that has
+    gone silent is not used again.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Makes the transport; entering it opens the session.
+
+        Args:
+            address: IP address and port of the store.
+        """
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> Self:
+        """Opens the session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=MAX_CONNECTIONS,
+                keepalive_timeout=clock_lib.to_seconds(IDLE_CONNECTION_MS),
+                use_dns_cache=False,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+    async def call(
+        self, call: store.Call
+    ) -> store.Reply | store.Unavailable:
+        """Returns the store's answer."""
+        headers = {"Content-Type": "application/json"} if call.is_json else {}
+        timeout = aiohttp.ClientTimeout(
+            total=clock_lib.to_seconds(call.timeout_ms),
+            sock_connect=clock_lib.to_seconds(CONNECT_TIMEOUT_MS),
+        )
+        try:
+            async with self._session.request(
+                call.method,
+                yarl.URL(self._base + call.target, encoded=True),
+                data=call.body or None,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                return store.Reply(response.status, await response.read())
+        except asyncio.TimeoutError:
+            return store.Unavailable("timeout")
+        except (aiohttp.ClientError, OSError) as error:
+            return store.Unavailable(type(error).__name__)
--- /dev/null
+++ b/mangotally/platform/store.py
@@ -0,0 +1,317 @@
+"""Client of the platform's store: a log with topics, keys and groups."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import struct
+from typing import TYPE_CHECKING, Any, Protocol
+from urllib import parse as urls
+
+from mangotally.entry.log import (
+    MAX_READ_KB,
+    Appended,
+    Batch,
+    EndMoved,
+    Offset,
+    Topic,
+    Trimmed,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping, Sequence
+
+CALL_TIMEOUT_MS = 1000
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+_OK = 200
+_GONE = 410
+_AT_DIFFERS = 412
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A call of the store.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        body: Body, may be empty.
+        is_json: Whether the body is JSON rather than records.
+        timeout_ms: How long an answer is waited for.
+    """
+
+    method: str
+    target: str
+    body: bytes = b""
+    is_json: bool = False
+    timeout_ms: float = CALL_TIMEOUT_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body.
+    """
+
+    status: int
+    body: bytes
+
+
+class Transport(Protocol):
+    """Carries calls to the store."""
+
+    async def call(self, call: Call) -> Reply | Unavailable:
+        """Returns the store's answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyedRecord:
+    """A record of a keyed topic.
+
+    Attributes:
+        key: Its key.
+        value: Its value; empty if the key was dropped.
+    """
+
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Newest:
+    """The newest record of each key.
+
+    Attributes:
+        records: The records.
+        end: End of the partition when the first page was read; records
+            from there on may be newer than those here.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    end: Offset
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """What a member of a group holds.
+
+    Attributes:
+        generation: Grows with each change of the group.
+        partitions: Topic and number of each partition.
+    """
+
+    generation: int
+    partitions: frozenset[tuple[str, int]]
+
+
+class Store:
+    """Typed calls of the store."""
+
+    def __init__(self, transport: Transport) -> None:
+        """Makes the client.
+
+        Args:
+            transport: Carries the calls.
+        """
+        self._transport = transport
+
+    async def append(
+        self,
+        topic: Topic,
+        part: int,
+        records: Sequence[bytes],
+        at: Offset | None = None,
+    ) -> Appended | EndMoved | Unavailable:
+        """Appends records, all or none.
+
+        Args:
+            topic: The topic.
+            part: Number of the partition.
+            records: The records.
+            at: Append only if the partition ends here.
+        """
+        query: dict[str, object] = {"Topic": topic, "part": part}
+        if at is not None:
+            query["At"] = at
+        body = b"".join(_LENGTH.pack(len(each)) + each for each in records)
+        reply = await self._call("POST", "/log-append", query, body)
+        if isinstance(reply, Unavailable):
+            return reply
+        found = _object(reply.body)
+        if reply.status == _OK:
+            return Appended(Offset(found["Offset"]), Offset(found["EndOffset"]))
+        if reply.status == _AT_DIFFERS:
+            return EndMoved(Offset(found["EndOffset"]))
+        return _refused(reply)
+
+    async def read(
+        self,
+        topic: Topic,
+        part: int,
+        first: Offset,
+        wait_ms: int = 0,
+        max_kb: int = MAX_READ_KB,
+    ) -> Batch | Trimmed | Unavailable:
+        """Reads records from an offset on.
+
+        Args:
+            topic: The topic.
+            part: Number of the partition.
+            first: Offset of the first record wanted.
+            wait_ms: How long to wait for a record if there is none.
+            max_kb: Most data wanted, in KiB.
+        """
+        query: dict[str, object] = {
+            "Topic": topic, "part": part, "From": first, "MaxKb": max_kb,
+        }  # fmt: skip
+        if wait_ms:
+            query["WaitMs"] = wait_ms
+        timeout_ms = CALL_TIMEOUT_MS + wait_ms
+        reply = await self._call(
+            "GET", "/log-read", query, timeout_ms=timeout_ms
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == _OK and len(reply.body) >= _ENDS.size:
+            end, _ = _ENDS.unpack_from(reply.body)
+            records = tuple(_records(reply.body[_ENDS.size :]))
+            return Batch(first, records, Offset(end))
+        if reply.status == _GONE:
+            return Trimmed(Offset(_object(reply.body)["FirstOffset"]))
+        return _refused(reply)
+
+    async def newest(self, topic: Topic) -> Newest | Unavailable:
+        """Returns the newest record of each key of a keyed topic."""
+        records: list[KeyedRecord] = []
+        end: Offset | None = None
+        query: dict[str, object] = {"Topic": topic, "part": 0}
+        while True:
+            reply = await self._call("GET", "/log-newest", query)
+            if isinstance(reply, Unavailable):
+                return reply
+            if reply.status != _OK:
+                return _refused(reply)
+            page = _object(reply.body)
+            records += [
+                KeyedRecord(each["Key"], base64.b64decode(each["Value"] or ""))
+                for each in page["items"]
+            ]
+            if end is None:
+                end = Offset(page["EndOffset"])
+            if not page["More"] or not page["items"]:
+                return Newest(tuple(records), end)
+            query["after"] = records[-1].key
+
+    async def join(
+        self,
+        group: str,
+        member: str,
+        topics: Sequence[Topic],
+        lifetime_ms: int,
+        generation: int,
+    ) -> Assignment | Unavailable:
+        """Joins a group, or stays in it.
+
+        Args:
+            group: The group.
+            member: Name of this member.
+            topics: Topics whose partitions the group divides.
+            lifetime_ms: Silence after which the member is out.
+            generation: The last one received, or 0.
+        """
+        reply = await self._post(
+            "/log-join",
+            {
+                "group": group,
+                "Member": member,
+                "Topics": list(topics),
+                "TtlMs": lifetime_ms,
+                "Generation": generation,
+            },
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status != _OK:
+            return _refused(reply)
+        found = _object(reply.body)
+        return Assignment(
+            found["Generation"],
+            frozenset((row[0], row[1]) for row in found["parts"]),
+        )
+
+    async def leave(self, group: str, member: str) -> None:
+        """Gives up a member's partitions at once."""
+        await self._post("/log-leave", {"group": group, "Member": member})
+
+    async def owners(
+        self, group: str
+    ) -> Mapping[tuple[str, int], str] | Unavailable:
+        """Returns the member that holds each partition of a group."""
+        reply = await self._call("GET", "/log-owners", {"group": group})
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status != _OK:
+            return _refused(reply)
+        found = json.loads(reply.body)
+        rows = found if isinstance(found, list) else found["parts"]
+        return {(row[0], row[1]): row[2] for row in rows if row[2]}
+
+    async def _post(
+        self, path: str, body: dict[str, object]
+    ) -> Reply | Unavailable:
+        data = json.dumps(body).encode()
+        return await self._transport.call(Call("POST", path, data, True))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, object],
+        body: bytes = b"",
+        timeout_ms: float = CALL_TIMEOUT_MS,
+    ) -> Reply | Unavailable:
+        target = f"{path}?{urls.urlencode(query)}"
+        call = Call(method, target, body, timeout_ms=timeout_ms)
+        return await self._transport.call(call)
+
+
+def keyed(record: bytes) -> KeyedRecord:
+    """Returns a record of a keyed topic, as it lies in the log."""
+    key_end = 1 + record[0]
+    return KeyedRecord(
+        record[1:key_end].decode(errors="replace"), record[key_end:]
+    )
+
+
+def keyed_bytes(key: str, value: bytes) -> bytes:
+    """Returns the bytes of a record for a keyed topic."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def _records(data: bytes) -> Iterator[bytes]:
+    place = 0
+    while place + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, place)
+        place += _LENGTH.size
+        if place + length > len(data):
+            return
+        yield data[place : place + length]
+        place += length
+
+
+def _object(body: bytes) -> dict[str, Any]:
+    found = json.loads(body)
+    if not isinstance(found, dict):
+        raise ValueError("the store's answer is not an object")
+    return found
+
+
+def _refused(reply: Reply) -> Unavailable:
+    return Unavailable(f"status {reply.status}")
--- /dev/null
+++ b/mangotally/policy/spending.py
@@ -0,0 +1,119 @@
+"""Token budgets of programs over all hosts and restarts.
+
+Load pattern: programs whose turns run at several hosts at once, and
+programs that loop without end. A host takes an allowance out of the budget
+before it runs a turn; the allowances of all hosts, those of crashed ones
+included, never exceed the budget.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import NewType
+
+ProgramKey = NewType("ProgramKey", str)
+
+# A budget is taken in so many parts, if turns are small beside it.
+PARTS = 4
+LEDGER_MEMORY_MS = 300_000.0
+PURSE_MEMORY_MS = 120_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Tokens that one host may spend for a program.
+
+    Attributes:
+        program: The program.
+        tokens: How many.
+    """
+
+    program: ProgramKey
+    tokens: int
+
+
+class Ledger:
+    """Grants of the programs of one partition, as its records tell."""
+
+    def __init__(self) -> None:
+        """Makes a ledger that has read nothing."""
+        self._granted: dict[ProgramKey, tuple[int, float]] = {}
+
+    def add(self, grant: Grant, now_ms: float) -> None:
+        """Counts a grant that was recorded."""
+        tokens = self.granted(grant.program) + grant.tokens
+        self._granted.pop(grant.program, None)
+        self._granted[grant.program] = (tokens, now_ms)
+
+    def granted(self, program: ProgramKey) -> int:
+        """Returns the tokens that all hosts have taken for a program."""
+        found = self._granted.get(program)
+        return found[0] if found else 0
+
+    def forget(self, now_ms: float) -> None:
+        """Forgets programs without a grant for a long time."""
+        while self._granted:
+            program, (_, at_ms) = next(iter(self._granted.items()))
+            if now_ms - at_ms < LEDGER_MEMORY_MS:
+                return
+            del self._granted[program]
+
+
+def next_grant(granted: int, budget: int, needed: int) -> int:
+    """Returns how many tokens to take out of a budget.
+
+    Args:
+        granted: Tokens that hosts have taken already.
+        budget: The program's budget.
+        needed: Tokens without which the turn can't begin.
+
+    Returns:
+        At least `needed`, or 0 if the budget does not hold them.
+    """
+    left = budget - granted
+    if left < needed:
+        return 0
+    return min(left, max(needed, math.ceil(budget / PARTS)))
+
+
+class Purse:
+    """Tokens of one program that this host may spend."""
+
+    def __init__(self) -> None:
+        """Makes an empty purse."""
+        self._held = 0
+        self._reserved = 0
+        self.used_ms = 0.0
+
+    @property
+    def free(self) -> int:
+        """Tokens that no turn has reserved."""
+        return self._held - self._reserved
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no turn is under way."""
+        return self._reserved == 0
+
+    def fill(self, tokens: int) -> None:
+        """Adds a grant."""
+        self._held += tokens
+
+    def reserve(self, tokens: int, now_ms: float) -> bool:
+        """Sets aside the most that a turn can spend, if it is there."""
+        self.used_ms = now_ms
+        if self.free < tokens:
+            return False
+        self._reserved += tokens
+        return True
+
+    def settle(self, reserved: int, spent: int) -> None:
+        """Ends a turn.
+
+        Args:
+            reserved: What was set aside for it.
+            spent: What it has spent.
+        """
+        self._reserved -= reserved
+        self._held -= spent
--- a/mangotally/util/logs.py
+++ b/mangotally/util/logs.py
@@ -5,10 +5,11 @@
 import json
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 from pythonjsonlogger import json as json_logger
 
+USUAL_LINE_BYTES = 300
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@+,"
 )
@@ -34,9 +35,14 @@
         return " ".join(pairs)
 
 
-def set_up(level: int = logging.INFO) -> None:
-    """Sends all logs to standard error as key=value lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up(level: int = logging.INFO, stream: TextIO | None = None) -> None:
+    """Sends all logs to a stream as key=value lines.
+
+    Args:
+        level: Least level that is logged.
+        stream: Where to; standard error if None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
