--- a/mangotally/commands/process.py
+++ b/mangotally/commands/process.py
@@ -33,7 +33,8 @@
 
     Args:
         open_service: Makes the service.
-        log_handler: Entered before and left after the service, or None.
+        log_handler: Entered before and left after the service, in place
+            of the handling of native libraries' lines.
     """
     with aiomisc.entrypoint(log_config=False, pool_size=_POOL_THREADS) as loop:
         loop.run_until_complete(_serve(open_service, log_handler))
@@ -47,11 +48,10 @@
 
 async def _serve(
     open_service: Opener,
-    log_handler: AbstractAsyncContextManager[object] | None,
+    log_handler: AbstractAsyncContextManager[object] | None = None,
 ) -> None:
     async with (
-        native.NativeLines(),
-        log_handler or contextlib.nullcontext(),
+        log_handler or native.NativeLines(),
         _stop_signal() as stopped,
         contextlib.AsyncExitStack() as stack,
     ):
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -36,6 +36,7 @@
     relay,
     store,
 )
+from mangotally.policy import spending
 from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
@@ -127,6 +128,18 @@
         """Grants tokens of an organisation's rate."""
         return self._rate_home.take(request)
 
+    async def reserve(
+        self, request: entry_pb2.ReserveRequest
+    ) -> entry_pb2.ReserveReply:
+        """Sets tokens of a program's budget aside."""
+        return await self._budget_home.reserve(request)
+
+    async def settle(
+        self, request: entry_pb2.SettleRequest
+    ) -> entry_pb2.SettleReply:
+        """Ends a reservation."""
+        return await self._budget_home.settle(request)
+
     async def place(
         self, request: entry_pb2.PlaceRequest
     ) -> entry_pb2.PlaceReply:
@@ -188,12 +201,8 @@
             rates=rates.Rates(
                 self._rate_home, self._member, links, limits, clock
             ),
-            budgets=budgets.Budgets(
-                self._store, self._host, partitions, clock
-            ),
-            history=history.History(
-                self._store, self._host, partitions, clock
-            ),
+            budgets=self._wire_budgets(links),
+            history=history.History(self._store, self._host, partitions, clock),
             attempts=attempts.Attempts(
                 self._host,
                 domain,
@@ -209,6 +218,34 @@
         )
         self._handler = handler.Handler(parts)
 
+    def _wire_budgets(self, links: peers.Peers) -> budgets.Budgets:
+        partitions = self._settings.store.partitions
+        as_home = budgets.Allowances(
+            self._store,
+            ids.HostId(f"{self._host}/home"),
+            partitions,
+            spending.HOME_PARTS,
+            self._clock,
+        )
+        self._budget_home = budgets.BudgetHome(
+            self._member, as_home, self._clock
+        )
+        alone = budgets.Allowances(
+            self._store,
+            ids.HostId(f"{self._host}/alone"),
+            partitions,
+            spending.EXACT_PARTS,
+            self._clock,
+        )
+        return budgets.Budgets(
+            self._host,
+            self._budget_home,
+            alone,
+            self._member,
+            links,
+            self._clock,
+        )
+
     @property
     def _is_ready(self) -> bool:
         return (
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -5,17 +5,16 @@
 import dataclasses
 import itertools
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, TypeAlias
 
+import multidict
+
 from mangotally import ids
 from mangotally.entry import answers, events, model, places, sending
 from mangotally.policy import dispatch
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    import multidict
-
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
     from mangotally.util import clock as clock_lib
@@ -83,9 +82,7 @@
 class EventSink:
     """Takes the events of a stream; a subclass passes them on."""
 
-    async def begin(
-        self, headers: multidict.CIMultiDictProxy[str]
-    ) -> None:
+    async def begin(self, headers: multidict.CIMultiDictProxy[str]) -> None:
         """Takes the headers, before the first event."""
         raise NotImplementedError
 
@@ -110,9 +107,7 @@
     reason: str
 
 
-Result: TypeAlias = (
-    sending.Whole | StreamEnded | StreamBroken | answers.Refusal
-)
+Result: TypeAlias = sending.Whole | StreamEnded | StreamBroken | answers.Refusal
 
 
 class Attempts:
@@ -216,8 +211,11 @@
 
     async def _try(
         self, flow: Flow, place: places.Place, sink: EventSink
-    ) -> sending.Whole | sending.NotRun | sending.Broken | (
-        StreamEnded | StreamBroken
+    ) -> (
+        sending.Whole
+        | sending.NotRun
+        | sending.Broken
+        | (StreamEnded | StreamBroken)
     ):
         flow.target = place.target
         end = dispatch.End.CANCELLED
@@ -239,8 +237,11 @@
 
     async def _send(
         self, flow: Flow, place: places.Place, sink: EventSink
-    ) -> sending.Whole | sending.NotRun | sending.Broken | (
-        StreamEnded | StreamBroken
+    ) -> (
+        sending.Whole
+        | sending.NotRun
+        | sending.Broken
+        | (StreamEnded | StreamBroken)
     ):
         target = self._directory.find(place.target)
         if target is None:
@@ -328,15 +329,11 @@
         )
 
 
-def _unseen(
-    found: list[events.Event], last: int | None
-) -> list[events.Event]:
+def _unseen(found: list[events.Event], last: int | None) -> list[events.Event]:
     """Leaves out events that the caller has had from another run."""
     if last is None:
         return found
-    return [
-        each for each in found if each.number is None or each.number > last
-    ]
+    return [each for each in found if each.number is None or each.number > last]
 
 
 def _end_of(outcome: object) -> dispatch.End:
@@ -355,9 +352,7 @@
 
 def _no_place(place: places.NoPlace) -> answers.Refusal:
     detail = f"{place.reason} by {place.source}"
-    return answers.Refusal(
-        answers.Cause.NO_PLACE, detail, place.retry_after_ms
-    )
+    return answers.Refusal(answers.Cause.NO_PLACE, detail, place.retry_after_ms)
 
 
 def _after_not_run(outcome: sending.NotRun) -> answers.Refusal:
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -1,20 +1,26 @@
-"""Token budgets: allowances of this host, taken through the log."""
+"""Token budgets of programs: kept by their homes, taken from the log."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
+import itertools
 import json
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
+from mangotally.entry import entry_pb2, partitions
 from mangotally.entry import log as log_lib
-from mangotally.entry import partitions
 from mangotally.policy import spending
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mangotally import ids
+    from mangotally.entry import homes as homes_lib
+    from mangotally.entry import peers
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +29,12 @@
 MAX_TRIES = 6
 RETRY_MS = 60
 MAX_PURSES = 20_000
+MAX_RESERVATIONS = 50_000
+# A home may need a call of the log, which may be slow.
+HOME_TIMEOUT_MS = 300
+HOME_PAUSE_MS = 300
+SETTLE_TIMEOUT_MS = 300
+SETTLE_TRIES = 2
 
 
 class Verdict(NamedTuple):
@@ -47,28 +59,30 @@
     return spending.ProgramKey(f"{organisation}/{program}")
 
 
-class Budgets:
-    """Reserves tokens of programs for turns at this host."""
+class Allowances:
+    """Allowances of this host, taken through the log."""
 
     def __init__(
         self,
         log: log_lib.Log,
         host: ids.HostId,
         partition_count: int,
+        parts: int,
         clock: clock_lib.Clock,
     ) -> None:
         """Makes an owner of no allowances.
 
         Args:
             log: Where grants are recorded.
-            host: This host and start; names its grants.
+            host: Names its grants; differs for each owner and start.
             partition_count: Partitions of the topic.
+            parts: A budget is taken in so many parts.
             clock: Time.
         """
         self._purses: dict[spending.ProgramKey, spending.Purse] = {}
         self._clock = clock
         self._partitions = [
-            _Partition(log, number, host, clock)
+            _Partition(log, number, host, parts, clock)
             for number in range(partition_count)
         ]
 
@@ -109,6 +123,229 @@
         }
 
 
+class Reservation:
+    """Tokens set aside for one turn."""
+
+    def __init__(self, settle: Callable[[int], None]) -> None:
+        """Makes a reservation.
+
+        Args:
+            settle: Takes the tokens that were spent.
+        """
+        self._settle = settle
+
+    def settle(self, spent: int) -> None:
+        """Ends the turn; what was not spent is free again.
+
+        Args:
+            spent: Tokens of the events that the caller was sent.
+        """
+        self._settle(spent)
+
+
+class BudgetHome:
+    """Reservations for the programs that this host is home of."""
+
+    def __init__(
+        self,
+        homes: homes_lib.Homes,
+        allowances: Allowances,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes a home without reservations.
+
+        Args:
+            homes: Knows the homes.
+            allowances: Allowances of this host as a home.
+            clock: Time.
+        """
+        self._homes = homes
+        self._allowances = allowances
+        self._clock = clock
+        self._reserved: collections.OrderedDict[
+            str, tuple[spending.Purse, int]
+        ] = collections.OrderedDict()
+
+    async def reserve(
+        self, request: entry_pb2.ReserveRequest
+    ) -> entry_pb2.ReserveReply:
+        """Sets aside the most that a turn can spend."""
+        program = spending.ProgramKey(request.program)
+        if self._homes.owned_since_ms(program_home_key(program)) is None:
+            return entry_pb2.ReserveReply()
+        verdict = await self._allowances.reserve(
+            program,
+            request.budget,
+            request.tokens,
+            self._clock.now_ms() + request.wait_ms,
+        )
+        reply = entry_pb2.ReserveReply(granted=verdict.granted)
+        if verdict.purse is None:
+            reply.outcome = reply.SPENT if verdict.is_spent else reply.UNKNOWN
+            return reply
+        reply.outcome = reply.RESERVED
+        self._reserved[request.ticket] = (verdict.purse, request.tokens)
+        if len(self._reserved) > MAX_RESERVATIONS:
+            self._reserved.popitem(last=False)
+        return reply
+
+    async def settle(
+        self, request: entry_pb2.SettleRequest
+    ) -> entry_pb2.SettleReply:
+        """Ends a turn."""
+        found = self._reserved.pop(request.ticket, None)
+        if found is not None:
+            purse, tokens = found
+            purse.settle(tokens, request.spent)
+        return entry_pb2.SettleReply()
+
+
+class Budgets:
+    """Reserves tokens of programs for turns at this host."""
+
+    def __init__(
+        self,
+        host: ids.HostId,
+        home: BudgetHome,
+        own: Allowances,
+        homes: homes_lib.Homes,
+        links: peers.Peers,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Makes the reserver.
+
+        Args:
+            host: This host and start.
+            home: Reservations that this host keeps as a home.
+            own: Allowances for turns whose home does not answer.
+            homes: Knows the homes.
+            links: Links to the other hosts.
+            clock: Time.
+        """
+        self._host = host
+        self._home = home
+        self._own = own
+        self._homes = homes
+        self._links = links
+        self._clock = clock
+        self._tickets = itertools.count()
+        self._silent_until_ms: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def reserve(
+        self,
+        program: spending.ProgramKey,
+        budget: int,
+        tokens: int,
+        until_ms: float,
+    ) -> Reservation | Denial:
+        """Sets aside the most that a turn can spend.
+
+        Args:
+            program: The program.
+            budget: Its budget.
+            tokens: The most that the turn can spend.
+            until_ms: When to give up if neither home nor log answers.
+        """
+        request = entry_pb2.ReserveRequest(
+            program=program,
+            budget=budget,
+            tokens=tokens,
+            ticket=f"{self._host}/{next(self._tickets)}",
+            wait_ms=max(0.0, until_ms - self._clock.now_ms()),
+        )
+        reply = await self._ask(program, request)
+        if reply is None or reply.outcome in (
+            reply.NOT_HOME, reply.UNKNOWN,
+        ):  # fmt: skip
+            return await self._reserve_alone(program, budget, tokens, until_ms)
+        if reply.outcome == reply.SPENT:
+            return Denial(True, reply.granted)
+        ticket = request.ticket
+        return Reservation(lambda spent: self._settle(program, ticket, spent))
+
+    async def _reserve_alone(
+        self,
+        program: spending.ProgramKey,
+        budget: int,
+        tokens: int,
+        until_ms: float,
+    ) -> Reservation | Denial:
+        verdict = await self._own.reserve(program, budget, tokens, until_ms)
+        purse = verdict.purse
+        if purse is None:
+            return Denial(verdict.is_spent, verdict.granted)
+        return Reservation(lambda spent: purse.settle(tokens, spent))
+
+    async def _ask(
+        self,
+        program: spending.ProgramKey,
+        request: entry_pb2.ReserveRequest,
+    ) -> entry_pb2.ReserveReply | None:
+        key = program_home_key(program)
+        if self._homes.owned_since_ms(key) is not None:
+            return await self._home.reserve(request)
+        home = self._homes.home_of(key)
+        now_ms = self._clock.now_ms()
+        if home is None or now_ms < self._silent_until_ms.get(
+            home.address, 0.0
+        ):
+            return None
+        reply = await self._links.reserve(
+            home.address, request, HOME_TIMEOUT_MS
+        )
+        if reply is None:
+            until_ms = self._clock.now_ms() + HOME_PAUSE_MS
+            self._silent_until_ms[home.address] = until_ms
+            # The home may have set tokens aside all the same.
+            self._settle(program, request.ticket, 0)
+        return reply
+
+    def _settle(
+        self, program: spending.ProgramKey, ticket: str, spent: int
+    ) -> None:
+        request = entry_pb2.SettleRequest(ticket=ticket, spent=spent)
+        task = asyncio.create_task(self._send_settle(program, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_settle(
+        self,
+        program: spending.ProgramKey,
+        request: entry_pb2.SettleRequest,
+    ) -> None:
+        key = program_home_key(program)
+        home = self._homes.home_of(key)
+        if home is None or home.host == self._host:
+            await self._home.settle(request)
+            return
+        for _ in range(SETTLE_TRIES):
+            reply = await self._links.settle(
+                home.address, request, SETTLE_TIMEOUT_MS
+            )
+            if reply is not None:
+                return
+
+
+@dataclasses.dataclass(frozen=True)
+class Denial:
+    """No tokens are set aside.
+
+    Attributes:
+        is_spent: Whether the budget does not hold the turn; otherwise it
+            could not be found out.
+        granted: Tokens that all hosts have taken, for logs.
+    """
+
+    is_spent: bool
+    granted: int
+
+
+def program_home_key(program: spending.ProgramKey) -> str:
+    """Returns the key whose home reserves a program's tokens."""
+    return str(program)
+
+
 @dataclasses.dataclass(frozen=True)
 class _Wish:
     program: spending.ProgramKey
@@ -129,8 +366,11 @@
         log: log_lib.Log,
         number: int,
         host: ids.HostId,
+        parts: int,
         clock: clock_lib.Clock,
     ) -> None:
+        self._parts = parts
+        self._is_read = False
         self._log = log
         self._number = number
         self._host = host
@@ -158,14 +398,16 @@
 
     async def _try(self, wish: _Wish) -> Verdict | None:
         """Returns the verdict, or None if the log has to be asked again."""
-        if not await self._read():
-            return None
+        if not self._is_read:
+            if not await self._read():
+                return None
+            self._is_read = True
         now_ms = self._clock.now_ms()
         if wish.purse.reserve(wish.tokens, now_ms):
             return Verdict(wish.purse)
         granted = self._ledger.granted(wish.program)
         needed = wish.tokens - wish.purse.free
-        tokens = spending.next_grant(granted, wish.budget, needed)
+        tokens = spending.next_grant(granted, wish.budget, needed, self._parts)
         if not tokens:
             return Verdict(None, is_spent=True, granted=granted)
         if not await self._record(wish, tokens):
@@ -187,6 +429,8 @@
             self._next = appended.end
             self._apply(name, grant)
             return True
+        # Another host has written, or this call may still be carried out.
+        self._is_read = False
         return False
 
     async def _read(self) -> bool:
--- a/mangotally/entry/command.py
+++ b/mangotally/entry/command.py
@@ -38,9 +38,7 @@
         _exit(loaded.failure())
     found = loaded.unwrap()
     handler = output.BoundedHandler(sys.stdout.fileno(), clock_lib.BootClock())
-    process.run_until_stopped(
-        lambda: application.Application(found), handler
-    )
+    process.run_until_stopped(lambda: application.Application(found), handler)
 
 
 def main() -> None:
--- a/mangotally/entry/directory.py
+++ b/mangotally/entry/directory.py
@@ -5,12 +5,11 @@
 import logging
 from typing import TYPE_CHECKING
 
-from mangotally.entry import model
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from mangotally import ids
+    from mangotally.entry import model
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -8,6 +8,7 @@
 import logging
 import math
 import random
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeAlias
 
 from aiohttp import web
@@ -25,16 +26,13 @@
     requests,
     sending,
 )
+from mangotally.entry import knowledge as knowledge_lib
+from mangotally.entry import monitor as monitor_lib
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     import multidict
 
-    from mangotally.entry import knowledge as knowledge_lib
-    from mangotally.entry import monitor as monitor_lib
-    from mangotally.policy import spending
-    from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
 
@@ -179,46 +177,56 @@
     ) -> Answer:
         flow = self._flow(received, access, body)
         story.flow = flow
-        if access.route.is_retained and received.parent_turn is not None:
-            before = await self._find_chain(received, access, flow, story)
-            if isinstance(before, answers.Refusal):
-                return before
-            flow.body = before + body
         if not received.is_turn:
-            return await self._parts.attempts.run(flow, sink)
-        purse = await self._reserve(received, access, flow)
-        if isinstance(purse, answers.Refusal):
-            return purse
+            return await self._run_in_chain(received, access, flow, sink, story)
+        reserved = await self._reserve(received, access, flow)
+        if isinstance(reserved, answers.Refusal):
+            return reserved
         try:
-            answer = await self._parts.attempts.run(flow, sink)
+            answer = await self._run_in_chain(
+                received, access, flow, sink, story
+            )
         finally:
             spent = flow.passed_events * _event_tokens(access, flow.service)
-            purse.settle(received.max_tokens, spent)
+            reserved.settle(spent)
         if access.route.is_retained and isinstance(
             answer, attempts.StreamEnded
         ):
             return await self._keep(received, access, body, sink, answer)
         return answer
 
+    async def _run_in_chain(
+        self,
+        received: requests.Received,
+        access: Access,
+        flow: attempts.Flow,
+        sink: _Sink,
+        story: Story,
+    ) -> Answer:
+        """Runs a request behind the turns that it continues from."""
+        if access.route.is_retained and received.parent_turn is not None:
+            before = await self._find_chain(received, access, flow, story)
+            if isinstance(before, answers.Refusal):
+                return before
+            flow.body = before + flow.body
+        return await self._parts.attempts.run(flow, sink)
+
     async def _check_access(
         self, received: requests.Received, story: Story
     ) -> Access | answers.Refusal:
         """Returns what a request may use; denies only on fresh knowledge."""
         knowledge = self._parts.knowledge
         found = self._look_up(received)
-        if isinstance(found, answers.Refusal) and _is_denial(found):
-            if knowledge.age_ms > DENIAL_AGE_MS:
-                if not await self._parts.refresh():
-                    return _unsure(found)
-                found = self._look_up(received)
+        if _is_denial(found) and knowledge.age_ms > DENIAL_AGE_MS:
+            if not await self._parts.refresh():
+                return _unsure()
+            found = self._look_up(received)
         configuration = knowledge.configuration
         story.version = configuration.version if configuration else 0
         story.proof_age_ms = knowledge.age_ms
         return found
 
-    def _look_up(
-        self, received: requests.Received
-    ) -> Access | answers.Refusal:
+    def _look_up(self, received: requests.Received) -> Access | answers.Refusal:
         knowledge = self._parts.knowledge
         configuration = knowledge.configuration
         if configuration is None:
@@ -278,9 +286,7 @@
     ) -> multidict.CIMultiDict[str]:
         if access.organisation is not None:
             own[self._parts.names.organisation] = access.organisation.id
-        return headers.request_headers(
-            received.headers, self._parts.names, own
-        )
+        return headers.request_headers(received.headers, self._parts.names, own)
 
     def _is_new(self, received: requests.Received) -> bool:
         if received.program is None:
@@ -324,22 +330,22 @@
         received: requests.Received,
         access: Access,
         flow: attempts.Flow,
-    ) -> spending.Purse | answers.Refusal:
+    ) -> budgets.Reservation | answers.Refusal:
         assert received.program is not None
         assert received.token_budget is not None
         until_ms = received.arrived_ms + access.route.objective_ms
-        verdict = await self._parts.budgets.reserve(
+        found = await self._parts.budgets.reserve(
             budgets.program_key(_organisation_id(access), received.program),
             received.token_budget,
             received.max_tokens,
             min(until_ms, flow.deadline_ms),
         )
-        if verdict.purse is not None:
-            return verdict.purse
-        if verdict.is_spent:
+        if isinstance(found, budgets.Reservation):
+            return found
+        if found.is_spent:
             return answers.Refusal(
                 answers.Cause.BUDGET_SPENT,
-                f"granted {verdict.granted} of {received.token_budget}, "
+                f"granted {found.granted} of {received.token_budget}, "
                 f"turn {received.max_tokens}",
             )
         return answers.Refusal(
@@ -424,9 +430,7 @@
         self._response: web.StreamResponse | None = None
         self.data: list[bytes] = []
 
-    async def begin(
-        self, headers_: multidict.CIMultiDictProxy[str]
-    ) -> None:
+    async def begin(self, headers_: multidict.CIMultiDictProxy[str]) -> None:
         self._response = web.StreamResponse(
             headers=headers.response_headers(headers_)
         )
@@ -454,14 +458,17 @@
         return self._response
 
 
-def _is_denial(refusal: answers.Refusal) -> bool:
-    return refusal.cause in (answers.Cause.NO_ROUTE, answers.Cause.BAD_KEY)
+def _is_denial(found: Access | answers.Refusal) -> bool:
+    return isinstance(found, answers.Refusal) and found.cause in (
+        answers.Cause.NO_ROUTE,
+        answers.Cause.BAD_KEY,
+    )
 
 
-def _unsure(refusal: answers.Refusal) -> answers.Refusal:
+def _unsure() -> answers.Refusal:
     return answers.Refusal(
         answers.Cause.STALE_CONFIGURATION,
-        f"not fresh enough for {refusal.cause.value}",
+        "not fresh enough to deny",
         CONFIGURATION_RETRY_MS,
     )
 
--- a/mangotally/entry/history.py
+++ b/mangotally/entry/history.py
@@ -200,9 +200,7 @@
                 return found
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
-    async def _read(
-        self, name: model.TurnId
-    ) -> Turn | NoSuchTurn | Unknown:
+    async def _read(self, name: model.TurnId) -> Turn | NoSuchTurn | Unknown:
         entry = self._entries.get(name)
         if entry is None:
             number = partitions.partition_of(name, self._count)
@@ -249,15 +247,13 @@
                     first = batch.first
                     continue
             for record in batch.records:
-                head, part = _split(record)
-                if head["turn"] != name:
+                found, number, count, part = _split(record)
+                if found != name:
                     continue
-                parts[head["part"]] = part
-                if len(parts) == head["parts"]:
+                parts[number] = part
+                if len(parts) == count:
                     content = b"".join(parts[i] for i in sorted(parts))
-                    turn = Turn(
-                        name, entry.organisation, entry.parent, content
-                    )
+                    turn = Turn(name, entry.organisation, entry.parent, content)
                     self._remember(turn)
                     return turn
             if batch.next >= batch.end:
@@ -349,17 +345,17 @@
     ] or [b""]
     records = []
     for number, piece in enumerate(pieces):
-        head = json.dumps(
-            {"turn": turn.id, "part": number, "parts": len(pieces)}
-        ).encode()
+        head = json.dumps([turn.id, number, len(pieces)]).encode()
         records.append(_HEADER.pack(len(head)) + head + piece)
     return records
 
 
-def _split(record: bytes) -> tuple[dict[str, object], bytes]:
+def _split(record: bytes) -> tuple[str, int, int, bytes]:
+    """Returns turn, number of the part, count of parts, and the part."""
     (length,) = _HEADER.unpack_from(record)
     body_at = _HEADER.size + length
-    return json.loads(record[_HEADER.size : body_at]), record[body_at:]
+    turn, number, count = json.loads(record[_HEADER.size : body_at])
+    return turn, number, count, record[body_at:]
 
 
 def _index_record(name: model.TurnId, entry: _Entry) -> bytes:
--- a/mangotally/entry/knowledge.py
+++ b/mangotally/entry/knowledge.py
@@ -66,7 +66,7 @@
                 "version": configuration.version,
                 "before": known.version if known else 0,
                 "organisations": len(configuration.organisations),
-                "proof_age_ms": round(self.age_ms),
+                "proof_age_ms": self.age_ms,
             },
         )
 
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -111,7 +111,7 @@
         "outcome": _outcome(story, answer),
         "total_ms": round(total_ms, 1),
         "version": story.version,
-        "proof_age_ms": round(story.proof_age_ms),
+        "proof_age_ms": story.proof_age_ms,
     }
     if received.program:
         fields["program"] = received.program
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -50,6 +50,16 @@
     ) -> entry_pb2.TakeReply:
         """Grants tokens of an organisation's rate."""
 
+    async def reserve(
+        self, request: entry_pb2.ReserveRequest
+    ) -> entry_pb2.ReserveReply:
+        """Sets tokens of a program's budget aside."""
+
+    async def settle(
+        self, request: entry_pb2.SettleRequest
+    ) -> entry_pb2.SettleReply:
+        """Ends a reservation."""
+
     async def place(
         self, request: entry_pb2.PlaceRequest
     ) -> entry_pb2.PlaceReply:
@@ -90,6 +100,21 @@
         """Asks an organisation's home; None if it does not answer."""
         return await self._call(address, "TakeTokens", request, timeout_ms)
 
+    async def reserve(
+        self,
+        address: str,
+        request: entry_pb2.ReserveRequest,
+        timeout_ms: float,
+    ) -> entry_pb2.ReserveReply | None:
+        """Asks a program's home; None if it does not answer."""
+        return await self._call(address, "Reserve", request, timeout_ms)
+
+    async def settle(
+        self, address: str, request: entry_pb2.SettleRequest, timeout_ms: float
+    ) -> entry_pb2.SettleReply | None:
+        """Tells a program's home; None if it does not answer."""
+        return await self._call(address, "Settle", request, timeout_ms)
+
     async def place(
         self, address: str, request: entry_pb2.PlaceRequest, timeout_ms: float
     ) -> entry_pb2.PlaceReply | None:
@@ -165,12 +190,14 @@
         await self._server.stop(0)
 
 
-class _Servicer(entry_pb2_grpc.EntryServicer):  # type: ignore[misc]
+class _Servicer(entry_pb2_grpc.EntryServicer):
     """Hands calls to the handlers; the names are the protocol's."""
 
     def __init__(self, handlers: Handlers) -> None:
         self.CallStore = _unary(handlers.call_store)
         self.TakeTokens = _unary(handlers.take_tokens)
+        self.Reserve = _unary(handlers.reserve)
+        self.Settle = _unary(handlers.settle)
         self.Place = _unary(handlers.place)
         self.Report = _unary(handlers.report)
 
--- a/mangotally/entry/places.py
+++ b/mangotally/entry/places.py
@@ -135,9 +135,7 @@
             self.dispatcher.offer(work, now_ms)
             self.advance()
         if not future.done():
-            await asyncio.wait(
-                (future,), timeout=clock_lib.to_seconds(wait_ms)
-            )
+            await asyncio.wait((future,), timeout=clock_lib.to_seconds(wait_ms))
         if not future.done():
             return None
         self._waiters.pop(work.ticket, None)
@@ -259,9 +257,7 @@
         home = self._homes.home_of(pool_key(place.service))
         if home is None or home.host == self._host:
             return
-        task = asyncio.create_task(
-            self._tell(home, place.service, finished)
-        )
+        task = asyncio.create_task(self._tell(home, place.service, finished))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
 
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import entry_pb2
+from mangotally.entry import entry_pb2, model
 from mangotally.policy import allowance, bucket
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import knowledge as knowledge_lib
-    from mangotally.entry import model, peers
+    from mangotally.entry import peers
 
 logger = logging.getLogger(__name__)
 
@@ -94,9 +94,7 @@
         self._buckets: dict[ids.OrganisationId, _Held] = {}
         self._batches = 0
 
-    def take(
-        self, request: entry_pb2.TakeRequest
-    ) -> entry_pb2.TakeReply:
+    def take(self, request: entry_pb2.TakeRequest) -> entry_pb2.TakeReply:
         """Grants calls, or says when there will be tokens."""
         organisation = ids.OrganisationId(request.organisation)
         found = self._find(organisation)
@@ -140,9 +138,7 @@
         held = self._buckets.get(organisation)
         if held is None or held.since_ms != since_ms:
             # What the home before has granted is unknown: begin empty.
-            new = bucket.Bucket(
-                terms.rate_per_s, terms.burst, 0.0, since_ms
-            )
+            new = bucket.Bucket(terms.rate_per_s, terms.burst, 0.0, since_ms)
             held = _Held(new, since_ms, terms)
             self._buckets[organisation] = held
         if held.terms != terms:
@@ -177,9 +173,9 @@
         self._links = links
         self._bounds = bounds
         self._clock = clock
-        self._allowances: dict[
-            ids.OrganisationId, allowance.Allowance
-        ] = collections.defaultdict(allowance.Allowance)
+        self._allowances: dict[ids.OrganisationId, allowance.Allowance] = (
+            collections.defaultdict(allowance.Allowance)
+        )
         self._fallback: dict[ids.OrganisationId, collections.deque[float]]
         self._fallback = collections.defaultdict(collections.deque)
         self._silent_until_ms: dict[str, float] = {}
@@ -192,10 +188,9 @@
         if held.take(self._clock.now_ms()):
             return None
         reply = await self._ask(organisation.id, held)
-        if reply is not None and reply.outcome == reply.OVER_RATE:
-            if reply.wait_ms <= HOLD_MS:
-                await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
-                reply = await self._ask(organisation.id, held)
+        if _is_short(reply):
+            await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
+            reply = await self._ask(organisation.id, held)
         if reply is None:
             return self._use_share(organisation)
         if reply.outcome == reply.ADMITTED:
@@ -259,6 +254,15 @@
         return OverRate(HOME_PAUSE_MS, "share")
 
 
+def _is_short(reply: entry_pb2.TakeReply | None) -> bool:
+    """Returns whether there will be a token soon."""
+    return (
+        reply is not None
+        and reply.outcome == reply.OVER_RATE
+        and reply.wait_ms <= HOLD_MS
+    )
+
+
 @dataclasses.dataclass
 class _Held:
     bucket: bucket.Bucket
--- a/mangotally/entry/requests.py
+++ b/mangotally/entry/requests.py
@@ -6,11 +6,11 @@
 import math
 from typing import TYPE_CHECKING
 
+import multidict
+
 from mangotally.entry import model
 
 if TYPE_CHECKING:
-    import multidict
-
     from mangotally.entry import headers as headers_lib
 
 DEFAULT_MAX_TOKENS = 512
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -8,17 +8,16 @@
 from typing import TYPE_CHECKING, Self, TypeAlias
 
 import aiohttp
+import multidict
 import yarl
 
+from mangotally.entry import model
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import multidict
-
     from mangotally.entry import headers as headers_lib
-    from mangotally.entry import model
 
 logger = logging.getLogger(__name__)
 
@@ -240,7 +239,7 @@
         self, response: aiohttp.ClientResponse, request: Outgoing
     ) -> Broken | None:
         echoed = response.headers.get(self._names.request_id)
-        is_ok = response.status < 300  # noqa: PLR2004
+        is_ok = response.status < 300
         if echoed != request.id and (is_ok or echoed is not None):
             return Broken("answer-to-other-request")
         if is_ok and self._names.stamp not in response.headers:
@@ -250,9 +249,7 @@
         return None
 
     def _is_stream(self, response: aiohttp.ClientResponse) -> bool:
-        return (
-            response.status == _OK and response.content_type == _EVENT_STREAM
-        )
+        return response.status == _OK and response.content_type == _EVENT_STREAM
 
     def _judge(
         self, response: aiohttp.ClientResponse, body: bytes
--- a/mangotally/entry/server.py
+++ b/mangotally/entry/server.py
@@ -55,9 +55,7 @@
         self._runner = web.ServerRunner(server, shutdown_timeout=0)
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
-        self._site = web.TCPSite(
-            self._runner, host, int(port), backlog=BACKLOG
-        )
+        self._site = web.TCPSite(self._runner, host, int(port), backlog=BACKLOG)
         await self._site.start()
         return self
 
--- a/mangotally/metrics/store.py
+++ b/mangotally/metrics/store.py
@@ -6,13 +6,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from hdrh import histogram
+
 from mangotally.metrics import series as series_lib
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from hdrh import histogram
-
     from mangotally import errors
     from mangotally.metrics import recorder
 
@@ -65,7 +65,9 @@
         series.latency.record_value(series_lib.clamp(record.latency_ms))
         series.generated_tokens += record.generated_tokens
         if record.first_token_ms is not None:
-            series.first_token.record_value(series_lib.clamp(record.first_token_ms))
+            series.first_token.record_value(
+                series_lib.clamp(record.first_token_ms)
+            )
 
     def items(self) -> Iterator[tuple[str, Series]]:
         """Yields all series by name."""
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -83,8 +83,8 @@
             is_in = await self._join()
             if is_in:
                 await self._read_owners()
-            pause_ms = JOIN_MS if is_in else RETRY_MS
-            pause_ms *= random.uniform(0.8, 1.2)
+            usual_ms = JOIN_MS if is_in else RETRY_MS
+            pause_ms = usual_ms * random.uniform(0.8, 1.2)
             await asyncio.sleep(clock_lib.to_seconds(pause_ms))
 
     async def leave(self) -> None:
--- a/mangotally/platform/http.py
+++ b/mangotally/platform/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Self
 
 import aiohttp
@@ -49,9 +48,7 @@
         """Closes the connections."""
         await self._session.close()
 
-    async def call(
-        self, call: store.Call
-    ) -> store.Reply | store.Unavailable:
+    async def call(self, call: store.Call) -> store.Reply | store.Unavailable:
         """Returns the store's answer."""
         headers = {"Content-Type": "application/json"} if call.is_json else {}
         timeout = aiohttp.ClientTimeout(
@@ -67,7 +64,7 @@
                 timeout=timeout,
             ) as response:
                 return store.Reply(response.status, await response.read())
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return store.Unavailable("timeout")
         except (aiohttp.ClientError, OSError) as error:
             return store.Unavailable(type(error).__name__)
--- a/mangotally/platform/relay.py
+++ b/mangotally/platform/relay.py
@@ -39,9 +39,7 @@
         """Names who knows other hosts; that is learnt from the store."""
         self._homes = homes
 
-    async def relay(
-        self, call: store.Call
-    ) -> store.Reply | Unavailable:
+    async def relay(self, call: store.Call) -> store.Reply | Unavailable:
         """Returns the store's answer to a call made by another host."""
         hosts = self._homes.others() if self._homes else []
         random.shuffle(hosts)
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -108,7 +108,10 @@
         model.Configuration(
             found.Version,
             routes,
-            {ids.ServiceId(each.Name): _service(each) for each in found.Services},
+            {
+                ids.ServiceId(each.Name): _service(each)
+                for each in found.Services
+            },
             [_organisation(each) for each in found.Tenants],
             found.Limits.MaxBodyBytes,
         )
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -178,9 +178,7 @@
 
     def reject(self, now_ms: float, pause_ms: float) -> None:
         """Notes that it was full, and gives it a pause."""
-        self._suspect_until_ms = max(
-            self._suspect_until_ms, now_ms + pause_ms
-        )
+        self._suspect_until_ms = max(self._suspect_until_ms, now_ms + pause_ms)
 
 
 @dataclasses.dataclass
@@ -312,7 +310,9 @@
 
     def estimate_wait_ms(self, ahead: int) -> float:
         """Returns how long a request waits behind others."""
-        slots = sum(each.slots for each in self._targets.values() if each.is_open)
+        slots = sum(
+            each.slots for each in self._targets.values() if each.is_open
+        )
         return (ahead + 1) * self._run_ms / max(1, slots)
 
     def _place(self, now_ms: float) -> None:
--- a/mangotally/policy/spending.py
+++ b/mangotally/policy/spending.py
@@ -1,9 +1,9 @@
 """Token budgets of programs over all hosts and restarts.
 
 Load pattern: programs whose turns run at several hosts at once, and
-programs that loop without end. A host takes an allowance out of the budget
-before it runs a turn; the allowances of all hosts, those of crashed ones
-included, never exceed the budget.
+programs that loop without end. The home of a program takes allowances out
+of its budget and reserves each turn's most from them; the allowances of all
+hosts, those of crashed ones included, never exceed the budget.
 """
 
 from __future__ import annotations
@@ -14,8 +14,11 @@
 
 ProgramKey = NewType("ProgramKey", str)
 
-# A budget is taken in so many parts, if turns are small beside it.
-PARTS = 4
+# A home takes a budget in so many parts, if turns are small beside it; what
+# is left of a part is lost when the home moves.
+HOME_PARTS = 5
+# A host that stands in for the home takes no more than it needs.
+EXACT_PARTS = 10**9
 LEDGER_MEMORY_MS = 300_000.0
 PURSE_MEMORY_MS = 120_000.0
 
@@ -60,13 +63,14 @@
             del self._granted[program]
 
 
-def next_grant(granted: int, budget: int, needed: int) -> int:
+def next_grant(granted: int, budget: int, needed: int, parts: int) -> int:
     """Returns how many tokens to take out of a budget.
 
     Args:
         granted: Tokens that hosts have taken already.
         budget: The program's budget.
         needed: Tokens without which the turn can't begin.
+        parts: A budget is taken in so many parts.
 
     Returns:
         At least `needed`, or 0 if the budget does not hold them.
@@ -74,7 +78,7 @@
     left = budget - granted
     if left < needed:
         return 0
-    return min(left, max(needed, math.ceil(budget / PARTS)))
+    return min(left, max(needed, math.ceil(budget / parts)))
 
 
 class Purse:
