--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -6,7 +6,7 @@
 import collections
 import dataclasses
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeGuard
 
 from mangotally import ids
 from mangotally.entry import entry_pb2, model
@@ -254,7 +254,7 @@
         return OverRate(HOME_PAUSE_MS, "share")
 
 
-def _is_short(reply: entry_pb2.TakeReply | None) -> bool:
+def _is_short(reply: entry_pb2.TakeReply | None) -> TypeGuard[Any]:
     """Returns whether there will be a token soon."""
     return (
         reply is not None
