Admit programs rather than requests within an organisation's rate

Requests of programs whose budget was spent used up the rate as well. Ruled out: lost answers between hosts (all refusals came from homes).

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -154,8 +154,10 @@
 
     def _wire_store(self, links: peers.Peers) -> None:
         settings, clock = self._settings, self._clock
+        # The name stays the same over restarts, so that a host that starts
+        # again has its keys at once.
         this_host = homes.HostAddress(
-            self._host,
+            ids.HostId(settings.host),
             settings.listen.hosts,
             ids.PlaceId(settings.failure_domain),
         )
@@ -187,13 +189,15 @@
         self._places = places.Places(
             self._host, self._member, links, self._directory, clock
         )
-        self._rate_home = rates.RateHome(self._member, self._knowledge, clock)
         bounds = settings.bounds
         limits = rates.Bounds(
             bounds.rate_window_s * clock_lib.MS_PER_S,
             bounds.rate_overshoot,
             bounds.rate_slack,
         )
+        self._rate_home = rates.RateHome(
+            self._member, self._knowledge, limits, clock
+        )
         self._monitor = monitor.Monitor(clock)
         parts = handler.Parts(
             knowledge=self._knowledge,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -47,10 +47,10 @@
         route: Its route.
         service: The service that it goes to.
         priority: Rank; 0 is the highest.
-        is_new: Whether it begins a program.
         session: Requests with the same value share a cached prefix.
         due_ms: When its program should be finished.
         deadline_ms: When an answer is of no use any more.
+        is_new: Whether it begins a program.
         attempts: Targets that it was sent to.
         target: The last of them.
         waited_ms: How long it waited for places.
@@ -67,10 +67,10 @@
     route: model.Route
     service: ids.ServiceId
     priority: int
-    is_new: bool
     session: str
     due_ms: float
     deadline_ms: float
+    is_new: bool = False
     attempts: int = 0
     target: ids.TargetId | None = None
     waited_ms: float = 0.0
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -255,12 +255,10 @@
             wait_ms=max(0.0, until_ms - self._clock.now_ms()),
         )
         reply = await self._ask(program, request)
-        if reply is None or reply.outcome in (
-            reply.NOT_HOME, reply.UNKNOWN,
-        ):  # fmt: skip
+        if reply is None or reply.outcome == reply.NOT_HOME:
             return await self._reserve_alone(program, budget, tokens, until_ms)
-        if reply.outcome == reply.SPENT:
-            return Denial(True, reply.granted)
+        if reply.outcome != reply.RESERVED:
+            return Denial(reply.outcome == reply.SPENT, reply.granted)
         ticket = request.ticket
         return Reservation(lambda spent: self._settle(program, ticket, spent))
 
@@ -316,7 +314,7 @@
     ) -> None:
         key = program_home_key(program)
         home = self._homes.home_of(key)
-        if home is None or home.host == self._host:
+        if home is None or self._homes.is_own(home):
             await self._home.settle(request)
             return
         for _ in range(SETTLE_TRIES):
@@ -384,6 +382,9 @@
     async def take(self, wish: _Wish, until_ms: float) -> Verdict:
         """Takes a grant for a turn, if the budget holds it."""
         for _ in range(MAX_TRIES):
+            if self._is_spent(wish):
+                granted = self._ledger.granted(wish.program)
+                return Verdict(None, is_spent=True, granted=granted)
             async with self._lock:
                 now_ms = self._clock.now_ms()
                 if wish.purse.reserve(wish.tokens, now_ms):
@@ -396,6 +397,12 @@
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
         return Verdict(None)
 
+    def _is_spent(self, wish: _Wish) -> bool:
+        """Returns whether grants read so far leave too little."""
+        granted = self._ledger.granted(wish.program)
+        needed = wish.tokens - wish.purse.free
+        return needed > 0 and wish.budget - granted < needed
+
     async def _try(self, wish: _Wish) -> Verdict | None:
         """Returns the verdict, or None if the log has to be asked again."""
         if not self._is_read:
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import logging
 import math
@@ -46,7 +45,6 @@
 KEEP_MS = 1800.0
 # Organisations rank before routes.
 ORGANISATION_RANK = 1000
-MAX_PROGRAMS = 20_000
 DEFAULT_TIME_MS = 60_000.0
 
 
@@ -110,8 +108,6 @@
             parts: What it decides with.
         """
         self._parts = parts
-        self._programs: collections.OrderedDict[str, None]
-        self._programs = collections.OrderedDict()
         self.is_leaving = False
         self.under_way = 0
 
@@ -159,31 +155,34 @@
             return answers.Refusal(answers.Cause.TOO_LARGE)
         if len(body) > access.configuration.max_body_bytes:
             return answers.Refusal(answers.Cause.TOO_LARGE)
-        if access.organisation is not None:
-            over = await self._parts.rates.admit(access.organisation)
-            if over is not None:
-                return answers.Refusal(
-                    answers.Cause.OVER_RATE, over.source, over.retry_after_ms
-                )
-        return await self._run(received, access, body, sink, story)
+        flow = self._flow(received, access, body)
+        story.flow = flow
+        story.organisation = _organisation_id(access)
+        if not received.is_turn:
+            return await self._admit_and_run(
+                received, access, flow, sink, story
+            )
+        return await self._run_turn(received, access, flow, sink, story)
 
-    async def _run(
+    async def _run_turn(
         self,
         received: requests.Received,
         access: Access,
-        body: bytes,
+        flow: attempts.Flow,
         sink: _Sink,
         story: Story,
     ) -> Answer:
-        flow = self._flow(received, access, body)
-        story.flow = flow
-        if not received.is_turn:
-            return await self._run_in_chain(received, access, flow, sink, story)
+        """Runs a turn within the budget of its program.
+
+        The budget goes before the rate: a program that has spent it must
+        not use up the rate of its organisation.
+        """
+        body = flow.body
         reserved = await self._reserve(received, access, flow)
         if isinstance(reserved, answers.Refusal):
             return reserved
         try:
-            answer = await self._run_in_chain(
+            answer = await self._admit_and_run(
                 received, access, flow, sink, story
             )
         finally:
@@ -195,7 +194,7 @@
             return await self._keep(received, access, body, sink, answer)
         return answer
 
-    async def _run_in_chain(
+    async def _admit_and_run(
         self,
         received: requests.Received,
         access: Access,
@@ -203,7 +202,10 @@
         sink: _Sink,
         story: Story,
     ) -> Answer:
-        """Runs a request behind the turns that it continues from."""
+        """Runs a request within the rate, behind the turns before it."""
+        refusal = await self._admit(received, access, flow, story)
+        if refusal is not None:
+            return refusal
         if access.route.is_retained and received.parent_turn is not None:
             before = await self._find_chain(received, access, flow, story)
             if isinstance(before, answers.Refusal):
@@ -211,6 +213,29 @@
             flow.body = before + flow.body
         return await self._parts.attempts.run(flow, sink)
 
+    async def _admit(
+        self,
+        received: requests.Received,
+        access: Access,
+        flow: attempts.Flow,
+        story: Story,
+    ) -> answers.Refusal | None:
+        if access.organisation is None:
+            return None
+        kind = access.route.id if received.is_turn else ""
+        admitted = await self._parts.rates.admit(
+            access.organisation, received.program or "", kind
+        )
+        if isinstance(admitted, rates.OverRate):
+            return answers.Refusal(
+                answers.Cause.OVER_RATE,
+                admitted.detail,
+                admitted.retry_after_ms,
+            )
+        story.admitted_by = admitted.source
+        flow.is_new = bool(admitted.is_new) and received.is_turn
+        return None
+
     async def _check_access(
         self, received: requests.Received, story: Story
     ) -> Access | answers.Refusal:
@@ -272,7 +297,6 @@
             route=route,
             service=_choose_service(route),
             priority=rank * ORGANISATION_RANK + route.priority,
-            is_new=self._is_new(received),
             session=received.session or received.program or "",
             due_ms=received.arrived_ms + due_ms,
             deadline_ms=received.arrived_ms + limit_ms,
@@ -288,16 +312,6 @@
             own[self._parts.names.organisation] = access.organisation.id
         return headers.request_headers(received.headers, self._parts.names, own)
 
-    def _is_new(self, received: requests.Received) -> bool:
-        if received.program is None:
-            return False
-        is_known = received.program in self._programs
-        self._programs[received.program] = None
-        self._programs.move_to_end(received.program)
-        if len(self._programs) > MAX_PROGRAMS:
-            self._programs.popitem(last=False)
-        return not is_known and received.parent_turn is None
-
     async def _find_chain(
         self,
         received: requests.Received,
@@ -407,6 +421,8 @@
         flow: Its way, once there is a route.
         version: Version of the configuration.
         proof_age_ms: Age of the proof that it is the newest.
+        organisation: Its organisation, once its key was found.
+        admitted_by: Who admitted it within its organisation's rate.
         chain_turns: Turns before it.
         outcome: Set if there is no answer.
     """
@@ -416,6 +432,8 @@
         self.received = received
         self.flow: attempts.Flow | None = None
         self.version = 0
+        self.organisation = ""
+        self.admitted_by = ""
         self.proof_age_ms = math.inf
         self.chain_turns = 0
         self.outcome = ""
--- a/mangotally/entry/homes.py
+++ b/mangotally/entry/homes.py
@@ -29,6 +29,9 @@
     def home_of(self, key: str) -> HostAddress | None:
         """Returns the home of a key as last read, or None."""
 
+    def is_own(self, host: HostAddress) -> bool:
+        """Returns whether an address is this host's."""
+
     def owned_since_ms(self, key: str) -> float | None:
         """Returns since when this host is the home of a key, or None."""
 
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -117,12 +117,15 @@
         fields["program"] = received.program
     if flow is not None:
         fields["route"] = flow.route.id
+        fields["admitted_by"] = story.admitted_by
         fields["attempts"] = flow.attempts
         fields["waited_ms"] = round(flow.waited_ms, 1)
         fields["placed_by"] = flow.source
         fields["events"] = flow.passed_events
         if flow.target is not None:
             fields["target"] = flow.target
+    if story.organisation:
+        fields["organisation"] = story.organisation
     if story.chain_turns:
         fields["chain_turns"] = story.chain_turns
     if isinstance(answer, answers.Refusal):
--- a/mangotally/entry/places.py
+++ b/mangotally/entry/places.py
@@ -255,7 +255,7 @@
         pool = self._pool(place.service)
         pool.finish(finished)
         home = self._homes.home_of(pool_key(place.service))
-        if home is None or home.host == self._host:
+        if home is None or self._homes.is_own(home):
             return
         task = asyncio.create_task(self._tell(home, place.service, finished))
         self._reports.add(task)
@@ -331,7 +331,7 @@
             return await self._find_here(service, work, "home")
         home = self._homes.home_of(key)
         now_ms = self._clock.now_ms()
-        if home is None or home.host == self._host:
+        if home is None or self._homes.is_own(home):
             return await self._find_here(service, work, "alone")
         if now_ms < self._silent_until_ms.get(home.address, 0.0):
             return await self._find_here(service, work, "alone")
@@ -400,7 +400,7 @@
 
     async def _report(self, service: ids.ServiceId) -> None:
         home = self._homes.home_of(pool_key(service))
-        if home is None or home.host == self._host:
+        if home is None or self._homes.is_own(home):
             return
         held = [
             entry_pb2.HeldPlace(ticket=each.ticket, target=each.target)
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -6,30 +6,30 @@
 import collections
 import dataclasses
 import logging
-from typing import TYPE_CHECKING, Any, TypeGuard
+from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import entry_pb2, model
-from mangotally.policy import allowance, bucket
+from mangotally.entry import entry_pb2
+from mangotally.policy import gate
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import knowledge as knowledge_lib
-    from mangotally.entry import peers
+    from mangotally.entry import model, peers
 
 logger = logging.getLogger(__name__)
 
-# Longer than a call between failure domains with a busy host.
-HOME_TIMEOUT_MS = 80
+# Longer than a lost packet takes to be sent again.
+HOME_TIMEOUT_MS = 300
 # A home that did not answer is not asked for so long.
 HOME_PAUSE_MS = 250
-# Refill that is waited for rather than refused.
-HOLD_MS = 120
-# Part of the bound's tolerance that hosts without a home use together.
-FALLBACK_PART = 0.7
+# Parts of the bound's tolerance. The rest is for clocks and late changes.
+HOME_TOLERANCE = 0.2
+DEPUTY_TOLERANCE = 0.5
+ALONE_TOLERANCE = 0.15
 MIN_HOSTS = 16
-MAX_RETRY_AFTER_MS = 2000
+MAX_RETRY_AFTER_MS = 1500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,6 +46,28 @@
     overshoot: float
     slack: float
 
+    def allowed(self, terms: model.Organisation) -> float:
+        """Returns the calls that an organisation may make in a window."""
+        rate_per_ms = terms.rate_per_s / clock_lib.MS_PER_S
+        return rate_per_ms * self.window_ms + terms.burst
+
+    def tolerance(self, terms: model.Organisation) -> float:
+        """Returns the calls in a window that are tolerated besides."""
+        return self.allowed(terms) * self.overshoot + self.slack
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A call may run now.
+
+    Attributes:
+        is_new: Whether it begins a program, or None if that is not known.
+        source: Who says so: `home`, `deputy` or `alone`.
+    """
+
+    is_new: bool | None
+    source: str
+
 
 @dataclasses.dataclass(frozen=True)
 class OverRate:
@@ -53,99 +75,106 @@
 
     Attributes:
         retry_after_ms: When it would not be.
-        source: `home`, or `share` if the home did not answer.
+        detail: Who says so, and the inputs of that decision.
     """
 
     retry_after_ms: float
-    source: str
+    detail: str
 
 
-def fallback_calls(
-    rate_per_s: float, burst: float, bounds: Bounds, hosts: int
-) -> int:
-    """Returns the calls in a window that a host admits without the home.
+def alone_calls(terms: model.Organisation, bounds: Bounds, hosts: int) -> int:
+    """Returns the calls in a window that a host admits by itself.
 
     All hosts together stay within the tolerance of the bound, whatever the
-    home grants beside.
+    homes grant besides.
     """
-    allowed = rate_per_s * bounds.window_ms / clock_lib.MS_PER_S + burst
-    tolerance = allowed * bounds.overshoot + bounds.slack
-    return int(tolerance * FALLBACK_PART / max(MIN_HOSTS, hosts))
+    tolerance = bounds.tolerance(terms) * ALONE_TOLERANCE
+    return int(tolerance / max(MIN_HOSTS, hosts))
 
 
-def bucket_key(organisation: ids.OrganisationId) -> str:
-    """Returns the key whose home grants an organisation's calls."""
+def home_key(organisation: ids.OrganisationId) -> str:
+    """Returns the key whose home admits an organisation's calls."""
     return f"organisation/{organisation}"
 
 
+def deputy_key(organisation: ids.OrganisationId) -> str:
+    """Returns the key whose home admits some while the home is silent."""
+    return f"deputy/{organisation}"
+
+
 class RateHome:
-    """Buckets of the organisations that this host is home of."""
+    """Gates of the organisations that this host is home of."""
 
     def __init__(
         self,
         homes: homes_lib.Homes,
         knowledge: knowledge_lib.Knowledge,
+        bounds: Bounds,
         clock: clock_lib.Clock,
     ) -> None:
-        """Makes a home without buckets."""
+        """Makes a home without gates.
+
+        Args:
+            homes: Knows the homes.
+            knowledge: The configuration.
+            bounds: What is tolerated.
+            clock: Time.
+        """
         self._homes = homes
         self._knowledge = knowledge
+        self._bounds = bounds
         self._clock = clock
-        self._buckets: dict[ids.OrganisationId, _Held] = {}
-        self._batches = 0
+        self._gates: dict[str, _Held] = {}
 
     def take(self, request: entry_pb2.TakeRequest) -> entry_pb2.TakeReply:
-        """Grants calls, or says when there will be tokens."""
-        organisation = ids.OrganisationId(request.organisation)
-        found = self._find(organisation)
+        """Admits a call, or says when it could be."""
+        found = self._find(
+            ids.OrganisationId(request.organisation), request.as_deputy
+        )
         if found is None:
             return entry_pb2.TakeReply()
-        now_ms = self._clock.now_ms()
-        if request.returned_batch:
-            found.settle(
-                request.returned_batch, request.returned_unused, now_ms
-            )
-        wait_ms = found.take(request.count, now_ms)
-        if wait_ms > 0:
-            return entry_pb2.TakeReply(
-                outcome=entry_pb2.TakeReply.OVER_RATE, wait_ms=wait_ms
-            )
-        reply = entry_pb2.TakeReply(outcome=entry_pb2.TakeReply.ADMITTED)
-        if request.spare:
-            self._give(found, request.spare, reply, now_ms)
+        decision = found.take(
+            request.program, request.kind, self._clock.now_ms()
+        )
+        reply = entry_pb2.TakeReply(
+            is_new=decision.is_new,
+            limit_calls=found.limit.calls,
+            programs=found.programs,
+        )
+        if isinstance(decision, gate.Admitted):
+            reply.outcome = reply.ADMITTED
+            reply.wait_ms = decision.delay_ms
+        else:
+            reply.outcome = reply.OVER_RATE
+            reply.wait_ms = decision.retry_after_ms
         return reply
 
-    def _give(
-        self,
-        found: bucket.Bucket,
-        spare: int,
-        reply: entry_pb2.TakeReply,
-        now_ms: float,
-    ) -> None:
-        self._batches += 1
-        expires_ms = now_ms + allowance.home_lifetime_ms()
-        batch = bucket.Batch(self._batches, spare, expires_ms)
-        if found.level(now_ms) >= 2 * spare and found.give(batch, now_ms):
-            reply.batch = batch.number
-            reply.batch_count = batch.count
-
-    def _find(self, organisation: ids.OrganisationId) -> bucket.Bucket | None:
-        since_ms = self._homes.owned_since_ms(bucket_key(organisation))
+    def _find(
+        self, organisation: ids.OrganisationId, as_deputy: bool
+    ) -> gate.Gate | None:
+        key = deputy_key(organisation) if as_deputy else home_key(organisation)
+        since_ms = self._homes.owned_since_ms(key)
         terms = _terms(self._knowledge.configuration, organisation)
         if since_ms is None or terms is None:
-            self._buckets.pop(organisation, None)
+            self._gates.pop(key, None)
             return None
-        held = self._buckets.get(organisation)
+        now_ms = self._clock.now_ms()
+        limit = self._limit(terms, as_deputy)
+        held = self._gates.get(key)
         if held is None or held.since_ms != since_ms:
-            # What the home before has granted is unknown: begin empty.
-            new = bucket.Bucket(terms.rate_per_s, terms.burst, 0.0, since_ms)
-            held = _Held(new, since_ms, terms)
-            self._buckets[organisation] = held
-        if held.terms != terms:
-            now_ms = self._clock.now_ms()
-            held.bucket.change(terms.rate_per_s, terms.burst, now_ms)
-            held.terms = terms
-        return held.bucket
+            # What the home before has admitted is unknown: begin empty.
+            held = _Held(gate.Gate(limit, now_ms), since_ms)
+            self._gates[key] = held
+        if held.gate.limit != limit:
+            held.gate.change(limit, now_ms)
+        return held.gate
+
+    def _limit(self, terms: model.Organisation, as_deputy: bool) -> gate.Limit:
+        tolerance = self._bounds.tolerance(terms)
+        calls = tolerance * DEPUTY_TOLERANCE
+        if not as_deputy:
+            calls = self._bounds.allowed(terms) + tolerance * HOME_TOLERANCE
+        return gate.Limit(calls, self._bounds.window_ms)
 
 
 class Rates:
@@ -162,10 +191,10 @@
         """Makes the decider.
 
         Args:
-            home: Buckets of this host.
+            home: Gates of this host.
             homes: Knows the homes.
             links: Links to the other hosts.
-            bounds: Bounds of the fallback.
+            bounds: What is tolerated.
             clock: Time.
         """
         self._home = home
@@ -173,53 +202,55 @@
         self._links = links
         self._bounds = bounds
         self._clock = clock
-        self._allowances: dict[ids.OrganisationId, allowance.Allowance] = (
-            collections.defaultdict(allowance.Allowance)
-        )
-        self._fallback: dict[ids.OrganisationId, collections.deque[float]]
-        self._fallback = collections.defaultdict(collections.deque)
+        self._alone: dict[ids.OrganisationId, collections.deque[float]]
+        self._alone = collections.defaultdict(collections.deque)
         self._silent_until_ms: dict[str, float] = {}
 
-    async def admit(self, organisation: model.Organisation) -> OverRate | None:
-        """Takes a token for a call; returns why there is none, or None."""
+    async def admit(
+        self, organisation: model.Organisation, program: str, kind: str
+    ) -> Admitted | OverRate:
+        """Takes a token for a call, or says when there is one.
+
+        Args:
+            organisation: Its organisation.
+            program: Its program, or empty.
+            kind: Kind of the call.
+        """
         if organisation.rate_per_s <= 0:
-            return None
-        held = self._allowances[organisation.id]
-        if held.take(self._clock.now_ms()):
-            return None
-        reply = await self._ask(organisation.id, held)
-        if _is_short(reply):
-            await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
-            reply = await self._ask(organisation.id, held)
-        if reply is None:
-            return self._use_share(organisation)
-        if reply.outcome == reply.ADMITTED:
-            return None
-        return OverRate(min(reply.wait_ms, MAX_RETRY_AFTER_MS), "home")
+            return Admitted(None, "unlimited")
+        for as_deputy in (False, True):
+            reply = await self._ask(organisation, program, kind, as_deputy)
+            if reply is None or reply.outcome == reply.NOT_HOME:
+                continue
+            source = "deputy" if as_deputy else "home"
+            if reply.outcome == reply.OVER_RATE:
+                wait_ms = min(reply.wait_ms, MAX_RETRY_AFTER_MS)
+                detail = (
+                    f"{source} limit={reply.limit_calls:.0f} "
+                    f"programs={reply.programs} new={reply.is_new}"
+                )
+                return OverRate(wait_ms, detail)
+            if reply.wait_ms > 0:
+                await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
+            return Admitted(reply.is_new, source)
+        return self._admit_alone(organisation)
 
     async def _ask(
-        self, organisation: ids.OrganisationId, held: allowance.Allowance
+        self,
+        organisation: model.Organisation,
+        program: str,
+        kind: str,
+        as_deputy: bool,
     ) -> entry_pb2.TakeReply | None:
-        sent_ms = self._clock.now_ms()
-        returned = held.give_back()
+        key = home_key(organisation.id)
+        if as_deputy:
+            key = deputy_key(organisation.id)
         request = entry_pb2.TakeRequest(
-            organisation=organisation,
-            count=1,
-            spare=held.wanted(),
-            returned_batch=returned.number if returned else 0,
-            returned_unused=returned.unused if returned else 0.0,
+            organisation=organisation.id,
+            program=program,
+            kind=kind,
+            as_deputy=as_deputy,
         )
-        reply = await self._send(request, organisation)
-        if reply is None or reply.outcome == reply.NOT_HOME:
-            return None
-        if reply.batch:
-            held.receive(reply.batch, reply.batch_count, sent_ms)
-        return reply
-
-    async def _send(
-        self, request: entry_pb2.TakeRequest, organisation: ids.OrganisationId
-    ) -> entry_pb2.TakeReply | None:
-        key = bucket_key(organisation)
         if self._homes.owned_since_ms(key) is not None:
             return self._home.take(request)
         home = self._homes.home_of(key)
@@ -236,38 +267,25 @@
             self._silent_until_ms[home.address] = pause_until_ms
         return reply
 
-    def _use_share(self, organisation: model.Organisation) -> OverRate | None:
+    def _admit_alone(
+        self, organisation: model.Organisation
+    ) -> Admitted | OverRate:
         """Admits a call within this host's part of the tolerance."""
         now_ms = self._clock.now_ms()
-        used = self._fallback[organisation.id]
+        used = self._alone[organisation.id]
         while used and now_ms - used[0] > self._bounds.window_ms:
             used.popleft()
-        most = fallback_calls(
-            organisation.rate_per_s,
-            organisation.burst,
-            self._bounds,
-            len(self._homes.others()) + 1,
-        )
-        if len(used) < most:
+        hosts = len(self._homes.others()) + 1
+        if len(used) < alone_calls(organisation, self._bounds, hosts):
             used.append(now_ms)
-            return None
-        return OverRate(HOME_PAUSE_MS, "share")
-
-
-def _is_short(reply: entry_pb2.TakeReply | None) -> TypeGuard[Any]:
-    """Returns whether there will be a token soon."""
-    return (
-        reply is not None
-        and reply.outcome == reply.OVER_RATE
-        and reply.wait_ms <= HOLD_MS
-    )
+            return Admitted(None, "alone")
+        return OverRate(HOME_PAUSE_MS, "alone")
 
 
 @dataclasses.dataclass
 class _Held:
-    bucket: bucket.Bucket
+    gate: gate.Gate
     since_ms: float
-    terms: model.Organisation
 
 
 def _terms(
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -64,6 +64,10 @@
         """Returns the home of a key as last read, or None."""
         return self._owners.get(self._partition(key))
 
+    def is_own(self, host: homes.HostAddress) -> bool:
+        """Returns whether an address is this host's."""
+        return host.address == self._this_host.address
+
     def owned_since_ms(self, key: str) -> float | None:
         """Returns since when this host is the home of a key, or None."""
         partition = self._partition(key)
