--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -25,9 +25,9 @@
 # A home that did not answer is not asked for so long.
 HOME_PAUSE_MS = 250
 # Parts of the bound's tolerance. The rest is for clocks and late changes.
-HOME_TOLERANCE = 0.2
-DEPUTY_TOLERANCE = 0.5
-ALONE_TOLERANCE = 0.15
+HOME_TOLERANCE = 0.45
+DEPUTY_TOLERANCE = 0.35
+ALONE_TOLERANCE = 0.1
 MIN_HOSTS = 16
 MAX_RETRY_AFTER_MS = 1500
 
--- a/mangotally/policy/gate.py
+++ b/mangotally/policy/gate.py
@@ -15,7 +15,7 @@
 from mangotally.util import clock
 
 # Requests of a program are held so long for a token rather than refused.
-MAX_DELAY_MS = 350.0
+MAX_DELAY_MS = 700.0
 # Programs under way are looked ahead so far.
 HORIZON_MS = 2500.0
 # A program without requests for so long has ended.
