Test the entry path against stand-ins of the store and the workers

Cause found by a test that failed first: after an outage of the store the first read waited a second for a change before it proved anything, so keys were refused for 1.7 s after the store was back.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -108,9 +108,10 @@
         stop_ms = self._clock.now_ms()
         end_ms = stop_ms + self._settings.bounds.grace_s * 1000 - CLOSE_MS
         await self._member.leave()
+        quiet_ms = stop_ms + min(LEAVE_MS, (end_ms - stop_ms) / 2)
         while self._clock.now_ms() < end_ms:
             is_quiet = not self._handler.under_way
-            if is_quiet and self._clock.now_ms() > stop_ms + LEAVE_MS:
+            if is_quiet and self._clock.now_ms() > quiet_ms:
                 break
             await asyncio.sleep(clock_lib.to_seconds(POLL_MS))
         await self._stack.aclose()
@@ -251,7 +252,8 @@
         )
 
     @property
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new connections here."""
         return (
             not self._handler.is_leaving
             and self._targets.has_listed
@@ -260,7 +262,7 @@
         )
 
     async def _serve_ready(self, _request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self._is_ready else 503)
+        return web.Response(status=200 if self.is_ready else 503)
 
     async def _serve_metrics(self, _request: web.BaseRequest) -> web.Response:
         self._monitor.gauges["requests_under_way"] = self._handler.under_way
--- a/mangotally/entry/server.py
+++ b/mangotally/entry/server.py
@@ -46,6 +46,7 @@
             request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
+            logger=_library_logger(),
             keepalive_timeout=IDLE_CALLER_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
@@ -75,3 +76,13 @@
             asyncio.get_running_loop(),
             client_max_size=MAX_BODY_BYTES,
         )
+
+
+def _library_logger() -> logging.Logger:
+    """Returns a logger that drops what the library reports of requests.
+
+    The handler logs each request itself, those that it cuts included.
+    """
+    found = logging.getLogger("mangotally.http")
+    found.disabled = True
+    return found
--- a/mangotally/platform/failover.py
+++ b/mangotally/platform/failover.py
@@ -13,7 +13,7 @@
 logger = logging.getLogger(__name__)
 
 # How often the direct way is tried while it is lost.
-RETRY_DIRECT_MS = 700
+RETRY_DIRECT_MS = 300
 _BUSY = frozenset({429, 503})
 
 
--- a/mangotally/platform/followers.py
+++ b/mangotally/platform/followers.py
@@ -69,8 +69,10 @@
 
     async def run(self) -> None:
         """Follows until cancelled."""
+        is_read = False
         while True:
-            is_read = await self._step(WAIT_MS)
+            # After a failure, an answer at once proves most.
+            is_read = await self._step(WAIT_MS if is_read else 0)
             pause_ms = self._pause_ms
             if not is_read:
                 pause_ms = RETRY_MS * random.uniform(0.5, 1.5)
--- /dev/null
+++ b/mangotally/platform/standin_store.py
@@ -0,0 +1,269 @@
+"""Stand-in of the platform's store, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+import random
+import struct
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from mangotally.platform import store
+from mangotally.standins import faults as faults_lib
+from mangotally.standins import server
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+OPERATORS_TOPIC = "keyed.op"
+TARGETS_TOPIC = "keyed.servers"
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+_POLL_MS = 5
+_FOREVER_S = 3600.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the store does wrong.
+
+    Attributes:
+        refuse: Answer every call with 503.
+        hang: Answer no call.
+        lose_answers: Part of the writes that are done but not answered.
+        delay_ms: Time before an answer.
+    """
+
+    refuse: bool = False
+    hang: bool = False
+    lose_answers: float = 0.0
+    delay_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class _Partition:
+    first: int = 0
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+@dataclasses.dataclass
+class _Group:
+    topics: tuple[str, ...]
+    generation: int = 0
+    members: dict[str, float] = dataclasses.field(default_factory=dict)
+    owners: dict[tuple[str, int], str] = dataclasses.field(default_factory=dict)
+
+
+class StandInStore(server.StandIn):
+    """Topics, keys and groups in memory."""
+
+    def __init__(
+        self, partitions: int = 12, seed: int = 0, port: int = 0
+    ) -> None:
+        """Makes an empty store.
+
+        Args:
+            partitions: Partitions of a topic.
+            seed: Seed of the faults.
+            port: Port to listen at, or 0 for a free one.
+        """
+        super().__init__(port=port)
+        self.faults = Faults()
+        self.calls = 0
+        self._count = partitions
+        self._random = random.Random(seed)
+        self._clock = clock_lib.SystemClock()
+        self._topics: dict[tuple[str, int], _Partition] = {}
+        self._groups: dict[str, _Group] = {}
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application(middlewares=[self._suffer])
+        app.router.add_post("/log-append", self._append)
+        app.router.add_get("/log-read", self._read)
+        app.router.add_get("/log-newest", self._newest)
+        app.router.add_post("/log-join", self._join)
+        app.router.add_post("/log-leave", self._leave)
+        app.router.add_get("/log-owners", self._owners)
+        faults_lib.attach(app, lambda: self.faults)
+        return app
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Writes a record of a keyed topic; None drops the key."""
+        data = b"" if value is None else json.dumps(value).encode()
+        self._add(topic, 0, [store.keyed_bytes(key, data)])
+
+    def forget(self, topic: str, part: int = 0) -> None:
+        """Deletes the records of a partition, but not the newest of keys."""
+        partition = self._partition(topic, part)
+        partition.first = partition.end
+        partition.records.clear()
+
+    def deal_anew(self) -> None:
+        """Gives all partitions of all groups to other members."""
+        for group in self._groups.values():
+            self._deal(group, 1)
+
+    def records(self, topic: str) -> list[bytes]:
+        """Returns the records of all partitions of a topic."""
+        return [
+            record
+            for (name, _), partition in sorted(self._topics.items())
+            if name == topic
+            for record in partition.records
+        ]
+
+    @web.middleware
+    async def _suffer(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if request.path == faults_lib.PATH:
+            return await handler(request)
+        self.calls += 1
+        if self.faults.hang:
+            await asyncio.sleep(_FOREVER_S)
+        if self.faults.refuse:
+            return web.Response(status=503)
+        await asyncio.sleep(clock_lib.to_seconds(self.faults.delay_ms))
+        response = await handler(request)
+        is_write = request.method == "POST"
+        if is_write and self._random.random() < self.faults.lose_answers:
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def _append(self, request: web.Request) -> web.Response:
+        query = request.query
+        topic, part = query["Topic"], int(query["part"])
+        partition = self._partition(topic, part)
+        records = list(_split(await request.read()))
+        if "At" in query and int(query["At"]) != partition.end:
+            return web.json_response({"EndOffset": partition.end}, status=412)
+        offset = partition.end
+        self._add(topic, part, records)
+        return web.json_response({"Offset": offset, "EndOffset": partition.end})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        query = request.query
+        partition = self._partition(query["Topic"], int(query["part"]))
+        first = int(query["From"])
+        wait_ms = float(query.get("WaitMs", 0))
+        for _ in range(int(wait_ms / _POLL_MS)):
+            if first < partition.end:
+                break
+            await asyncio.sleep(clock_lib.to_seconds(_POLL_MS))
+        if first < partition.first:
+            return web.json_response(
+                {"FirstOffset": partition.first}, status=410
+            )
+        most = int(query.get("MaxKb", 1024)) * 1024
+        body = _ENDS.pack(partition.end, partition.first)
+        for record in partition.records[first - partition.first :]:
+            piece = _LENGTH.pack(len(record)) + record
+            if len(body) > _ENDS.size and len(body) + len(piece) > most:
+                break
+            body += piece
+        return web.Response(body=body)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        partition = self._partition(request.query["Topic"], 0)
+        items = [
+            {
+                "Key": key,
+                "Value": base64.b64encode(value).decode(),
+                "Offset": offset,
+            }
+            for key, (offset, value) in partition.newest.items()
+        ]
+        return web.json_response(
+            {"items": items, "More": False, "EndOffset": partition.end}
+        )
+
+    async def _join(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        group = self._groups.setdefault(
+            body["group"], _Group(tuple(body["Topics"]))
+        )
+        member = body["Member"]
+        is_new = member not in group.members
+        group.members[member] = self._clock.now_ms() + body["TtlMs"]
+        if self._expire(group) or is_new:
+            self._deal(group)
+        parts = [
+            [topic, part, 0]
+            for (topic, part), owner in group.owners.items()
+            if owner == member
+        ]
+        return web.json_response(
+            {
+                "Generation": group.generation,
+                "TtlMs": body["TtlMs"],
+                "parts": parts,
+            }
+        )
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        group = self._groups.get(body["group"])
+        if group is not None and group.members.pop(body["Member"], 0.0):
+            self._deal(group)
+        return web.json_response({})
+
+    async def _owners(self, request: web.Request) -> web.Response:
+        group = self._groups.get(request.query["group"])
+        rows = [
+            [topic, part, owner, 0]
+            for (topic, part), owner in (group.owners if group else {}).items()
+        ]
+        return web.json_response({"parts": rows})
+
+    def _expire(self, group: _Group) -> bool:
+        now_ms = self._clock.now_ms()
+        gone = [m for m, until in group.members.items() if until < now_ms]
+        for member in gone:
+            del group.members[member]
+        return bool(gone)
+
+    def _deal(self, group: _Group, shift: int = 0) -> None:
+        group.generation += 1
+        members = sorted(group.members)
+        members = members[shift:] + members[:shift]
+        group.owners = {
+            (topic, part): members[part % len(members)] if members else ""
+            for topic in group.topics
+            for part in range(self._count)
+        }
+
+    def _add(self, topic: str, part: int, records: Iterable[bytes]) -> None:
+        partition = self._partition(topic, part)
+        for record in records:
+            if topic.startswith("keyed."):
+                found = store.keyed(record)
+                partition.newest.pop(found.key, None)
+                if found.value:
+                    partition.newest[found.key] = (partition.end, found.value)
+            partition.records.append(record)
+
+    def _partition(self, topic: str, part: int) -> _Partition:
+        return self._topics.setdefault((topic, part), _Partition())
+
+
+def _split(body: bytes) -> Iterable[bytes]:
+    place = 0
+    while place < len(body):
+        (length,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        yield body[place : place + length]
+        place += length
--- /dev/null
+++ b/mangotally/platform/standin_worker.py
@@ -0,0 +1,179 @@
+"""Stand-in of the platform's workers, model and plain, with their faults."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from mangotally.platform import headers
+from mangotally.standins import faults as faults_lib
+from mangotally.standins import server
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+STAMP = "stamp"
+_NAMES = headers.NAMES
+
+
+@dataclasses.dataclass
+class Faults:
+    """What the worker does wrong.
+
+    Attributes:
+        shed: Refuse every request as not run.
+        drop: Close the connection after a request was run.
+        cut_after: Events after which a stream is cut, or -1.
+        wrong_id: Answer as if to another request.
+        no_stamp: Leave the signature out.
+    """
+
+    shed: bool = False
+    drop: bool = False
+    cut_after: int = -1
+    wrong_id: bool = False
+    no_stamp: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that was run.
+
+    Attributes:
+        request: Its id.
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers, names in lower case.
+        body: The body.
+    """
+
+    request: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class StandInWorker(server.StandIn):
+    """Runs requests; streams events where it is asked for turns."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        slots: int = 4,
+        events: int = 3,
+        event_ms: float = 2.0,
+    ) -> None:
+        """Makes a worker.
+
+        Args:
+            name: Its id.
+            service: Its service.
+            slots: Requests that it runs at once.
+            events: Events of a stream.
+            event_ms: Time for an event, or for a plain answer.
+        """
+        super().__init__()
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.running = 0
+        self.most_running = 0
+        self.events = events
+        self.event_ms = event_ms
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns what the worker writes about itself to the store."""
+        return {
+            "Service": self.service,
+            "Address": self.url.removeprefix("http://"),
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": self.slots,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Seq": 1,
+            "born": 1,
+        }
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application(client_max_size=1 << 24)
+        faults_lib.attach(app, lambda: self.faults)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        name = request.headers.get(_NAMES.request_id, "")
+        expected = request.headers.get(_NAMES.expected_target, self.name)
+        body = await request.read()
+        if expected != self.name:
+            return web.Response(status=421, headers={_NAMES.target: self.name})
+        if self.faults.shed or self.running >= self.slots:
+            return web.Response(
+                status=503,
+                headers={_NAMES.not_run: "1", _NAMES.request_id: name},
+            )
+        self.runs.append(
+            Run(
+                name,
+                request.method,
+                request.raw_path,
+                {key.lower(): each for key, each in request.headers.items()},
+                body,
+            )
+        )
+        return await self._count(lambda: self._run(request, name))
+
+    async def _count(
+        self, run: Callable[[], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            return await run()
+        finally:
+            self.running -= 1
+
+    async def _run(self, request: web.Request, name: str) -> web.StreamResponse:
+        if self.faults.drop:
+            _abort(request)
+        headers_ = {
+            _NAMES.request_id: "other" if self.faults.wrong_id else name,
+            _NAMES.load: f"{self.running},0,{self.slots}",
+        }
+        if not self.faults.no_stamp:
+            headers_[_NAMES.stamp] = STAMP
+        if _NAMES.token_usage in request.headers:
+            return await self._stream(request, headers_)
+        await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
+        return web.Response(body=b"answer", headers=headers_)
+
+    async def _stream(
+        self, request: web.Request, headers_: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers_)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get(_NAMES.last_event, 0)) + 1
+        for number in range(first, self.events + 1):
+            if number - 1 == self.faults.cut_after:
+                await response.write(b"id: 9")
+                _abort(request)
+                raise ConnectionAbortedError
+            await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
+            await response.write(f"id: {number}\ndata: e{number}\n\n".encode())
+        await response.write_eof()
+        return response
+
+
+def _abort(request: web.Request) -> None:
+    assert request.transport is not None
+    request.transport.abort()
--- /dev/null
+++ b/tests/test_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry path."""
--- /dev/null
+++ b/tests/test_entry/test_path.py
@@ -0,0 +1,312 @@
+"""The whole path: callers, two entry hosts, workers and the store."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from tests import entry_fleet
+from tests.entry_fleet import awaiting
+
+CHAT, QUERY = entry_fleet.CHAT, entry_fleet.QUERY
+LOOKUP, PAY = entry_fleet.LOOKUP, entry_fleet.PAY
+WHOLE = b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+
+
+class ForwardingTest(unittest.IsolatedAsyncioTestCase):
+    """Requests and answers pass unchanged, and run at most once."""
+
+    @awaiting
+    async def test_passes_a_request_on_unchanged(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        status, body, headers = await fleet.call(
+            LOOKUP + "a%2Fb?x=1", X_More="kept", Tenant="forged", Hold="h"
+        )
+        self.assertEqual((status, body), (200, b"answer"))
+        self.assertEqual(headers["Server-Stamp"], "stamp")
+        (run,) = fleet.runs()
+        self.assertEqual((run.path, run.body), (LOOKUP + "a%2Fb?x=1", b"in"))
+        self.assertEqual(run.headers["tenant"], entry_fleet.ORGANISATION)
+        self.assertEqual(run.headers["x-more"], "kept")
+        self.assertNotIn("authorization", run.headers)
+        self.assertNotIn("hold", run.headers)
+        self.assertLessEqual(int(run.headers["deadline-ms"]), 3000)
+
+    @awaiting
+    async def test_refuses_unknown_keys_and_routes(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        self.assertEqual((await fleet.call(LOOKUP, key="no"))[0], 401)
+        self.assertEqual((await fleet.call(LOOKUP, key=None))[0], 401)
+        self.assertEqual((await fleet.call("/none/"))[0], 404)
+        self.assertEqual(fleet.runs(), [])
+
+    @awaiting
+    async def test_does_not_run_an_unsafe_call_again(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.desks:
+            worker.faults.drop = True
+        self.assertEqual((await fleet.call(PAY))[0], 502)
+        self.assertEqual(len(fleet.runs()), 1)
+
+    @awaiting
+    async def test_runs_an_idempotent_call_again(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.desks[0].faults.drop = True
+        for _ in range(4):
+            self.assertEqual((await fleet.call(LOOKUP))[0], 200)
+
+    @awaiting
+    async def test_refuses_what_no_worker_has_run(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.desks:
+            worker.faults.shed = True
+        status, _, headers = await fleet.call(PAY)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(fleet.runs(), [])
+
+    @awaiting
+    async def test_passes_no_answer_to_another_request(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.desks:
+            worker.faults.wrong_id = True
+        self.assertEqual((await fleet.call(PAY))[0], 502)
+
+    @awaiting
+    async def test_passes_no_answer_without_stamp(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.desks:
+            worker.faults.no_stamp = True
+        self.assertEqual((await fleet.call(PAY))[0], 502)
+
+    @awaiting
+    async def test_refuses_a_body_over_the_limit(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        status, _, _ = await fleet.call(LOOKUP, body=b"x" * 100_001)
+        self.assertEqual(status, 413)
+
+
+class StreamTest(unittest.IsolatedAsyncioTestCase):
+    """Streams are passed on, resumed or cut."""
+
+    @awaiting
+    async def test_resumes_a_stream_where_it_broke(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.models[0].faults.cut_after = 1
+        for _ in range(4):
+            status, body, _ = await fleet.turn(QUERY)
+            self.assertEqual((status, body), (200, WHOLE))
+
+    @awaiting
+    async def test_cuts_what_can_not_be_resumed(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.models:
+            worker.faults.cut_after = 1
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await fleet.turn(CHAT)
+        self.assertEqual(len(fleet.runs()), 1)
+
+    @awaiting
+    async def test_stops_when_the_caller_leaves(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.models:
+            worker.event_ms = 300.0
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await fleet.turn(QUERY)
+        await entry_fleet.wait_for(
+            lambda: not any(worker.running for worker in fleet.models), 0.5
+        )
+
+
+class TurnTest(unittest.IsolatedAsyncioTestCase):
+    """Turns continue from turns that are kept."""
+
+    @awaiting
+    async def test_rebuilds_a_chain_at_another_host(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(Request_Id="t1", body=b"one")
+        await fleet.turn(host=1, Request_Id="t2", Parent_Turn="t1", body=b"two")
+        await fleet.turn(Request_Id="t3", Parent_Turn="t2", body=b"three")
+        bodies = {run.request: run.body for run in fleet.runs()}
+        self.assertEqual(bodies["t2"], b"onee1\ne2\ne3\ntwo")
+        self.assertEqual(bodies["t3"], b"onee1\ne2\ne3\ntwoe1\ne2\ne3\nthree")
+
+    @awaiting
+    async def test_keeps_turns_over_new_hosts(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(Request_Id="t1", body=b"one")
+        await fleet.add_host("late")
+        await entry_fleet.wait_for(lambda: fleet.hosts[-1].is_ready)
+        status, _, _ = await fleet.turn(
+            host=2, Request_Id="t2", Parent_Turn="t1", body=b"two"
+        )
+        self.assertEqual(status, 200)
+        bodies = {run.request: run.body for run in fleet.runs()}
+        self.assertEqual(bodies["t2"], b"onee1\ne2\ne3\ntwo")
+
+    @awaiting
+    async def test_hides_turns_of_others(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(Request_Id="t1")
+        foreign = await fleet.turn(key=entry_fleet.OTHER_KEY, Parent_Turn="t1")
+        self.assertEqual(foreign[0], 404)
+        self.assertEqual((await fleet.turn(Parent_Turn="no"))[0], 404)
+
+    @awaiting
+    async def test_is_not_sure_without_the_store(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(Request_Id="t1")
+        fleet.store.faults.refuse = True
+        status, _, headers = await fleet.turn(host=1, Parent_Turn="t1")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+
+    @awaiting
+    async def test_ends_no_answer_that_is_not_kept(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(QUERY, Program_Id="p1")
+        fleet.store.faults.hang = True
+        with self.assertRaises(
+            (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
+        ):
+            await fleet.turn(CHAT)
+
+
+class BudgetTest(unittest.IsolatedAsyncioTestCase):
+    """Budgets hold over all hosts."""
+
+    @awaiting
+    async def test_counts_over_hosts_and_restarts(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        # A turn spends 30 tokens and may spend 50.
+        served = 0
+        for number in range(12):
+            if number == 4:
+                await fleet.add_host("late")
+                await entry_fleet.wait_for(lambda: fleet.hosts[-1].is_ready)
+            status, _, _ = await fleet.turn(
+                QUERY, host=number % 2, Token_Budget="200"
+            )
+            served += status == 200
+            self.assertIn(status, (200, 402))
+        self.assertLessEqual(served * 30, 200)
+        self.assertGreaterEqual(served, 3)
+
+    @awaiting
+    async def test_runs_no_turn_that_is_over(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        status, _, _ = await fleet.turn(QUERY, Token_Budget="40")
+        self.assertEqual((status, fleet.runs()), (402, []))
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """Changes of keys and targets are in force soon."""
+
+    @awaiting
+    async def test_withdrawn_key_stops_working(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.store.put(
+            "keyed.op", "config", entry_fleet.configuration(2, Tenants=[
+                {"Name": "org-2", "ApiKeys": [entry_fleet.OTHER_KEY]},
+            ]),
+        )  # fmt: skip
+        await asyncio.sleep(0.3)
+        for host in range(2):
+            self.assertEqual((await fleet.call(LOOKUP, host))[0], 401)
+
+    @awaiting
+    async def test_trusts_no_key_on_old_knowledge(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.store.faults.refuse = True
+        await asyncio.sleep(fleet.bounds.withdrawn_key_ms / 1000)
+        status, _, headers = await fleet.call(LOOKUP)
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        fleet.store.faults.refuse = False
+        await asyncio.sleep(1.0)
+        self.assertEqual((await fleet.call(LOOKUP))[0], 200)
+
+    @awaiting
+    async def test_leaves_a_draining_worker_alone(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        leaving = fleet.desks[0]
+        fleet.store.put(
+            "keyed.servers", leaving.name, leaving.entry("draining")
+        )
+        await asyncio.sleep(0.8)
+        for _ in range(4):
+            await fleet.call(LOOKUP)
+        self.assertEqual(leaving.runs, [])
+
+    @awaiting
+    async def test_survives_a_forgotten_history(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.store.put("keyed.op", "other", {"a": 1})
+        fleet.store.forget("keyed.op")
+        fleet.store.put("keyed.op", "config", entry_fleet.configuration(3))
+        fleet.store.forget("keyed.op")
+        await asyncio.sleep(0.5)
+        self.assertEqual((await fleet.call(LOOKUP))[0], 200)
+
+    @awaiting
+    async def test_skips_entries_that_it_can_not_read(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.store.put("keyed.servers", "bad", {"Service": 7})
+        fleet.store.put("keyed.servers", "list", [1])
+        await asyncio.sleep(0.7)
+        self.assertEqual((await fleet.call(LOOKUP))[0], 200)
+
+
+class RateTest(unittest.IsolatedAsyncioTestCase):
+    """Rates hold over all hosts."""
+
+    async def test_holds_over_two_hosts(self) -> None:
+        async with entry_fleet.EntryFleet() as fleet:
+            limited = {
+                "Name": entry_fleet.ORGANISATION,
+                "ApiKeys": [entry_fleet.KEY],
+                "RatePerS": 4,
+                "Burst": 4,
+            }
+            fleet.store.put(
+                "keyed.op",
+                "config",
+                entry_fleet.configuration(2, Tenants=[limited]),
+            )
+            await asyncio.sleep(0.3)
+            found = await asyncio.gather(
+                *(fleet.call(LOOKUP, number % 2) for number in range(60))
+            )
+            served = sum(status == 200 for status, _, _ in found)
+            self.assertLessEqual(served, 24)
+            self.assertGreater(served, 2)
+            for status, _, headers in found:
+                if status != 200:
+                    self.assertEqual(status, 429)
+                    self.assertIn("Retry-After", headers)
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
