Give back tokens that were taken beside a silent home; leave homes when cut off

Ruled out: the chain was found; no store call failed. Change: tokens that are not needed go back as a record of the log; a budget is spent when no token is left (the bound allows the most of one turn beyond); a denial needs a read not older than 300 ms; a host that no other host answers gives up its keys and its readiness; one place remembers silent hosts.

--- a/mangotally/entry/__main__.py
+++ b/mangotally/entry/__main__.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import os
+
+# No TLS is spoken here. Without this, a library reads all certificate
+# authorities of the machine at import, which costs time and memory.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+os.environ.setdefault("SSL_CERT_DIR", os.devnull)
+
 from mangotally.entry import command
 
 
--- a/mangotally/entry/answers.py
+++ b/mangotally/entry/answers.py
@@ -21,6 +21,7 @@
     TOO_LARGE = "too-large"
     BAD_REQUEST = "bad-request"
     OVER_RATE = "over-rate"
+    RATE_UNKNOWN = "rate-unknown"
     BUDGET_SPENT = "budget-spent"
     BUDGET_UNKNOWN = "budget-unknown"
     NO_TURN = "no-turn"
@@ -40,6 +41,7 @@
     Cause.TOO_LARGE: 413,
     Cause.BAD_REQUEST: 400,
     Cause.OVER_RATE: 429,
+    Cause.RATE_UNKNOWN: 503,
     Cause.BUDGET_SPENT: 402,
     Cause.BUDGET_UNKNOWN: 503,
     Cause.NO_TURN: 404,
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -19,6 +19,7 @@
     handler,
     history,
     homes,
+    isolation,
     knowledge,
     monitor,
     peers,
@@ -79,7 +80,7 @@
             extra={"host": self._host, "domain": settings.failure_domain},
         )
         self._direct = await enter(http.DirectTransport(settings.store.address))
-        links = await enter(peers.Peers())
+        links = await enter(peers.Peers(self._clock))
         self._wire_store(links)
         await self._wire_path(links)
         await enter(peers.Server(settings.listen.hosts, self))
@@ -93,6 +94,7 @@
             self._member.run,
             self._places.run,
             self._places.run_clock,
+            self._isolation.run,
         )
         tasks.start()
         self._stack.push_async_callback(tasks.stop)
@@ -169,6 +171,8 @@
             self._store, this_host, settings.store.partitions, clock
         )
         relays.use(self._member)
+        self._isolation = isolation.Isolation(self._member, links)
+        self._member.use(self._isolation)
         self._knowledge = knowledge.Knowledge(
             clock, settings.bounds.withdrawn_key_ms
         )
@@ -256,6 +260,7 @@
         """Whether the balancer should send new connections here."""
         return (
             not self._handler.is_leaving
+            and not self._isolation.is_isolated
             and self._targets.has_listed
             and self._knowledge.configuration is not None
             and self._knowledge.age_ms < READY_AGE_MS
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -202,6 +202,7 @@
             deadline_ms=flow.deadline_ms,
             session=flow.session,
             excluded=excluded,
+            connected=self._connected(flow.service),
         )
         found = await self._finder.find(flow.service, work)
         if isinstance(found, places.Place):
@@ -209,6 +210,13 @@
             flow.source = found.source
         return found
 
+    def _connected(self, service: ids.ServiceId) -> frozenset[ids.TargetId]:
+        return frozenset(
+            target.id
+            for target in self._directory.of_service(service)
+            if self._sender.connections.is_idle(target.address)
+        )
+
     async def _try(
         self, flow: Flow, place: places.Place, sink: EventSink
     ) -> (
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -8,7 +8,8 @@
 import itertools
 import json
 import logging
-from typing import TYPE_CHECKING, NamedTuple
+import math
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from mangotally.entry import entry_pb2, partitions
 from mangotally.entry import log as log_lib
@@ -16,7 +17,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from mangotally import ids
     from mangotally.entry import homes as homes_lib
@@ -32,9 +33,12 @@
 MAX_RESERVATIONS = 50_000
 # A home may need a call of the log, which may be slow.
 HOME_TIMEOUT_MS = 300
-HOME_PAUSE_MS = 300
+# Least time for the log after a home did not answer.
+ALONE_MS = 200
 SETTLE_TIMEOUT_MS = 300
 SETTLE_TRIES = 2
+# Other hosts may have returned tokens since the log was read.
+SPENT_AGE_MS = 300
 
 
 class Verdict(NamedTuple):
@@ -101,16 +105,32 @@
             tokens: The most that the turn can spend.
             until_ms: When to give up if the log does not answer.
         """
-        purse = self._purses.get(program)
-        if purse is None:
-            purse = self._purses[program] = spending.Purse()
-            self._evict()
+        purse = self._purse(program)
         if purse.reserve(tokens, self._clock.now_ms()):
             return Verdict(purse)
         number = partitions.partition_of(program, len(self._partitions))
         wish = _Wish(program, budget, tokens, purse)
         return await self._partitions[number].take(wish, until_ms)
 
+    async def give_back(
+        self, program: spending.ProgramKey, tokens: int
+    ) -> None:
+        """Returns tokens that were taken from the log.
+
+        That is tried once: tokens that may have been returned already are
+        rather lost than returned twice.
+        """
+        number = partitions.partition_of(program, len(self._partitions))
+        await self._partitions[number].give_back(program, tokens)
+
+    def _purse(self, program: spending.ProgramKey) -> spending.Purse:
+        found = self._purses.get(program)
+        if found is None:
+            found = self._purses[program] = spending.Purse()
+            found.used_ms = self._clock.now_ms()
+            self._evict()
+        return found
+
     def _evict(self) -> None:
         now_ms = self._clock.now_ms()
         if len(self._purses) < MAX_PURSES:
@@ -229,8 +249,7 @@
         self._links = links
         self._clock = clock
         self._tickets = itertools.count()
-        self._silent_until_ms: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
 
     async def reserve(
         self,
@@ -269,11 +288,21 @@
         tokens: int,
         until_ms: float,
     ) -> Reservation | Denial:
+        now_ms = self._clock.now_ms()
+        until_ms = max(until_ms, now_ms + ALONE_MS)
         verdict = await self._own.reserve(program, budget, tokens, until_ms)
         purse = verdict.purse
         if purse is None:
             return Denial(verdict.is_spent, verdict.granted)
-        return Reservation(lambda spent: purse.settle(tokens, spent))
+
+        def settle(spent: int) -> None:
+            purse.settle(tokens, spent)
+            # Other hosts may need what is left.
+            unused = purse.take_out(tokens - spent)
+            if unused:
+                self._start(self._own.give_back(program, unused))
+
+        return Reservation(settle)
 
     async def _ask(
         self,
@@ -284,17 +313,12 @@
         if self._homes.owned_since_ms(key) is not None:
             return await self._home.reserve(request)
         home = self._homes.home_of(key)
-        now_ms = self._clock.now_ms()
-        if home is None or now_ms < self._silent_until_ms.get(
-            home.address, 0.0
-        ):
+        if home is None or not self._links.is_heard(home.address):
             return None
         reply = await self._links.reserve(
             home.address, request, HOME_TIMEOUT_MS
         )
         if reply is None:
-            until_ms = self._clock.now_ms() + HOME_PAUSE_MS
-            self._silent_until_ms[home.address] = until_ms
             # The home may have set tokens aside all the same.
             self._settle(program, request.ticket, 0)
         return reply
@@ -303,7 +327,10 @@
         self, program: spending.ProgramKey, ticket: str, spent: int
     ) -> None:
         request = entry_pb2.SettleRequest(ticket=ticket, spent=spent)
-        task = asyncio.create_task(self._send_settle(program, request))
+        self._start(self._send_settle(program, request))
+
+    def _start(self, work: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -369,6 +396,7 @@
     ) -> None:
         self._parts = parts
         self._is_read = False
+        self._read_ms = -math.inf
         self._log = log
         self._number = number
         self._host = host
@@ -397,11 +425,23 @@
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
         return Verdict(None)
 
+    async def give_back(
+        self, program: spending.ProgramKey, tokens: int
+    ) -> None:
+        """Records that tokens were not needed."""
+        record = self._grant_record(spending.Grant(program, -tokens))[1]
+        await self._log.append(TOPIC, self._number, [record])
+        self._is_read = False
+
     def _is_spent(self, wish: _Wish) -> bool:
-        """Returns whether grants read so far leave too little."""
+        """Returns whether what was read a moment ago leaves nothing."""
         granted = self._ledger.granted(wish.program)
-        needed = wish.tokens - wish.purse.free
-        return needed > 0 and wish.budget - granted < needed
+        if wish.purse.free >= wish.tokens or granted < wish.budget:
+            return False
+        if self._clock.now_ms() - self._read_ms > SPENT_AGE_MS:
+            self._is_read = False
+            return False
+        return True
 
     async def _try(self, wish: _Wish) -> Verdict | None:
         """Returns the verdict, or None if the log has to be asked again."""
@@ -424,11 +464,9 @@
         return None
 
     async def _record(self, wish: _Wish, tokens: int) -> bool:
-        self._sequence += 1
-        name = f"{self._host}:{self._number}:{self._sequence}"
         grant = spending.Grant(wish.program, tokens)
+        name, record = self._grant_record(grant)
         self._pending[name] = (grant, wish.purse)
-        record = json.dumps([grant.program, tokens, name]).encode()
         appended = await self._log.append(
             TOPIC, self._number, [record], self._next
         )
@@ -440,9 +478,16 @@
         self._is_read = False
         return False
 
+    def _grant_record(self, grant: spending.Grant) -> tuple[str, bytes]:
+        self._sequence += 1
+        name = f"{self._host}:{self._number}:{self._sequence}"
+        record = json.dumps([grant.program, grant.tokens, name])
+        return name, record.encode()
+
     async def _read(self) -> bool:
         """Reads the partition to its end; returns whether it could."""
         while True:
+            sent_ms = self._clock.now_ms()
             batch = await self._log.read(TOPIC, self._number, self._next)
             match batch:
                 case log_lib.Unavailable():
@@ -454,6 +499,7 @@
                 self._take_record(record)
             self._next = batch.next
             if batch.next >= batch.end:
+                self._read_ms = sent_ms
                 self._ledger.forget(self._clock.now_ms())
                 return True
 
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -226,6 +226,11 @@
         admitted = await self._parts.rates.admit(
             access.organisation, received.program or "", kind
         )
+        if isinstance(admitted, rates.NoHome):
+            return answers.Refusal(
+                answers.Cause.RATE_UNKNOWN,
+                retry_after_ms=admitted.retry_after_ms,
+            )
         if isinstance(admitted, rates.OverRate):
             return answers.Refusal(
                 answers.Cause.OVER_RATE,
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 from typing import TYPE_CHECKING, Any, Protocol, Self
 
@@ -20,8 +21,11 @@
 KEEPALIVE_MS = 2000
 KEEPALIVE_TIMEOUT_MS = 1000
 RECONNECT_MIN_MS = 100
-RECONNECT_MAX_MS = 500
-IDLE_LINK_MS = 60_000
+RECONNECT_MAX_MS = 200
+# A host that did not answer is called again after these times.
+FIRST_SILENCE_MS = 150.0
+MAX_SILENCE_MS = 1000.0
+_TIMEOUT = grpc.StatusCode.DEADLINE_EXCEEDED.name
 OPTIONS = (
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
@@ -71,13 +75,30 @@
         """Takes a report on places."""
 
 
+@dataclasses.dataclass
+class _Silence:
+    """A host that does not answer.
+
+    Attributes:
+        until_ms: When it is called again.
+        pause_ms: How long it was not called last.
+    """
+
+    until_ms: float
+    pause_ms: float
+
+
 class Peers:
-    """Links to other hosts; each opens on first use."""
+    """Links to other hosts; each opens on first use.
 
-    def __init__(self) -> None:
+    A host that did not answer is left alone for a while, longer each time.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
         """Makes an owner of no links."""
+        self._clock = clock
         self._links: dict[str, grpc.aio.Channel] = {}
-        self._silent: set[str] = set()
+        self._silent: dict[str, _Silence] = {}
 
     async def __aenter__(self) -> Self:
         """Returns the owner."""
@@ -88,6 +109,15 @@
         links, self._links = self._links, {}
         await asyncio.gather(*(link.close() for link in links.values()))
 
+    def is_heard(self, address: str) -> bool:
+        """Returns whether a host is worth calling now."""
+        silence = self._silent.get(address)
+        return silence is None or self._clock.now_ms() >= silence.until_ms
+
+    def is_silent(self, address: str) -> bool:
+        """Returns whether the last call of a host failed."""
+        return address in self._silent
+
     async def call_store(
         self, address: str, request: entry_pb2.StoreCall, timeout_ms: float
     ) -> entry_pb2.StoreReply | None:
@@ -138,8 +168,7 @@
         except grpc.aio.AioRpcError as error:
             self._note_silent(address, method, error.code().name)
             return None
-        if address in self._silent:
-            self._silent.discard(address)
+        if self._silent.pop(address, None) is not None:
             logger.info("host_regained", extra={"address": address})
         return reply
 
@@ -151,9 +180,18 @@
         return link
 
     def _note_silent(self, address: str, method: str, reason: str) -> None:
-        if address in self._silent:
+        now_ms = self._clock.now_ms()
+        known = self._silent.get(address)
+        if known is not None:
+            if now_ms >= known.until_ms:
+                # A refused connection costs no waiting, and may soon work.
+                if reason == _TIMEOUT:
+                    known.pause_ms = min(2 * known.pause_ms, MAX_SILENCE_MS)
+                known.until_ms = now_ms + known.pause_ms
             return
-        self._silent.add(address)
+        self._silent[address] = _Silence(
+            now_ms + FIRST_SILENCE_MS, FIRST_SILENCE_MS
+        )
         logger.warning(
             "host_lost",
             extra={"address": address, "call": method, "reason": reason},
--- a/mangotally/entry/places.py
+++ b/mangotally/entry/places.py
@@ -23,8 +23,6 @@
 ASK_MS = 150
 # Beyond that, an answer between hosts is late.
 HOME_TIMEOUT_MS = 80
-# A home that did not answer is not asked for so long.
-HOME_PAUSE_MS = 300
 # How often a host tells homes all that it has at targets.
 REPORT_MS = 300
 REPORT_TIMEOUT_MS = 300
@@ -214,7 +212,6 @@
         self._clock = clock
         self._pools: dict[ids.ServiceId, Pool] = {}
         self._held: dict[dispatch.Ticket, Place] = {}
-        self._silent_until_ms: dict[str, float] = {}
         self._reports: set[asyncio.Task[None]] = set()
         directory.listen(self._on_target)
 
@@ -293,6 +290,9 @@
     ) -> entry_pb2.ReportReply:
         """Takes another host's report."""
         service = ids.ServiceId(request.service)
+        if not service:
+            # Only asks whether this host answers.
+            return entry_pb2.ReportReply()
         pool = self._pool(service)
         for each in request.finished:
             pool.finish(_finished(each))
@@ -333,7 +333,7 @@
         now_ms = self._clock.now_ms()
         if home is None or self._homes.is_own(home):
             return await self._find_here(service, work, "alone")
-        if now_ms < self._silent_until_ms.get(home.address, 0.0):
+        if not self._links.is_heard(home.address):
             return await self._find_here(service, work, "alone")
         reply = await self._links.place(
             home.address,
@@ -341,8 +341,6 @@
             ASK_MS + HOME_TIMEOUT_MS,
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
-            until_ms = self._clock.now_ms() + HOME_PAUSE_MS
-            self._silent_until_ms[home.address] = until_ms
             return await self._find_here(service, work, "alone")
         return self._read(reply, service, work)
 
@@ -461,6 +459,7 @@
         deadline_in_ms=work.deadline_ms - now_ms,
         session=work.session,
         excluded=sorted(work.excluded),
+        connected=sorted(work.connected),
     )
 
 
@@ -475,6 +474,7 @@
         deadline_ms=now_ms + request.deadline_in_ms,
         session=request.session,
         excluded=frozenset(ids.TargetId(each) for each in request.excluded),
+        connected=frozenset(ids.TargetId(each) for each in request.connected),
     )
 
 
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -22,8 +22,8 @@
 
 # Longer than a lost packet takes to be sent again.
 HOME_TIMEOUT_MS = 300
-# A home that did not answer is not asked for so long.
-HOME_PAUSE_MS = 250
+# Another host may reach the home.
+UNKNOWN_RETRY_MS = 50
 # Parts of the bound's tolerance. The rest is for clocks and late changes.
 HOME_TOLERANCE = 0.45
 DEPUTY_TOLERANCE = 0.35
@@ -82,6 +82,17 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True)
+class NoHome:
+    """Neither home answers, and this host's own part is used up.
+
+    Attributes:
+        retry_after_ms: When to try another host.
+    """
+
+    retry_after_ms: float
+
+
 def alone_calls(terms: model.Organisation, bounds: Bounds, hosts: int) -> int:
     """Returns the calls in a window that a host admits by itself.
 
@@ -204,11 +215,10 @@
         self._clock = clock
         self._alone: dict[ids.OrganisationId, collections.deque[float]]
         self._alone = collections.defaultdict(collections.deque)
-        self._silent_until_ms: dict[str, float] = {}
 
     async def admit(
         self, organisation: model.Organisation, program: str, kind: str
-    ) -> Admitted | OverRate:
+    ) -> Admitted | OverRate | NoHome:
         """Takes a token for a call, or says when there is one.
 
         Args:
@@ -256,20 +266,15 @@
         home = self._homes.home_of(key)
         if home is None:
             return None
-        now_ms = self._clock.now_ms()
-        if now_ms < self._silent_until_ms.get(home.address, 0.0):
+        if not self._links.is_heard(home.address):
             return None
-        reply = await self._links.take_tokens(
+        return await self._links.take_tokens(
             home.address, request, HOME_TIMEOUT_MS
         )
-        if reply is None:
-            pause_until_ms = self._clock.now_ms() + HOME_PAUSE_MS
-            self._silent_until_ms[home.address] = pause_until_ms
-        return reply
 
     def _admit_alone(
         self, organisation: model.Organisation
-    ) -> Admitted | OverRate:
+    ) -> Admitted | NoHome:
         """Admits a call within this host's part of the tolerance."""
         now_ms = self._clock.now_ms()
         used = self._alone[organisation.id]
@@ -279,7 +284,7 @@
         if len(used) < alone_calls(organisation, self._bounds, hosts):
             used.append(now_ms)
             return Admitted(None, "alone")
-        return OverRate(HOME_PAUSE_MS, "alone")
+        return NoHome(UNKNOWN_RETRY_MS)
 
 
 @dataclasses.dataclass
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -15,14 +15,14 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from mangotally.entry import headers as headers_lib
 
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_MS = 500
-IDLE_CONNECTION_MS = 8000
+IDLE_CONNECTION_MS = 9000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65_536
 _EVENT_STREAM = "text/event-stream"
@@ -97,6 +97,40 @@
     is_timeout: bool = False
 
 
+class Connections:
+    """Which addresses have an idle connection, as far as can be told.
+
+    The library does not say; a connection that was returned is idle until
+    it is used again or too old.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        """Makes a view of no connections."""
+        self._clock = clock
+        self._idle: dict[str, list[float]] = {}
+
+    def take(self, address: str) -> None:
+        """Notes that a request goes to an address."""
+        idle = self._idle.get(address)
+        if idle:
+            idle.pop()
+
+    def give_back(self, address: str) -> None:
+        """Notes that a connection stays open after an answer."""
+        self._idle.setdefault(address, []).append(self._clock.now_ms())
+
+    def is_idle(self, address: str) -> bool:
+        """Returns whether a request would find a connection."""
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        oldest_ms = self._clock.now_ms() - IDLE_CONNECTION_MS
+        if idle[-1] < oldest_ms:
+            del self._idle[address]
+            return False
+        return True
+
+
 class Stream:
     """An answer that comes as a series of events."""
 
@@ -105,8 +139,17 @@
         response: aiohttp.ClientResponse,
         clock: clock_lib.Clock,
         deadline_ms: float,
+        on_whole: Callable[[], None],
     ) -> None:
-        """Takes over a response whose headers have come."""
+        """Takes over a response whose headers have come.
+
+        Args:
+            response: The response.
+            clock: Time.
+            deadline_ms: When its caller stops to wait.
+            on_whole: Called when the answer has come whole.
+        """
+        self._on_whole = on_whole
         self._response = response
         self._clock = clock
         self._deadline_ms = deadline_ms
@@ -138,6 +181,8 @@
         else:
             self.is_done = True
             self.failure = _reset_at_end(self._protocol)
+            if self.failure is None:
+                self._on_whole()
         if self.failure is not None:
             self.close()
 
@@ -163,6 +208,7 @@
         """
         self._names = names
         self._clock = clock
+        self.connections = Connections(clock)
         self._session: aiohttp.ClientSession
 
     async def __aenter__(self) -> Self:
@@ -193,6 +239,7 @@
 
     async def send(self, address: str, request: Outgoing) -> Outcome:
         """Sends a request and reads the answer, or the head of a stream."""
+        self.connections.take(address)
         left_ms = request.deadline_ms - self._clock.now_ms()
         url = yarl.URL(f"http://{address}{request.path}", encoded=True)
         try:
@@ -204,7 +251,7 @@
                     data=request.body or None,
                     allow_redirects=False,
                 )
-                return await self._receive(response, request)
+                return await self._receive(response, address, request)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -216,20 +263,30 @@
             return Broken(type(error).__name__)
 
     async def _receive(
-        self, response: aiohttp.ClientResponse, request: Outgoing
+        self,
+        response: aiohttp.ClientResponse,
+        address: str,
+        request: Outgoing,
     ) -> Outcome:
+        def note_whole() -> None:
+            if "close" not in response.headers.get("Connection", ""):
+                self.connections.give_back(address)
+
         try:
             if (fault := self._check(response, request)) is not None:
                 response.close()
                 return fault
             if self._is_stream(response):
-                return Stream(response, self._clock, request.deadline_ms)
+                return Stream(
+                    response, self._clock, request.deadline_ms, note_whole
+                )
             protocol = (
                 response.connection.protocol if response.connection else None
             )
             body = await _read_whole(response)
             if (reset := _reset_at_end(protocol)) is not None:
                 return reset
+            note_whole()
             return self._judge(response, body)
         except BaseException:
             response.close()
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -6,7 +6,7 @@
 import dataclasses
 import logging
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from mangotally import ids
 from mangotally.entry import homes
@@ -29,6 +29,14 @@
 _SEPARATOR = "|"
 
 
+class Isolation(Protocol):
+    """Tells whether other hosts can reach this one."""
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no other host answers."""
+
+
 class HomesMember:
     """This host in the group whose members are the homes of keys."""
 
@@ -52,6 +60,7 @@
         self._member = _name(this_host)
         self._partitions = partitions
         self._clock = clock
+        self._isolation: Isolation | None = None
         self._generation = 0
         self._owned: frozenset[int] = frozenset()
         self._owned_until_ms = 0.0
@@ -84,18 +93,33 @@
     async def run(self) -> None:
         """Stays in the group until cancelled."""
         while True:
-            is_in = await self._join()
+            is_in = await self._stay()
             if is_in:
                 await self._read_owners()
             usual_ms = JOIN_MS if is_in else RETRY_MS
             pause_ms = usual_ms * random.uniform(0.8, 1.2)
             await asyncio.sleep(clock_lib.to_seconds(pause_ms))
 
+    def use(self, isolation: Isolation) -> None:
+        """Names who tells whether other hosts can reach this one."""
+        self._isolation = isolation
+
     async def leave(self) -> None:
         """Gives up this host's keys at once."""
         self._owned_until_ms = 0.0
         await self._client.leave(GROUP, self._member)
 
+    async def _stay(self) -> bool:
+        """Joins, or leaves while other hosts can't reach this one."""
+        if self._isolation is None or not self._isolation.is_isolated:
+            return await self._join()
+        if self._owned:
+            self._owned = frozenset()
+            self._owned_since.clear()
+            await self.leave()
+        self._owners_generation = -1
+        return True
+
     async def _join(self) -> bool:
         sent_ms = self._clock.now_ms()
         joined = await self._client.join(
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -25,6 +25,8 @@
 BATCH_SLOWDOWN = 0.25
 # Part of a run that a warm prefix saves.
 WARM_GAIN = 0.05
+# Part of a run that a connection that is open already is worth.
+CONNECTED_GAIN = 0.15
 # Part of a run that staying in the failure domain is worth.
 NEAR_GAIN = 0.04
 FIRST_RUN_MS = 150.0
@@ -53,6 +55,7 @@
         session: Requests with the same value share a cached prefix; empty
             if none is shared.
         excluded: Targets that must not be chosen.
+        connected: Targets to which its host has an idle connection.
     """
 
     ticket: Ticket
@@ -64,6 +67,7 @@
     deadline_ms: float
     session: str = ""
     excluded: frozenset[ids.TargetId] = frozenset()
+    connected: frozenset[ids.TargetId] = frozenset()
 
 
 class End(enum.Enum):
@@ -351,7 +355,9 @@
         for name, view in self._targets.items():
             if name in work.excluded or view.room(now_ms) <= 0:
                 continue
-            cost = self._cost(work, view) - WARM_GAIN * (name == last)
+            cost = self._cost(work, view)
+            cost -= WARM_GAIN * (name == last)
+            cost -= CONNECTED_GAIN * (name in work.connected)
             if cost < best_cost:
                 best, best_cost = name, cost
         return best
--- a/mangotally/policy/spending.py
+++ b/mangotally/policy/spending.py
@@ -3,7 +3,8 @@
 Load pattern: programs whose turns run at several hosts at once, and
 programs that loop without end. The home of a program takes allowances out
 of its budget and reserves each turn's most from them; the allowances of all
-hosts, those of crashed ones included, never exceed the budget.
+hosts, those of crashed ones included, exceed the budget by less than the
+most of one turn.
 """
 
 from __future__ import annotations
@@ -29,7 +30,7 @@
 
     Attributes:
         program: The program.
-        tokens: How many.
+        tokens: How many; below 0 if they are returned.
     """
 
     program: ProgramKey
@@ -73,12 +74,14 @@
         parts: A budget is taken in so many parts.
 
     Returns:
-        At least `needed`, or 0 if the budget does not hold them.
+        At least `needed`, or 0 if nothing of the budget is left. The last
+        grant may exceed what is left by less than one turn, as the last
+        turn may exceed the budget: a budget is spent when no token is left.
     """
     left = budget - granted
-    if left < needed:
+    if left <= 0:
         return 0
-    return min(left, max(needed, math.ceil(budget / parts)))
+    return max(needed, min(left, math.ceil(budget / parts)))
 
 
 class Purse:
@@ -112,6 +115,12 @@
         self._reserved += tokens
         return True
 
+    def take_out(self, tokens: int) -> int:
+        """Gives tokens away; returns how many there were."""
+        taken = max(0, min(tokens, self.free))
+        self._held -= taken
+        return taken
+
     def settle(self, reserved: int, spent: int) -> None:
         """Ends a turn.
 
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -64,7 +64,7 @@
         found.offer(_work("late", due_ms=0.5), 1.0)
         found.offer(_work("later", due_ms=200.0), 1.0)
         found.offer(_work("sooner", due_ms=100.0), 1.0)
-        order = []
+        order: list[str] = []
         for number in range(5):
             done = dispatch.Ticket(order[-1] if order else "running")
             found.finish(
