--- /dev/null
+++ b/mangotally/entry/exposition.py
@@ -0,0 +1,50 @@
+"""Metrics of the entry path in the usual text format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from prometheus_client import metrics_core, registry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from mangotally.entry import monitor as monitor_lib
+
+
+def render(monitor: monitor_lib.Monitor) -> bytes:
+    """Returns all metrics of a monitor as text."""
+    target = registry.CollectorRegistry(auto_describe=False)
+    target.register(_Collector(monitor))
+    return prometheus_client.generate_latest(target)
+
+
+class _Collector(registry.Collector):
+    """Shows a monitor to the exposition library."""
+
+    def __init__(self, monitor: monitor_lib.Monitor) -> None:
+        self._monitor = monitor
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        monitor = self._monitor
+        outcomes = metrics_core.CounterMetricFamily(
+            "mangotally_requests",
+            "Requests by route and outcome.",
+            labels=["route", "outcome"],
+        )
+        for (route, outcome), count in sorted(monitor.outcomes.items()):
+            outcomes.add_metric([route, outcome], count)
+        yield outcomes
+        latency = metrics_core.HistogramMetricFamily(
+            "mangotally_request_latency_ms",
+            "Latency of answered requests by route, in ms.",
+            labels=["route"],
+        )
+        for route, found in sorted(monitor.latency.items()):
+            latency.add_metric([route], *found.buckets())
+        yield latency
+        for name, value in sorted(monitor.gauges.items()):
+            yield metrics_core.GaugeMetricFamily(
+                f"mangotally_{name}", name.replace("_", " "), value
+            )
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -6,15 +6,10 @@
 import logging
 from typing import TYPE_CHECKING
 
-import prometheus_client
-from prometheus_client import metrics_core, registry
-
 from mangotally.entry import answers, attempts, sending
 from mangotally.metrics import series
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from mangotally.entry import handler
     from mangotally.util import clock as clock_lib
 
@@ -50,42 +45,20 @@
 
     def render(self) -> bytes:
         """Returns all metrics as text."""
-        target = registry.CollectorRegistry(auto_describe=False)
-        target.register(_Collector(self))
-        return prometheus_client.generate_latest(target)
-
-    def collect(self) -> Iterator[metrics_core.Metric]:
-        """Yields all metrics."""
-        outcomes = metrics_core.CounterMetricFamily(
-            "mangotally_requests",
-            "Requests by route and outcome.",
-            labels=["route", "outcome"],
-        )
-        for (route, outcome), count in sorted(self._outcomes.items()):
-            outcomes.add_metric([route, outcome], count)
-        yield outcomes
-        latency = metrics_core.HistogramMetricFamily(
-            "mangotally_request_latency_ms",
-            "Latency of answered requests by route, in ms.",
-            labels=["route"],
-        )
-        for route, found in sorted(self._latency.items()):
-            latency.add_metric([route], *found.buckets())
-        yield latency
-        for name, value in sorted(self.gauges.items()):
-            yield metrics_core.GaugeMetricFamily(
-                f"mangotally_{name}", name.replace("_", " "), value
-            )
-
-
-class _Collector(registry.Collector):
-    """Shows a monitor to the exposition library."""
-
-    def __init__(self, monitor: Monitor) -> None:
-        self._monitor = monitor
-
-    def collect(self) -> Iterator[metrics_core.Metric]:
-        yield from self._monitor.collect()
+        # Imported by the first question, since it takes memory.
+        from mangotally.entry import exposition
+
+        return exposition.render(self)
+
+    @property
+    def outcomes(self) -> dict[tuple[str, str], int]:
+        """Requests by route and outcome."""
+        return dict(self._outcomes)
+
+    @property
+    def latency(self) -> dict[str, series.Histogram]:
+        """Latency of answered requests by route."""
+        return self._latency
 
 
 def _outcome(story: handler.Story, answer: handler.Answer | None) -> str:
