--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -37,7 +37,9 @@
 
 # Callers come back after this time if the configuration is not known.
 CONFIGURATION_RETRY_MS = 300.0
-STORE_RETRY_MS = 250.0
+# An outage that has made knowledge old seldom ends at once.
+STALE_RETRY_MS = 800.0
+STORE_RETRY_MS = 700.0
 # A key or route that is not known is denied only by fresher knowledge.
 DENIAL_AGE_MS = 100.0
 # The end of an answer waits so long for its turn to be kept; callers leave
@@ -273,7 +275,7 @@
             return answers.Refusal(
                 answers.Cause.STALE_CONFIGURATION,
                 f"age {knowledge.age_ms:.0f} ms",
-                CONFIGURATION_RETRY_MS,
+                STALE_RETRY_MS,
             )
         organisation = configuration.organisation_of(received.key or "")
         if organisation is None:
