Test budgets, history, the store's client and small parts of the entry path

Cause found by a test that failed first: the client parsed the body of an append's answer before it looked at the status, so a refusal without a JSON body raised instead of being a refusal.

--- a/mangotally/platform/store.py
+++ b/mangotally/platform/store.py
@@ -143,11 +143,11 @@
         reply = await self._call("POST", "/log-append", query, body)
         if isinstance(reply, Unavailable):
             return reply
-        found = _object(reply.body)
         if reply.status == _OK:
+            found = _object(reply.body)
             return Appended(Offset(found["Offset"]), Offset(found["EndOffset"]))
         if reply.status == _AT_DIFFERS:
-            return EndMoved(Offset(found["EndOffset"]))
+            return EndMoved(Offset(_object(reply.body)["EndOffset"]))
         return _refused(reply)
 
     async def read(
--- /dev/null
+++ b/tests/test_entry/fake_log.py
@@ -0,0 +1,63 @@
+"""A log in memory, whose answers can be lost."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mangotally.entry import log as log_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class FakeLog:
+    """Keeps records; `refuse` and `lose` make the next calls fail."""
+
+    def __init__(self) -> None:
+        self.records: dict[tuple[str, int], list[bytes]] = {}
+        self.reads = 0
+        self.appends = 0
+        self.refuse = 0
+        self.lose = 0
+
+    async def append(
+        self,
+        topic: log_lib.Topic,
+        part: int,
+        records: Sequence[bytes],
+        at: log_lib.Offset | None = None,
+    ) -> log_lib.Appended | log_lib.EndMoved | log_lib.Unavailable:
+        """Appends; a lost answer has appended all the same."""
+        await asyncio.sleep(0)
+        self.appends += 1
+        if self.refuse:
+            self.refuse -= 1
+            return log_lib.Unavailable("refused")
+        found = self.records.setdefault((topic, part), [])
+        if at is not None and at != len(found):
+            return log_lib.EndMoved(log_lib.Offset(len(found)))
+        first = log_lib.Offset(len(found))
+        found.extend(records)
+        if self.lose:
+            self.lose -= 1
+            return log_lib.Unavailable("lost")
+        return log_lib.Appended(first, log_lib.Offset(len(found)))
+
+    async def read(
+        self,
+        topic: log_lib.Topic,
+        part: int,
+        first: log_lib.Offset,
+        wait_ms: int = 0,
+        max_kb: int = log_lib.MAX_READ_KB,
+    ) -> log_lib.Batch | log_lib.Trimmed | log_lib.Unavailable:
+        """Reads; waits for nothing."""
+        await asyncio.sleep(0)
+        self.reads += 1
+        if self.refuse:
+            self.refuse -= 1
+            return log_lib.Unavailable("refused")
+        found = self.records.get((topic, part), [])
+        end = log_lib.Offset(len(found))
+        return log_lib.Batch(first, tuple(found[first : first + 5]), end)
--- /dev/null
+++ b/tests/test_entry/test_history.py
@@ -0,0 +1,99 @@
+"""Turns are kept before they count, and found by every host."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mangotally import ids
+from mangotally.entry import history, model
+from mangotally.util import clock as clock_lib
+from tests.test_entry import fake_log
+
+ORGANISATION = ids.OrganisationId("org")
+PARTITIONS = 3
+
+
+def _turn(name: str, parent: str | None, content: bytes) -> history.Turn:
+    return history.Turn(
+        model.TurnId(name),
+        ORGANISATION,
+        model.TurnId(parent) if parent else None,
+        content,
+    )
+
+
+class HistoryTest(unittest.IsolatedAsyncioTestCase):
+    """Two hosts with one log."""
+
+    def setUp(self) -> None:
+        self.log = fake_log.FakeLog()
+        self.clock = clock_lib.SystemClock()
+        self.one = self._host("one")
+        self.two = self._host("two")
+
+    def _host(self, name: str) -> history.History:
+        return history.History(
+            self.log, ids.HostId(name), PARTITIONS, self.clock
+        )
+
+    async def _keep(
+        self, host: history.History, turn: history.Turn, for_ms: float = 500.0
+    ) -> bool:
+        return await host.keep(turn, self.clock.now_ms() + for_ms)
+
+    async def _chain(
+        self, host: history.History, name: str
+    ) -> history.Chain | history.NoSuchTurn | history.Unknown:
+        until_ms = self.clock.now_ms() + 100.0
+        return await host.chain(model.TurnId(name), ORGANISATION, until_ms)
+
+    async def test_finds_a_chain_over_hosts(self) -> None:
+        await self._keep(self.one, _turn("a", None, b"1"))
+        await self._keep(self.two, _turn("b", "a", b"2"))
+        await self._keep(self.one, _turn("c", "b", b"3"))
+        for host in (self.one, self.two, self._host("new")):
+            self.assertEqual(
+                await self._chain(host, "c"), history.Chain(b"123", 3)
+            )
+
+    async def test_finds_large_turns_among_many(self) -> None:
+        large = b"x" * (2 * history.PART_BYTES + 1)
+        await asyncio.gather(
+            *(
+                self._keep(self.one, _turn(f"t{n}", None, b"-"))
+                for n in range(9)
+            ),
+            self._keep(self.one, _turn("large", None, large)),
+        )
+        self.assertEqual(
+            await self._chain(self.two, "large"), history.Chain(large, 1)
+        )
+
+    async def test_lost_answers_do_no_harm(self) -> None:
+        self.log.lose = 3
+        self.assertTrue(await self._keep(self.one, _turn("a", None, b"1")))
+        self.assertEqual(
+            await self._chain(self.two, "a"), history.Chain(b"1", 1)
+        )
+
+    async def test_is_not_kept_without_the_log(self) -> None:
+        self.log.refuse = 10_000
+        kept = await self._keep(self.one, _turn("a", None, b"1"), 100.0)
+        self.assertFalse(kept)
+
+    async def test_knows_not_rather_than_denies(self) -> None:
+        await self._keep(self.one, _turn("a", None, b"1"))
+        self.log.refuse = 10_000
+        self.assertIsInstance(await self._chain(self.two, "a"), history.Unknown)
+        self.log.refuse = 0
+        self.assertIsInstance(
+            await self._chain(self.two, "none"), history.NoSuchTurn
+        )
+
+    async def test_hides_other_organisations_turns(self) -> None:
+        await self._keep(self.one, _turn("a", None, b"1"))
+        found = await self.one.chain(
+            model.TurnId("a"), ids.OrganisationId("other"), 0.0
+        )
+        self.assertIsInstance(found, history.NoSuchTurn)
--- /dev/null
+++ b/tests/test_entry/test_parts.py
@@ -0,0 +1,166 @@
+"""Small parts of the entry path."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+import hypothesis
+import multidict
+from hypothesis import strategies
+
+from mangotally import ids
+from mangotally.entry import directory, events, headers, knowledge, model, rates
+from mangotally.platform import headers as platform_headers
+from mangotally.util import clock as clock_lib
+
+
+def _target(name: str, state: model.TargetState) -> model.Target:
+    return model.Target(
+        ids.TargetId(name),
+        1,
+        ids.ServiceId("s"),
+        "1.2.3.4:5",
+        ids.PlaceId("z"),
+        4,
+        state,
+    )
+
+
+class KnowledgeTest(unittest.TestCase):
+    """Keys are trusted for as long as the proof is young enough."""
+
+    def setUp(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.found = knowledge.Knowledge(self.clock, 5000.0)
+        self.found.put(model.Configuration(3, [], {}, [], 1))
+
+    def test_nothing_is_proved_at_first(self) -> None:
+        self.assertEqual(self.found.age_ms, math.inf)
+        self.assertFalse(self.found.is_fresh)
+
+    def test_age_counts_from_the_sending(self) -> None:
+        self.clock.advance(1000.0)
+        self.found.prove(0.0)
+        self.clock.advance(4000.0 - knowledge.MARGIN_MS - 1)
+        self.assertTrue(self.found.is_fresh)
+        self.clock.advance(1.0)
+        self.assertFalse(self.found.is_fresh)
+
+    def test_an_older_version_is_never_put_in_force(self) -> None:
+        self.found.put(model.Configuration(2, [], {}, [], 1))
+        assert self.found.configuration is not None
+        self.assertEqual(self.found.configuration.version, 3)
+
+
+class DirectoryTest(unittest.TestCase):
+    """Targets that lapse during an outage have time to return."""
+
+    def setUp(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.found = directory.Directory(self.clock)
+        self.changed: list[str] = []
+        self.found.listen(self.changed.append)
+        self.ready = _target("t", model.TargetState.READY)
+        self.found.put(self.ready)
+
+    def test_tells_of_changes_only(self) -> None:
+        self.found.put(self.ready)
+        self.assertEqual(self.changed, ["t"])
+        self.found.put(_target("t", model.TargetState.DRAINING))
+        self.assertEqual(self.changed, ["t", "t"])
+
+    def test_lapsed_target_is_gone_after_two_seconds(self) -> None:
+        self.found.replace([], after_outage=True)
+        self.clock.advance(directory.RETURN_MS - 1)
+        self.found.expire()
+        self.assertIsNotNone(self.found.find(self.ready.id))
+        self.clock.advance(1)
+        self.found.expire()
+        self.assertIsNone(self.found.find(self.ready.id))
+
+    def test_lapsed_target_that_returns_stays(self) -> None:
+        self.found.remove_later(self.ready.id)
+        self.found.put(self.ready)
+        self.clock.advance(2 * directory.RETURN_MS)
+        self.found.expire()
+        self.assertIsNotNone(self.found.find(self.ready.id))
+
+    def test_removed_target_is_gone_at_once(self) -> None:
+        self.found.replace([], after_outage=False)
+        self.assertIsNone(self.found.find(self.ready.id))
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Only whole events are passed on, byte for byte."""
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
+    def test_any_chunks_give_the_same_events(self, sizes: list[int]) -> None:
+        whole = (
+            b"weight-versions: 2\nid: 1\ndata: a\ndata: b\n\nid: 2\ndata:\n\n"
+        )
+        splitter = events.EventSplitter()
+        found: list[events.Event] = []
+        place = 0
+        for size in [*sizes, len(whole)]:
+            found += splitter.feed(whole[place : place + size])
+            place += size
+        self.assertEqual(b"".join(each.raw for each in found), whole)
+        self.assertEqual([each.number for each in found], [1, 2])
+        self.assertEqual([each.data for each in found], [b"a\nb", b""])
+        self.assertFalse(splitter.has_rest)
+
+    def test_a_part_of_an_event_is_held_back(self) -> None:
+        splitter = events.EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: a\n"), [])
+        self.assertTrue(splitter.has_rest)
+
+
+class HeadersTest(unittest.TestCase):
+    """Headers of one connection, and the system's own, are not passed on."""
+
+    def test_drops_what_a_caller_may_not_set(self) -> None:
+        names = platform_headers.NAMES
+        received = multidict.CIMultiDictProxy(
+            multidict.CIMultiDict(
+                {
+                    "Connection": "keep-alive, X-Hop",
+                    "X-Hop": "1",
+                    "Authorization": "Bearer k",
+                    "Tenant": "forged",
+                    "Kv-From": "1.2.3.4:5/6",
+                    "Pin-Ms": "9",
+                    "Content-Length": "3",
+                    "Deadline-Ms": "9999",
+                    "X-Kept": "yes",
+                }
+            )
+        )
+        found = headers.request_headers(
+            received, names, {names.time_left: "10"}
+        )
+        self.assertEqual(dict(found), {"X-Kept": "yes", "Deadline-Ms": "10"})
+
+
+class RateBoundsTest(unittest.TestCase):
+    """Homes, deputies and hosts alone stay within the bound together."""
+
+    def test_parts_of_the_tolerance_add_up_to_less_than_one(self) -> None:
+        parts = (
+            rates.HOME_TOLERANCE,
+            rates.DEPUTY_TOLERANCE,
+            rates.ALONE_TOLERANCE,
+        )
+        self.assertLess(sum(parts), 1.0)
+
+    def test_hosts_alone_stay_within_their_part(self) -> None:
+        bounds = rates.Bounds(5000.0, 0.1, 20.0)
+        terms = model.Organisation(
+            ids.OrganisationId("o"), frozenset(), None, 79.0, 79.0
+        )
+        for hosts in (1, 16, 24, 920):
+            most = hosts * rates.alone_calls(terms, bounds, hosts)
+            self.assertLessEqual(
+                most, bounds.tolerance(terms) * rates.ALONE_TOLERANCE
+            )
