--- a/mangotally/commands/cli.py
+++ b/mangotally/commands/cli.py
@@ -55,6 +55,17 @@
         path = pathlib.Path(record) if record else None
         return _serve(lambda: application.Application(found, record=path))
 
+    def entry(self, settings: str) -> int:
+        """Runs one entry host on the platform until SIGTERM.
+
+        Args:
+            settings: YAML file with the settings of this host.
+        """
+        # Imported here: the other commands need none of it.
+        from mangotally.entry import command
+
+        return command.run(settings)
+
     def check(self, *files: str, set: tuple[str, ...] = ()) -> int:  # noqa: A002
         """Checks settings, plans and uses files; says what is wrong where.
 
--- a/mangotally/entry/command.py
+++ b/mangotally/entry/command.py
@@ -22,30 +22,34 @@
 EXIT_BAD_USE = 2
 
 
-def run(settings: str = "", settings_variable: str = "") -> None:
+def run(settings: str = "", settings_variable: str = "") -> int:
     """Runs one entry host until SIGTERM.
 
     Args:
         settings: YAML file with the settings of this host.
         settings_variable: Environment variable that holds its path.
+
+    Returns:
+        The exit code.
     """
     logs.set_up(stream=sys.stdout)
     path = settings or os.environ.get(settings_variable, "")
     if not path:
-        _exit("name a file with --settings, or a variable that holds one")
+        return _refuse("name a file with --settings or --settings-variable")
     loaded = loader.load(entry_settings.EntrySettings, pathlib.Path(path))
     if isinstance(loaded, result.Failure):
-        _exit(loaded.failure())
+        return _refuse(loaded.failure())
     found = loaded.unwrap()
     handler = output.BoundedHandler(sys.stdout.fileno(), clock_lib.BootClock())
     process.run_until_stopped(lambda: application.Application(found), handler)
+    return 0
 
 
 def main() -> None:
     """Runs the command line."""
-    fire.Fire(run)
+    raise SystemExit(fire.Fire(run, serialize=lambda _code: None))
 
 
-def _exit(reason: str) -> None:
+def _refuse(reason: str) -> int:
     logger.critical("bad_settings", extra={"reason": reason})
-    raise SystemExit(EXIT_BAD_USE)
+    return EXIT_BAD_USE
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -250,9 +250,8 @@
         knowledge = self._parts.knowledge
         found = self._look_up(received)
         if _is_denial(found) and knowledge.age_ms > DENIAL_AGE_MS:
-            if not await self._parts.refresh():
-                return _unsure()
-            found = self._look_up(received)
+            is_read = await self._parts.refresh()
+            found = self._look_up(received) if is_read else _unsure()
         configuration = knowledge.configuration
         story.version = configuration.version if configuration else 0
         story.proof_age_ms = knowledge.age_ms
--- a/mangotally/settings/checks.py
+++ b/mangotally/settings/checks.py
@@ -9,7 +9,7 @@
 
 from returns import result
 
-from mangotally.settings import host, lists, loader, yaml_files
+from mangotally.settings import entry, host, lists, loader, yaml_files
 
 if TYPE_CHECKING:
     import pydantic
@@ -19,18 +19,21 @@
     """What a file holds."""
 
     SETTINGS = "settings"
+    ENTRY = "entry settings"
     PLANS = "plans"
     USES = "uses"
 
 
 MODELS: dict[Kind, type[pydantic.BaseModel]] = {
     Kind.SETTINGS: host.HostSettings,
+    Kind.ENTRY: entry.EntrySettings,
     Kind.PLANS: lists.PlanList,
     Kind.USES: lists.UseList,
 }
 _MARKS = {
     Kind.PLANS: {"organisations"},
     Kind.USES: {"plans", "services"},
+    Kind.ENTRY: {"failure_domain", "store", "bounds"},
     Kind.SETTINGS: {"host_id", "address", "log", "roster_url", "place"},
 }
 
--- a/tests/test_commands/test_cli.py
+++ b/tests/test_commands/test_cli.py
@@ -39,6 +39,11 @@
 class UseTest(unittest.TestCase):
     """Good and bad use."""
 
+    def test_entry_names_settings_that_it_can_not_read(self) -> None:
+        with mock.patch("mangotally.entry.command.logs.set_up"):
+            code, _, _ = run("entry", "--settings", "/nonexistent.yaml")
+        self.assertEqual(code, arguments.EXIT_BAD_USE)
+
     def test_bad_use_is_one_line_and_code_2(self) -> None:
         """Each bad use is explained in one line."""
         for words, reason in (
--- a/tests/test_settings/test_files.py
+++ b/tests/test_settings/test_files.py
@@ -144,3 +144,22 @@
         copy = lists.Lists.model_validate_json(found.model_dump_json())
         self.assertEqual(copy, found)
         self.assertEqual(copy.digest(), found.digest())
+
+
+class EntrySettingsTest(unittest.TestCase):
+    """Settings of an entry host on the platform."""
+
+    EXAMPLE = EXAMPLES / "entry.yaml"
+
+    def test_the_example_is_right(self) -> None:
+        checked, faults = checks.check_files([self.EXAMPLE])
+        self.assertEqual(faults, [])
+        self.assertEqual(checked[0].kind, checks.Kind.ENTRY)
+
+    def test_a_bad_address_is_named(self) -> None:
+        text = self.EXAMPLE.read_text().replace("127.0.0.1:8368", "nowhere")
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "entry.yaml"
+            path.write_text(text)
+            _, faults = checks.check_files([path])
+        self.assertIn("callers", faults[0])
