--- a/mangotally/settings/checks.py
+++ b/mangotally/settings/checks.py
@@ -19,7 +19,7 @@
     """What a file holds."""
 
     SETTINGS = "settings"
-    ENTRY = "entry settings"
+    ENTRY = "entry"
     PLANS = "plans"
     USES = "uses"
 
