--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -13,6 +13,7 @@
 
 from mangotally import ids
 from mangotally.entry import (
+    allowances,
     attempts,
     budgets,
     directory,
@@ -229,7 +230,7 @@
 
     def _wire_budgets(self, links: peers.Peers) -> budgets.Budgets:
         partitions = self._settings.store.partitions
-        as_home = budgets.Allowances(
+        as_home = allowances.Allowances(
             self._store,
             ids.HostId(f"{self._host}/home"),
             partitions,
@@ -239,7 +240,7 @@
         self._budget_home = budgets.BudgetHome(
             self._member, as_home, self._clock
         )
-        alone = budgets.Allowances(
+        alone = allowances.Allowances(
             self._store,
             ids.HostId(f"{self._host}/alone"),
             partitions,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -6,7 +6,7 @@
 import itertools
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 import multidict
 
@@ -79,16 +79,14 @@
     last_event: int | None = None
 
 
-class EventSink:
-    """Takes the events of a stream; a subclass passes them on."""
+class EventSink(Protocol):
+    """Takes the events of a stream."""
 
-    async def begin(self, headers: multidict.CIMultiDictProxy[str]) -> None:
-        """Takes the headers, before the first event."""
-        raise NotImplementedError
+    async def begin(self, received: multidict.CIMultiDictProxy[str]) -> None:
+        """Takes the target's headers, before the first event."""
 
     async def pass_on(self, found: list[events.Event]) -> None:
         """Takes events that have become whole."""
-        raise NotImplementedError
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -17,7 +17,6 @@
     answers,
     attempts,
     budgets,
-    events,
     headers,
     history,
     model,
@@ -27,6 +26,8 @@
 )
 from mangotally.entry import knowledge as knowledge_lib
 from mangotally.entry import monitor as monitor_lib
+from mangotally.entry import sink as sink_lib
+from mangotally.entry import story as story_lib
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -122,9 +123,9 @@
             self._parts.names,
             self._parts.clock.now_ms(),
         )
-        sink = _Sink(request, self)
+        sink = sink_lib.CallerSink(request, self.mark)
         self.under_way += 1
-        story = Story(received)
+        story = story_lib.Story(received)
         answer: Answer | None = None
         try:
             answer = await self._answer(request, received, sink, story)
@@ -145,8 +146,8 @@
         self,
         request: web.BaseRequest,
         received: requests.Received,
-        sink: _Sink,
-        story: Story,
+        sink: sink_lib.CallerSink,
+        story: story_lib.Story,
     ) -> Answer:
         access = await self._check_access(received, story)
         if isinstance(access, answers.Refusal):
@@ -171,8 +172,8 @@
         received: requests.Received,
         access: Access,
         flow: attempts.Flow,
-        sink: _Sink,
-        story: Story,
+        sink: sink_lib.CallerSink,
+        story: story_lib.Story,
     ) -> Answer:
         """Runs a turn within the budget of its program.
 
@@ -201,8 +202,8 @@
         received: requests.Received,
         access: Access,
         flow: attempts.Flow,
-        sink: _Sink,
-        story: Story,
+        sink: sink_lib.CallerSink,
+        story: story_lib.Story,
     ) -> Answer:
         """Runs a request within the rate, behind the turns before it."""
         refusal = await self._admit(received, access, flow, story)
@@ -220,7 +221,7 @@
         received: requests.Received,
         access: Access,
         flow: attempts.Flow,
-        story: Story,
+        story: story_lib.Story,
     ) -> answers.Refusal | None:
         if access.organisation is None:
             return None
@@ -244,7 +245,7 @@
         return None
 
     async def _check_access(
-        self, received: requests.Received, story: Story
+        self, received: requests.Received, story: story_lib.Story
     ) -> Access | answers.Refusal:
         """Returns what a request may use; denies only on fresh knowledge."""
         knowledge = self._parts.knowledge
@@ -323,7 +324,7 @@
         received: requests.Received,
         access: Access,
         flow: attempts.Flow,
-        story: Story,
+        story: story_lib.Story,
     ) -> bytes | answers.Refusal:
         assert received.parent_turn is not None
         until_ms = received.arrived_ms + access.route.objective_ms
@@ -377,7 +378,7 @@
         received: requests.Received,
         access: Access,
         body: bytes,
-        sink: _Sink,
+        sink: sink_lib.CallerSink,
         answer: attempts.StreamEnded,
     ) -> Answer:
         data = b"".join(each + b"\n" for each in sink.data)
@@ -397,7 +398,7 @@
         answer: Answer,
         request: web.BaseRequest,
         received: requests.Received,
-        sink: _Sink,
+        sink: sink_lib.CallerSink,
     ) -> web.StreamResponse:
         match answer:
             case attempts.StreamEnded():
@@ -419,69 +420,6 @@
         return response
 
 
-class Story:
-    """What is logged of a request.
-
-    Attributes:
-        received: The request.
-        flow: Its way, once there is a route.
-        version: Version of the configuration.
-        proof_age_ms: Age of the proof that it is the newest.
-        organisation: Its organisation, once its key was found.
-        admitted_by: Who admitted it within its organisation's rate.
-        chain_turns: Turns before it.
-        outcome: Set if there is no answer.
-    """
-
-    def __init__(self, received: requests.Received) -> None:
-        """Makes the story of a request that has just arrived."""
-        self.received = received
-        self.flow: attempts.Flow | None = None
-        self.version = 0
-        self.organisation = ""
-        self.admitted_by = ""
-        self.proof_age_ms = math.inf
-        self.chain_turns = 0
-        self.outcome = ""
-
-
-class _Sink(attempts.EventSink):
-    """Passes events on to the caller of a request."""
-
-    def __init__(self, request: web.BaseRequest, handler: Handler) -> None:
-        self._request = request
-        self._handler = handler
-        self._response: web.StreamResponse | None = None
-        self.data: list[bytes] = []
-
-    async def begin(self, headers_: multidict.CIMultiDictProxy[str]) -> None:
-        self._response = web.StreamResponse(
-            headers=headers.response_headers(headers_)
-        )
-
-    async def pass_on(self, found: list[events.Event]) -> None:
-        response = await self._prepared()
-        self.data += [each.data for each in found]
-        await response.write(b"".join(each.raw for each in found))
-
-    async def end(self) -> web.StreamResponse:
-        response = await self._prepared()
-        await response.write_eof()
-        return response
-
-    def abort(self) -> None:
-        """Ends the connection so that the answer can't look complete."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    async def _prepared(self) -> web.StreamResponse:
-        assert self._response is not None
-        if not self._response.prepared:
-            self._handler.mark(self._response)
-            await self._response.prepare(self._request)
-        return self._response
-
-
 def _is_denial(found: Access | answers.Refusal) -> bool:
     return isinstance(found, answers.Refusal) and found.cause in (
         answers.Cause.NO_ROUTE,
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from mangotally.entry import handler
+    from mangotally.entry import story as story_lib
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger("mangotally.requests")
@@ -28,7 +29,7 @@
         self.gauges: dict[str, float] = {}
 
     def record(
-        self, story: handler.Story, answer: handler.Answer | None
+        self, story: story_lib.Story, answer: handler.Answer | None
     ) -> None:
         """Counts and logs one request."""
         total_ms = self._clock.now_ms() - story.received.arrived_ms
@@ -61,7 +62,7 @@
         return self._latency
 
 
-def _outcome(story: handler.Story, answer: handler.Answer | None) -> str:
+def _outcome(story: story_lib.Story, answer: handler.Answer | None) -> str:
     match answer:
         case sending.Whole():
             return f"status-{answer.status}"
@@ -76,7 +77,7 @@
 
 
 def _fields(
-    story: handler.Story, answer: handler.Answer | None, total_ms: float
+    story: story_lib.Story, answer: handler.Answer | None, total_ms: float
 ) -> dict[str, object]:
     received, flow = story.received, story.flow
     fields: dict[str, object] = {
--- a/tests/test_entry/test_budgets.py
+++ b/tests/test_entry/test_allowances.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful, strategies
 
 from mangotally import ids
-from mangotally.entry import budgets
+from mangotally.entry import allowances
 from mangotally.policy import spending
 from mangotally.util import clock as clock_lib
 from tests import stateful as settings
@@ -23,8 +23,8 @@
     name: str,
     clock: clock_lib.Clock,
     parts: int = spending.HOME_PARTS,
-) -> budgets.Allowances:
-    return budgets.Allowances(log, ids.HostId(name), 1, parts, clock)
+) -> allowances.Allowances:
+    return allowances.Allowances(log, ids.HostId(name), 1, parts, clock)
 
 
 class AllowancesTest(unittest.IsolatedAsyncioTestCase):
@@ -39,8 +39,8 @@
         )
 
     async def _reserve(
-        self, owner: budgets.Allowances, tokens: int = 280
-    ) -> budgets.Verdict:
+        self, owner: allowances.Allowances, tokens: int = 280
+    ) -> allowances.Verdict:
         return await owner.reserve(PROGRAM, 500, tokens, FAR_MS)
 
     async def test_tokens_that_were_not_needed_serve_another_host(
@@ -54,7 +54,7 @@
             verdict.purse.settle(280, 0)
             unused = verdict.purse.take_out(280)
             await self.alone.give_back(PROGRAM, unused)
-            self.clock.advance(budgets.SPENT_AGE_MS + 1)
+            self.clock.advance(allowances.SPENT_AGE_MS + 1)
         verdict = await self._reserve(self.home)
         self.assertIsNotNone(verdict.purse)
 
@@ -72,13 +72,13 @@
         self.assertTrue(spent.is_spent)
         verdict.purse.settle(500, 0)
         await self.home.give_back(PROGRAM, verdict.purse.take_out(500))
-        self.clock.advance(budgets.SPENT_AGE_MS + 1)
+        self.clock.advance(allowances.SPENT_AGE_MS + 1)
         self.assertIsNotNone((await self._reserve(self.alone)).purse)
 
     async def test_without_the_log_nothing_is_said(self) -> None:
         self.log.refuse = 100
         verdict = await self._reserve(self.home)
-        self.assertEqual(verdict, budgets.Verdict(None))
+        self.assertEqual(verdict, allowances.Verdict(None))
 
     async def test_a_budget_that_is_read_needs_no_more_calls(self) -> None:
         for _ in range(3):
@@ -108,7 +108,7 @@
         self.running: list[tuple[spending.Purse, int]] = []
         self.hosts = [self._start(number) for number in range(self.HOSTS)]
 
-    def _start(self, number: int) -> budgets.Allowances:
+    def _start(self, number: int) -> allowances.Allowances:
         self.starts += 1
         parts = spending.HOME_PARTS if number else spending.EXACT_PARTS
         name = f"{number}.{self.starts}"
@@ -128,7 +128,9 @@
         if verdict.purse is not None:
             self.running.append((verdict.purse, self.MOST))
 
-    async def _reserve(self, owner: budgets.Allowances) -> budgets.Verdict:
+    async def _reserve(
+        self, owner: allowances.Allowances
+    ) -> allowances.Verdict:
         until_ms = self.clock.now_ms() + 1
         return await owner.reserve(PROGRAM, self.BUDGET, self.MOST, until_ms)
 
