Let one piece serve where the entry path wrote things twice

A reading of the whole change found: a second hash of keys to partitions beside policy/homes.py; two loops that read a partition to its end; three copies of how a key's home is found and left alone; the log's calls documented twice; the rendering of metrics twice; unused names (a silence query, a time, two topics, three stand-in methods, loggers). On the hot path, a gRPC stub was made for each call between hosts, and each round of the dispatcher ordered its queue twice and counted the slots for each waiting request. No change of behaviour is meant; a host whose own lease has lapsed no longer calls itself to hear that it is not home.

--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -10,8 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from mangotally.entry import log as log_lib
-from mangotally.entry import partitions
-from mangotally.policy import spending
+from mangotally.policy import homes, spending
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -88,7 +87,7 @@
         purse = self._purse(program)
         if purse.reserve(tokens, self._clock.now_ms()):
             return Verdict(purse)
-        number = partitions.partition_of(program, len(self._partitions))
+        number = homes.partition_of_key(program, len(self._partitions))
         wish = _Wish(program, budget, tokens, purse)
         return await self._partitions[number].take(wish, until_ms)
 
@@ -100,7 +99,7 @@
         That is tried once: tokens that may have been returned already are
         rather lost than returned twice.
         """
-        number = partitions.partition_of(program, len(self._partitions))
+        number = homes.partition_of_key(program, len(self._partitions))
         await self._partitions[number].give_back(program, tokens)
 
     def _purse(self, program: spending.ProgramKey) -> spending.Purse:
@@ -154,7 +153,7 @@
         self._host = host
         self._clock = clock
         self._ledger = spending.Ledger()
-        self._next = log_lib.Offset(0)
+        self._cursor = log_lib.Cursor(log, TOPIC, number)
         self._sequence = 0
         self._lock = asyncio.Lock()
         self._pending: dict[str, tuple[spending.Grant, spending.Purse]] = {}
@@ -220,10 +219,10 @@
         name, record = self._grant_record(grant)
         self._pending[name] = (grant, wish.purse)
         appended = await self._log.append(
-            TOPIC, self._number, [record], self._next
+            TOPIC, self._number, [record], self._cursor.next
         )
         if isinstance(appended, log_lib.Appended):
-            self._next = appended.end
+            self._cursor.next = appended.end
             self._apply(name, grant)
             return True
         # Another host has written, or this call may still be carried out.
@@ -238,22 +237,12 @@
 
     async def _read(self) -> bool:
         """Reads the partition to its end; returns whether it could."""
-        while True:
-            sent_ms = self._clock.now_ms()
-            batch = await self._log.read(TOPIC, self._number, self._next)
-            match batch:
-                case log_lib.Unavailable():
-                    return False
-                case log_lib.Trimmed():
-                    self._next = batch.first
-                    continue
-            for record in batch.records:
-                self._take_record(record)
-            self._next = batch.next
-            if batch.next >= batch.end:
-                self._read_ms = sent_ms
-                self._ledger.forget(self._clock.now_ms())
-                return True
+        sent_ms = self._clock.now_ms()
+        if await self._cursor.read(self._take_record) is not None:
+            return False
+        self._read_ms = sent_ms
+        self._ledger.forget(self._clock.now_ms())
+        return True
 
     def _take_record(self, record: bytes) -> None:
         try:
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -109,7 +109,11 @@
         logger.info("stop", extra={"under_way": self._handler.under_way})
         self._handler.is_leaving = True
         stop_ms = self._clock.now_ms()
-        end_ms = stop_ms + self._settings.bounds.grace_s * 1000 - CLOSE_MS
+        end_ms = (
+            stop_ms
+            + self._settings.bounds.grace_s * clock_lib.MS_PER_S
+            - CLOSE_MS
+        )
         await self._member.leave()
         quiet_ms = stop_ms + min(LEAVE_MS, (end_ms - stop_ms) / 2)
         while self._clock.now_ms() < end_ms:
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -105,6 +105,9 @@
     reason: str
 
 
+Tried: TypeAlias = (
+    sending.Whole | sending.NotRun | sending.Broken | StreamEnded | StreamBroken
+)
 Result: TypeAlias = sending.Whole | StreamEnded | StreamBroken | answers.Refusal
 
 
@@ -217,12 +220,7 @@
 
     async def _try(
         self, flow: Flow, place: places.Place, sink: EventSink
-    ) -> (
-        sending.Whole
-        | sending.NotRun
-        | sending.Broken
-        | (StreamEnded | StreamBroken)
-    ):
+    ) -> Tried:
         flow.target = place.target
         end = dispatch.End.CANCELLED
         units = 0.0
@@ -243,12 +241,7 @@
 
     async def _send(
         self, flow: Flow, place: places.Place, sink: EventSink
-    ) -> (
-        sending.Whole
-        | sending.NotRun
-        | sending.Broken
-        | (StreamEnded | StreamBroken)
-    ):
+    ) -> Tried:
         target = self._directory.find(place.target)
         if target is None:
             return sending.NotRun("target-gone", is_reached=False)
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -87,7 +87,7 @@
 
         Args:
             homes: Knows the homes.
-            owned: allowances.Allowances of this host as a home.
+            owned: Allowances of this host as a home.
             clock: Time.
         """
         self._homes = homes
@@ -148,7 +148,7 @@
         Args:
             host: This host and start.
             home: Reservations that this host keeps as a home.
-            own: allowances.Allowances for turns whose home does not answer.
+            own: Allowances for turns whose home does not answer.
             homes: Knows the homes.
             links: Links to the other hosts.
             clock: Time.
@@ -223,12 +223,10 @@
         key = program_home_key(program)
         if self._homes.owned_since_ms(key) is not None:
             return await self._home.reserve(request)
-        home = self._homes.home_of(key)
-        if home is None or not self._links.is_heard(home.address):
+        address = self._links.home_address(self._homes, key)
+        if address is None:
             return None
-        reply = await self._links.reserve(
-            home.address, request, HOME_TIMEOUT_MS
-        )
+        reply = await self._links.reserve(address, request, HOME_TIMEOUT_MS)
         if reply is None:
             # The home may have set tokens aside all the same.
             self._settle(program, request.ticket, 0)
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import prometheus_client
 from prometheus_client import metrics_core, registry
 
+from mangotally.metrics import exposition
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -15,9 +16,7 @@
 
 def render(monitor: monitor_lib.Monitor) -> bytes:
     """Returns all metrics of a monitor as text."""
-    target = registry.CollectorRegistry(auto_describe=False)
-    target.register(_Collector(monitor))
-    return prometheus_client.generate_latest(target)
+    return exposition.render_collected(_Collector(monitor))
 
 
 class _Collector(registry.Collector):
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import dataclasses
-import logging
 import math
 import random
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -34,8 +33,6 @@
     import multidict
 
 
-logger = logging.getLogger(__name__)
-
 # Callers come back after this time if the configuration is not known.
 CONFIGURATION_RETRY_MS = 300.0
 # An outage that has made knowledge old seldom ends at once.
@@ -93,14 +90,6 @@
     clock: clock_lib.Clock
 
 
-Answer: TypeAlias = (
-    sending.Whole
-    | attempts.StreamEnded
-    | attempts.StreamBroken
-    | answers.Refusal
-)
-
-
 class Handler:
     """Answers callers' requests."""
 
@@ -126,7 +115,7 @@
         sink = sink_lib.CallerSink(request, self.mark)
         self.under_way += 1
         story = story_lib.Story(received)
-        answer: Answer | None = None
+        answer: attempts.Result | None = None
         try:
             answer = await self._answer(request, received, sink, story)
             return await self._respond(answer, request, received, sink)
@@ -148,7 +137,7 @@
         received: requests.Received,
         sink: sink_lib.CallerSink,
         story: story_lib.Story,
-    ) -> Answer:
+    ) -> attempts.Result:
         access = await self._check_access(received, story)
         if isinstance(access, answers.Refusal):
             return access
@@ -174,7 +163,7 @@
         flow: attempts.Flow,
         sink: sink_lib.CallerSink,
         story: story_lib.Story,
-    ) -> Answer:
+    ) -> attempts.Result:
         """Runs a turn within the budget of its program.
 
         The budget goes before the rate: a program that has spent it must
@@ -204,7 +193,7 @@
         flow: attempts.Flow,
         sink: sink_lib.CallerSink,
         story: story_lib.Story,
-    ) -> Answer:
+    ) -> attempts.Result:
         """Runs a request within the rate, behind the turns before it."""
         refusal = await self._admit(received, access, flow, story)
         if refusal is not None:
@@ -380,7 +369,7 @@
         body: bytes,
         sink: sink_lib.CallerSink,
         answer: attempts.StreamEnded,
-    ) -> Answer:
+    ) -> attempts.Result:
         data = b"".join(each + b"\n" for each in sink.data)
         turn = history.Turn(
             model.TurnId(received.id),
@@ -395,7 +384,7 @@
 
     async def _respond(
         self,
-        answer: Answer,
+        answer: attempts.Result,
         request: web.BaseRequest,
         received: requests.Received,
         sink: sink_lib.CallerSink,
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -23,7 +23,6 @@
         program_time_left: Milliseconds until the program should be done.
         token_budget: Tokens that all turns of a program may generate.
         token_usage: Tokens of the prompt and most tokens generated.
-        prefix: Parts of the prompt, in order.
         parent_turn: Id of the turn that this one continues from.
         last_event: Id of the last event that the sender has.
         expected_target: The target that may run the request.
@@ -42,7 +41,6 @@
     program_time_left: str
     token_budget: str
     token_usage: str
-    prefix: str
     parent_turn: str
     last_event: str
     expected_target: str
--- a/mangotally/entry/history.py
+++ b/mangotally/entry/history.py
@@ -12,7 +12,8 @@
 
 from mangotally import ids
 from mangotally.entry import log as log_lib
-from mangotally.entry import model, partitions
+from mangotally.entry import model
+from mangotally.policy import homes
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -118,12 +119,15 @@
         self._log = log
         self._clock = clock
         self._count = partition_count
-        part = partitions.partition_of(host, partition_count)
+        part = homes.partition_of_key(host, partition_count)
         self._content = _Writer(log, CONTENT, part)
         self._index_writers = [
             _Writer(log, INDEX, number) for number in range(partition_count)
         ]
-        self._index_next = [log_lib.Offset(0)] * partition_count
+        self._index = [
+            log_lib.Cursor(log, INDEX, number)
+            for number in range(partition_count)
+        ]
         self._index_locks = [asyncio.Lock() for _ in range(partition_count)]
         self._entries: collections.OrderedDict[model.TurnId, _Entry]
         self._entries = collections.OrderedDict()
@@ -144,7 +148,7 @@
             self._content.part,
             self._content.end,
         )
-        number = partitions.partition_of(turn.id, self._count)
+        number = homes.partition_of_key(turn.id, self._count)
         kept = await asyncio.gather(
             self._write(self._content, _content_records(turn), until_ms),
             self._write(
@@ -203,7 +207,7 @@
     async def _read(self, name: model.TurnId) -> Turn | NoSuchTurn | Unknown:
         entry = self._entries.get(name)
         if entry is None:
-            number = partitions.partition_of(name, self._count)
+            number = homes.partition_of_key(name, self._count)
             async with self._index_locks[number]:
                 if name not in self._entries:
                     failure = await self._read_index(number)
@@ -216,20 +220,8 @@
 
     async def _read_index(self, number: int) -> Unknown | None:
         """Reads one partition of the index to its end."""
-        while True:
-            first = self._index_next[number]
-            batch = await self._log.read(INDEX, number, first)
-            match batch:
-                case log_lib.Unavailable():
-                    return Unknown(f"index: {batch.reason}")
-                case log_lib.Trimmed():
-                    self._index_next[number] = batch.first
-                    continue
-            for record in batch.records:
-                self._take_index_record(record)
-            self._index_next[number] = batch.next
-            if batch.next >= batch.end:
-                return None
+        failure = await self._index[number].read(self._take_index_record)
+        return None if failure is None else Unknown(f"index: {failure.reason}")
 
     async def _read_content(
         self, name: model.TurnId, entry: _Entry
--- a/mangotally/entry/log.py
+++ b/mangotally/entry/log.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NewType, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 Topic = NewType("Topic", str)
 Offset = NewType("Offset", int)
@@ -115,3 +115,41 @@
             wait_ms: How long to wait for a record if there is none.
             max_kb: Most data wanted, in KiB.
         """
+
+
+class Cursor:
+    """Reads a partition to its end, again and again.
+
+    Attributes:
+        next: Offset of the first record that was not read.
+    """
+
+    def __init__(self, log: Log, topic: Topic, part: int) -> None:
+        """Makes a cursor at the start of a partition."""
+        self.next = Offset(0)
+        self._log = log
+        self._topic = topic
+        self._part = part
+
+    async def read(self, take: Callable[[bytes], None]) -> Unavailable | None:
+        """Passes on all records up to the end; those deleted are left out.
+
+        Args:
+            take: Called with each record, once.
+
+        Returns:
+            Why the end was not reached, or None.
+        """
+        while True:
+            batch = await self._log.read(self._topic, self._part, self.next)
+            match batch:
+                case Unavailable():
+                    return batch
+                case Trimmed():
+                    self.next = batch.first
+                    continue
+            for record in batch.records:
+                take(record)
+            self.next = batch.next
+            if batch.next >= batch.end:
+                return None
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -10,7 +10,6 @@
 from mangotally.metrics import series
 
 if TYPE_CHECKING:
-    from mangotally.entry import handler
     from mangotally.entry import story as story_lib
     from mangotally.util import clock as clock_lib
 
@@ -29,7 +28,7 @@
         self.gauges: dict[str, float] = {}
 
     def record(
-        self, story: story_lib.Story, answer: handler.Answer | None
+        self, story: story_lib.Story, answer: attempts.Result | None
     ) -> None:
         """Counts and logs one request."""
         total_ms = self._clock.now_ms() - story.received.arrived_ms
@@ -62,7 +61,7 @@
         return self._latency
 
 
-def _outcome(story: story_lib.Story, answer: handler.Answer | None) -> str:
+def _outcome(story: story_lib.Story, answer: attempts.Result | None) -> str:
     match answer:
         case sending.Whole():
             return f"status-{answer.status}"
@@ -77,7 +76,7 @@
 
 
 def _fields(
-    story: story_lib.Story, answer: handler.Answer | None, total_ms: float
+    story: story_lib.Story, answer: attempts.Result | None, total_ms: float
 ) -> dict[str, object]:
     received, flow = story.received, story.flow
     fields: dict[str, object] = {
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 from typing import TYPE_CHECKING, Any, Protocol, Self
@@ -16,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from mangotally.entry import homes as homes_lib
+
 logger = logging.getLogger(__name__)
 
 KEEPALIVE_MS = 2000
@@ -88,6 +89,14 @@
     pause_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Link:
+    """A connection to a host, and its calls."""
+
+    channel: grpc.aio.Channel
+    stub: entry_pb2_grpc.EntryStub
+
+
 class Peers:
     """Links to other hosts; each opens on first use.
 
@@ -97,7 +106,7 @@
     def __init__(self, clock: clock_lib.Clock) -> None:
         """Makes an owner of no links."""
         self._clock = clock
-        self._links: dict[str, grpc.aio.Channel] = {}
+        self._links: dict[str, _Link] = {}
         self._silent: dict[str, _Silence] = {}
 
     async def __aenter__(self) -> Self:
@@ -107,17 +116,24 @@
     async def __aexit__(self, *_exc: object) -> None:
         """Closes all links."""
         links, self._links = self._links, {}
-        await asyncio.gather(*(link.close() for link in links.values()))
+        await asyncio.gather(*(link.channel.close() for link in links.values()))
+
+    def home_address(self, homes: homes_lib.Homes, key: str) -> str | None:
+        """Returns where the home of a key is called, or None.
+
+        There is none if the home is not known, is this host as other hosts
+        see it, or did not answer a moment ago.
+        """
+        home = homes.home_of(key)
+        if home is None or homes.is_own(home):
+            return None
+        return home.address if self.is_heard(home.address) else None
 
     def is_heard(self, address: str) -> bool:
         """Returns whether a host is worth calling now."""
         silence = self._silent.get(address)
         return silence is None or self._clock.now_ms() >= silence.until_ms
 
-    def is_silent(self, address: str) -> bool:
-        """Returns whether the last call of a host failed."""
-        return address in self._silent
-
     async def call_store(
         self, address: str, request: entry_pb2.StoreCall, timeout_ms: float
     ) -> entry_pb2.StoreReply | None:
@@ -160,7 +176,7 @@
     async def _call(
         self, address: str, method: str, request: Any, timeout_ms: float
     ) -> Any:
-        stub = entry_pb2_grpc.EntryStub(self._link(address))
+        stub = self._link(address).stub
         try:
             reply = await getattr(stub, method)(
                 request, timeout=clock_lib.to_seconds(timeout_ms)
@@ -172,10 +188,11 @@
             logger.info("host_regained", extra={"address": address})
         return reply
 
-    def _link(self, address: str) -> grpc.aio.Channel:
+    def _link(self, address: str) -> _Link:
         link = self._links.get(address)
         if link is None:
-            link = grpc.aio.insecure_channel(address, options=OPTIONS)
+            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+            link = _Link(channel, entry_pb2_grpc.EntryStub(channel))
             self._links[address] = link
         return link
 
@@ -210,7 +227,6 @@
         """
         self._address = address
         self._handlers = handlers
-        self._stack = contextlib.AsyncExitStack()
         self._server: grpc.aio.Server
 
     async def __aenter__(self) -> Self:
--- a/mangotally/entry/places.py
+++ b/mangotally/entry/places.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import logging
 from typing import TYPE_CHECKING
 
 from mangotally import ids
@@ -17,8 +16,6 @@
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import peers
 
-logger = logging.getLogger(__name__)
-
 # A request that waits asks its home again after this time.
 ASK_MS = 150
 # Beyond that, an answer between hosts is late.
@@ -215,11 +212,6 @@
         self._reports: set[asyncio.Task[None]] = set()
         directory.listen(self._on_target)
 
-    @property
-    def held(self) -> int:
-        """Requests of this host that are at targets."""
-        return len(self._held)
-
     async def find(
         self, service: ids.ServiceId, work: dispatch.Work
     ) -> Place | NoPlace:
@@ -329,15 +321,12 @@
         key = pool_key(service)
         if self._homes.owned_since_ms(key) is not None:
             return await self._find_here(service, work, "home")
-        home = self._homes.home_of(key)
-        now_ms = self._clock.now_ms()
-        if home is None or self._homes.is_own(home):
-            return await self._find_here(service, work, "alone")
-        if not self._links.is_heard(home.address):
+        address = self._links.home_address(self._homes, key)
+        if address is None:
             return await self._find_here(service, work, "alone")
         reply = await self._links.place(
-            home.address,
-            _request(service, work, now_ms),
+            address,
+            _request(service, work, self._clock.now_ms()),
             ASK_MS + HOME_TIMEOUT_MS,
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import dataclasses
-import logging
 from typing import TYPE_CHECKING
 
 from mangotally import ids
@@ -18,8 +17,6 @@
     from mangotally.entry import knowledge as knowledge_lib
     from mangotally.entry import model, peers
 
-logger = logging.getLogger(__name__)
-
 # Longer than a lost packet takes to be sent again.
 HOME_TIMEOUT_MS = 300
 # Another host may reach the home.
@@ -263,14 +260,10 @@
         )
         if self._homes.owned_since_ms(key) is not None:
             return self._home.take(request)
-        home = self._homes.home_of(key)
-        if home is None:
-            return None
-        if not self._links.is_heard(home.address):
+        address = self._links.home_address(self._homes, key)
+        if address is None:
             return None
-        return await self._links.take_tokens(
-            home.address, request, HOME_TIMEOUT_MS
-        )
+        return await self._links.take_tokens(address, request, HOME_TIMEOUT_MS)
 
     def _admit_alone(
         self, organisation: model.Organisation
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import logging
 from typing import TYPE_CHECKING, Self, TypeAlias
 
 import aiohttp
@@ -19,8 +18,6 @@
 
     from mangotally.entry import headers as headers_lib
 
-logger = logging.getLogger(__name__)
-
 CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_MS = 9000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/mangotally/metrics/exposition.py
+++ b/mangotally/metrics/exposition.py
@@ -19,8 +19,13 @@
 
 def render(found: store.MetricsStore) -> bytes:
     """Returns all metrics of a host as text."""
+    return render_collected(_Collector(found))
+
+
+def render_collected(collector: registry.Collector) -> bytes:
+    """Returns what a collector yields as text."""
     target = registry.CollectorRegistry(auto_describe=False)
-    target.register(_Collector(found))
+    target.register(collector)
     return prometheus_client.generate_latest(target)
 
 
--- a/mangotally/platform/failover.py
+++ b/mangotally/platform/failover.py
@@ -45,7 +45,6 @@
         self._clock = clock
         self._lost_ms: float | None = None
         self._retry_ms = 0.0
-        self.regained_ms = 0.0
 
     @property
     def is_lost(self) -> bool:
@@ -80,7 +79,6 @@
             return
         lost_for_ms = self._clock.now_ms() - self._lost_ms
         self._lost_ms = None
-        self.regained_ms = self._clock.now_ms()
         logger.info("store_regained", extra={"lost_for_ms": lost_for_ms})
 
 
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -10,8 +10,8 @@
 
 from mangotally import ids
 from mangotally.entry import homes
-from mangotally.entry import partitions as partition_lib
 from mangotally.platform import store
+from mangotally.policy import homes as homes_policy
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -166,7 +166,7 @@
         self._owners = _owners(rows)
 
     def _partition(self, key: str) -> int:
-        return partition_lib.partition_of(key, self._partitions)
+        return homes_policy.partition_of_key(key, self._partitions)
 
 
 def _name(host: homes.HostAddress) -> str:
--- a/mangotally/platform/headers.py
+++ b/mangotally/platform/headers.py
@@ -15,7 +15,6 @@
     # For all turns of the program together, not for this one.
     token_budget="Token-Budget",
     token_usage="Token-Usage",
-    prefix="Prefix-Hash",
     parent_turn="Parent-Turn",
     last_event="Last-Event-Id",
     expected_target="Expect-Instance",
--- a/mangotally/platform/relay.py
+++ b/mangotally/platform/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -14,8 +13,6 @@
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import peers
 
-logger = logging.getLogger(__name__)
-
 # Beyond the call's own time, for the way between the hosts.
 MARGIN_MS = 100
 MAX_HOSTS = 2
--- a/mangotally/platform/standin_store.py
+++ b/mangotally/platform/standin_store.py
@@ -20,8 +20,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-OPERATORS_TOPIC = "keyed.op"
-TARGETS_TOPIC = "keyed.servers"
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
 _POLL_MS = 5
@@ -111,20 +109,6 @@
         partition.first = partition.end
         partition.records.clear()
 
-    def deal_anew(self) -> None:
-        """Gives all partitions of all groups to other members."""
-        for group in self._groups.values():
-            self._deal(group, 1)
-
-    def records(self, topic: str) -> list[bytes]:
-        """Returns the records of all partitions of a topic."""
-        return [
-            record
-            for (name, _), partition in sorted(self._topics.items())
-            if name == topic
-            for record in partition.records
-        ]
-
     @web.middleware
     async def _suffer(
         self, request: web.Request, handler: Any
@@ -236,10 +220,9 @@
             del group.members[member]
         return bool(gone)
 
-    def _deal(self, group: _Group, shift: int = 0) -> None:
+    def _deal(self, group: _Group) -> None:
         group.generation += 1
         members = sorted(group.members)
-        members = members[shift:] + members[:shift]
         group.owners = {
             (topic, part): members[part % len(members)] if members else ""
             for topic in group.topics
--- a/mangotally/platform/store.py
+++ b/mangotally/platform/store.py
@@ -128,14 +128,7 @@
         records: Sequence[bytes],
         at: Offset | None = None,
     ) -> Appended | EndMoved | Unavailable:
-        """Appends records, all or none.
-
-        Args:
-            topic: The topic.
-            part: Number of the partition.
-            records: The records.
-            at: Append only if the partition ends here.
-        """
+        """Appends records; see `log.Log`."""
         query: dict[str, object] = {"Topic": topic, "part": part}
         if at is not None:
             query["At"] = at
@@ -158,15 +151,7 @@
         wait_ms: int = 0,
         max_kb: int = MAX_READ_KB,
     ) -> Batch | Trimmed | Unavailable:
-        """Reads records from an offset on.
-
-        Args:
-            topic: The topic.
-            part: Number of the partition.
-            first: Offset of the first record wanted.
-            wait_ms: How long to wait for a record if there is none.
-            max_kb: Most data wanted, in KiB.
-        """
+        """Reads records; see `log.Log`."""
         query: dict[str, object] = {
             "Topic": topic, "part": part, "From": first, "MaxKb": max_kb,
         }  # fmt: skip
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -10,6 +10,7 @@
 
 from mangotally import ids
 from mangotally.entry import model
+from mangotally.util import clock as clock_lib
 
 Count = Annotated[int, pydantic.Field(ge=0)]
 Amount = Annotated[float, pydantic.Field(ge=0)]
@@ -177,7 +178,7 @@
         max_attempts=max(1, found.MaxAttempts),
         is_public=found.Public,
         is_retained=found.Retained,
-        retention_ms=found.RetentionS * 1000,
+        retention_ms=found.RetentionS * clock_lib.MS_PER_S,
         is_resumable=found.Resumable,
     )
 
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -214,11 +214,6 @@
         """How many requests are at targets."""
         return sum(len(each.inside) for each in self._targets.values())
 
-    @property
-    def targets(self) -> dict[ids.TargetId, TargetView]:
-        """The targets by id."""
-        return self._targets
-
     def tickets(self) -> set[Ticket]:
         """Returns the requests that wait or are at targets."""
         found = set(self._queue)
@@ -307,22 +302,17 @@
 
     def advance(self, now_ms: float) -> list[Placed | Refused]:
         """Places what can be placed, and refuses what can't be in time."""
-        self._place(now_ms)
-        self._refuse(now_ms)
+        if self._queue:
+            ordered = self._ordered(now_ms)
+            self._place(ordered, now_ms)
+            self._refuse(ordered, now_ms)
         results, self._results = self._results, []
         return results
 
-    def estimate_wait_ms(self, ahead: int) -> float:
-        """Returns how long a request waits behind others."""
-        slots = sum(
-            each.slots for each in self._targets.values() if each.is_open
-        )
-        return (ahead + 1) * self._run_ms / max(1, slots)
-
-    def _place(self, now_ms: float) -> None:
-        if not self._queue or not self._has_room(now_ms):
+    def _place(self, ordered: list[_Waiting], now_ms: float) -> None:
+        if not self._has_room(now_ms):
             return
-        for waiting in self._ordered(now_ms):
+        for waiting in ordered:
             target = self._choose(waiting.work, now_ms)
             if target is None:
                 if not self._has_room(now_ms):
@@ -382,38 +372,35 @@
         is_late = work.due_ms <= now_ms
         return work.priority, is_late, work.is_new, work.due_ms
 
-    def _refuse(self, now_ms: float) -> None:
-        if not self._queue:
-            return
-        for ahead, waiting in enumerate(self._ordered(now_ms)):
-            reason = self._refusal(waiting, ahead, now_ms)
+    def _refuse(self, ordered: list[_Waiting], now_ms: float) -> None:
+        slots = sum(
+            each.slots for each in self._targets.values() if each.is_open
+        )
+        left = [each for each in ordered if each.work.ticket in self._queue]
+        for ahead, waiting in enumerate(left):
+            wait_ms = (ahead + 1) * self._run_ms / max(1, slots)
+            reason = self._refusal(waiting.work, ahead, slots, now_ms + wait_ms)
             if reason is None:
                 continue
+            retry_after_ms = min(
+                MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)
+            )
             ticket = waiting.work.ticket
             del self._queue[ticket]
-            self._results.append(
-                Refused(ticket, self._retry_after_ms(ahead), reason)
-            )
+            self._results.append(Refused(ticket, retry_after_ms, reason))
 
     def _refusal(
-        self, waiting: _Waiting, ahead: int, now_ms: float
+        self, work: Work, ahead: int, slots: int, start_ms: float
     ) -> str | None:
-        open_slots = sum(
-            each.slots for each in self._targets.values() if each.is_open
-        )
-        if not open_slots:
+        """Returns why a request that would start at a time is refused."""
+        if not slots:
             return "no-target"
-        wait_ms = self.estimate_wait_ms(ahead)
-        if now_ms + wait_ms + self._run_ms > waiting.work.deadline_ms:
+        if start_ms + self._run_ms > work.deadline_ms:
             return "too-late"
-        if waiting.work.is_new and ahead > open_slots * MAX_QUEUE_PER_SLOT:
+        if work.is_new and ahead > slots * MAX_QUEUE_PER_SLOT:
             return "queue-full"
         return None
 
-    def _retry_after_ms(self, ahead: int) -> float:
-        wait_ms = self.estimate_wait_ms(ahead)
-        return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-
     def _learn(self, view: TargetView, finished: Finished) -> None:
         if finished.run_ms <= 0:
             return
--- a/mangotally/policy/homes.py
+++ b/mangotally/policy/homes.py
@@ -84,8 +84,14 @@
         key: Root program id or idempotency key.
         partitions: Number of partitions.
     """
-    digest = _hash(f"{organisation}\0{key}")
-    return ids.PartitionId(digest % partitions)
+    return ids.PartitionId(
+        partition_of_key(f"{organisation}\0{key}", partitions)
+    )
+
+
+def partition_of_key(key: str, partitions: int) -> int:
+    """Returns the partition of a key, the same on all hosts."""
+    return _hash(key) % partitions
 
 
 def _weight(key: str, host: ids.HostId) -> tuple[int, ids.HostId]:
--- a/mangotally/util/clock.py
+++ b/mangotally/util/clock.py
@@ -31,7 +31,7 @@
         return time.time_ns() // NS_PER_MS
 
 
-class BootClock:
+class BootClock(SystemClock):
     """The clock of this machine, that also counts while it is suspended.
 
     What was proved before a suspension is as old afterwards as it is for
@@ -42,10 +42,6 @@
         """Returns the time since the start of the machine in milliseconds."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_MS
 
-    def wall_ms(self) -> int:
-        """Returns the time since the Unix epoch in milliseconds."""
-        return time.time_ns() // NS_PER_MS
-
 
 class ManualClock:
     """A clock that only moves when told to, for tests and replay."""
