--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -72,6 +72,7 @@
         self._clock = clock_lib.BootClock()
         # A process that starts again must not be taken for the one before.
         self._host = ids.HostId(f"{settings.host}.{secrets.token_hex(4)}")
+        self._lateness = lateness.Lateness(self._clock)
 
     async def __aenter__(self) -> Self:
         """Starts to serve."""
@@ -85,7 +86,9 @@
         links = await enter(peers.Peers(self._clock))
         self._wire_store(links)
         await self._wire_path(links)
-        await enter(peers.Server(settings.listen.hosts, self))
+        await enter(
+            peers.Server(settings.listen.hosts, self, self._lateness.count)
+        )
         listen = settings.listen
         await enter(server.HttpServer(listen.metrics, self._serve_metrics))
         await enter(server.HttpServer(listen.readiness, self._serve_ready))
@@ -211,7 +214,6 @@
             self._member, self._knowledge, limits, clock
         )
         self._monitor = monitor.Monitor(clock)
-        self._lateness = lateness.Lateness(clock)
         parts = handler.Parts(
             knowledge=self._knowledge,
             refresh=self._configuration.read_now,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -56,6 +56,8 @@
         target: The last of them.
         waited_ms: How long it waited for places.
         source: Who placed it last.
+        place_ms: Time until it had its places, calls of homes included.
+        first_event_ms: Time from the last place to the first event, or None.
         passed_events: Events that the caller has been sent.
         most_events: Events that the caller may be sent so far.
         extend: Raises `most_events`, or tells that it can't.
@@ -78,11 +80,18 @@
     target: ids.TargetId | None = None
     waited_ms: float = 0.0
     source: str = ""
+    place_ms: float = 0.0
+    first_event_ms: float | None = None
     passed_events: int = 0
     most_events: float = math.inf
     extend: Callable[[], Awaitable[bool]] | None = None
     last_event: int | None = None
 
+    def note_first_event(self, after_ms: float) -> None:
+        """Notes the time to the first event, unless there was one."""
+        if self.first_event_ms is None:
+            self.first_event_ms = after_ms
+
 
 class EventSink(Protocol):
     """Takes the events of a stream."""
@@ -210,7 +219,9 @@
             excluded=excluded,
             connected=self._connected(flow.service),
         )
+        begin_ms = self._clock.now_ms()
         found = await self._finder.find(flow.service, work)
+        flow.place_ms += self._clock.now_ms() - begin_ms
         if isinstance(found, places.Place):
             flow.waited_ms += found.waited_ms
             flow.source = found.source
@@ -269,11 +280,16 @@
         )
         outcome = await self._sender.send(target.address, request)
         if isinstance(outcome, sending.Stream):
-            return await self._pass_stream(flow, outcome, sink)
+            flow.first_event_ms = None
+            return await self._pass_stream(flow, place, outcome, sink)
         return outcome
 
     async def _pass_stream(
-        self, flow: Flow, stream: sending.Stream, sink: EventSink
+        self,
+        flow: Flow,
+        place: places.Place,
+        stream: sending.Stream,
+        sink: EventSink,
     ) -> StreamEnded | StreamBroken | sending.Broken:
         splitter = events.EventSplitter()
         try:
@@ -283,6 +299,7 @@
                 found = _unseen(splitter.feed(chunk), flow.last_event)
                 if not found:
                     continue
+                flow.note_first_event(self._clock.now_ms() - place.since_ms)
                 if not await _may_pass(flow, len(found)):
                     return StreamBroken("tokens-used-up")
                 flow.passed_events += len(found)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -115,7 +115,7 @@
         )
         sink = sink_lib.CallerSink(request, self.mark)
         self.under_way += 1
-        story = story_lib.Story(received)
+        story = story_lib.Story(received, self._parts.clock)
         answer: attempts.Result | None = None
         try:
             answer = await self._answer(request, received, sink, story)
@@ -171,7 +171,8 @@
         not use up the rate of its organisation.
         """
         body = flow.body
-        reserved = await self._reserve(received, access, flow)
+        with story.step("budget"):
+            reserved = await self._reserve(received, access, flow)
         if isinstance(reserved, answers.Refusal):
             return reserved
         try:
@@ -184,7 +185,8 @@
         if access.route.is_retained and isinstance(
             answer, attempts.StreamEnded
         ):
-            return await self._keep(received, access, body, sink, answer)
+            with story.step("keep"):
+                return await self._keep(received, access, body, sink, answer)
         return answer
 
     async def _admit_and_run(
@@ -196,11 +198,13 @@
         story: story_lib.Story,
     ) -> attempts.Result:
         """Runs a request within the rate, behind the turns before it."""
-        refusal = await self._admit(received, access, flow, story)
+        with story.step("rate"):
+            refusal = await self._admit(received, access, flow, story)
         if refusal is not None:
             return refusal
         if access.route.is_retained and received.parent_turn is not None:
-            before = await self._find_chain(received, access, flow, story)
+            with story.step("chain"):
+                before = await self._find_chain(received, access, flow, story)
             if isinstance(before, answers.Refusal):
                 return before
             flow.body = before + flow.body
--- a/mangotally/entry/lateness.py
+++ b/mangotally/entry/lateness.py
@@ -1,9 +1,11 @@
-"""Notices when this process runs late."""
+"""Notices when this process runs late, and how busy it is."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
+import time
 
 from mangotally.util import clock as clock_lib
 
@@ -12,6 +14,7 @@
 PERIOD_MS = 200
 # A delay that callers notice.
 LATE_MS = 100.0
+LOAD_MS = 2000
 
 
 class Lateness:
@@ -25,6 +28,14 @@
         """Makes a watcher that has seen no delay."""
         self._clock = clock
         self._most_ms = 0.0
+        self._load_ms = clock.now_ms()
+        self._load_cpu_s = time.process_time()
+        self._load_most_ms = 0.0
+        self.served: collections.Counter[str] = collections.Counter()
+
+    def count(self, name: str) -> None:
+        """Counts a call of another host that this process has served."""
+        self.served[name] += 1
 
     def take_most_ms(self) -> float:
         """Returns the longest delay since the last question."""
@@ -40,5 +51,24 @@
 
     def _note(self, delay_ms: float) -> None:
         self._most_ms = max(self._most_ms, delay_ms)
+        self._load_most_ms = max(self._load_most_ms, delay_ms)
         if delay_ms >= LATE_MS:
             logger.warning("process_late", extra={"delay_ms": delay_ms})
+        if self._clock.now_ms() - self._load_ms >= LOAD_MS:
+            self._log_load()
+
+    def _log_load(self) -> None:
+        now_ms, cpu_s = self._clock.now_ms(), time.process_time()
+        passed_ms = now_ms - self._load_ms
+        used_ms = (cpu_s - self._load_cpu_s) * clock_lib.MS_PER_S
+        logger.info(
+            "load",
+            extra={
+                "processor": round(used_ms / passed_ms, 3),
+                "most_late_ms": round(self._load_most_ms),
+                **{f"served_{k}": v for k, v in sorted(self.served.items())},
+            },
+        )
+        self._load_ms, self._load_cpu_s = now_ms, cpu_s
+        self._load_most_ms = 0.0
+        self.served.clear()
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -93,12 +93,17 @@
         fields["admitted_by"] = story.admitted_by
         fields["attempts"] = flow.attempts
         fields["waited_ms"] = round(flow.waited_ms, 1)
+        fields["place_ms"] = round(flow.place_ms, 1)
+        if flow.first_event_ms is not None:
+            fields["first_event_ms"] = round(flow.first_event_ms, 1)
         fields["placed_by"] = flow.source
         fields["events"] = flow.passed_events
         if flow.target is not None:
             fields["target"] = flow.target
     if story.organisation:
         fields["organisation"] = story.organisation
+    for name, spent_ms in story.step_ms.items():
+        fields[f"{name}_ms"] = spent_ms
     if story.chain_turns:
         fields["chain_turns"] = story.chain_turns
     if isinstance(answer, answers.Refusal):
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -218,22 +218,26 @@
 class Server:
     """Serves other hosts while entered."""
 
-    def __init__(self, address: str, handlers: Handlers) -> None:
+    def __init__(
+        self, address: str, handlers: Handlers, count: Callable[[str], None]
+    ) -> None:
         """Makes a server.
 
         Args:
             address: IP address and port to listen at.
             handlers: What is done.
+            count: Called with the name of each call that is served.
         """
         self._address = address
         self._handlers = handlers
+        self._count = count
         self._server: grpc.aio.Server
 
     async def __aenter__(self) -> Self:
         """Listens."""
         self._server = grpc.aio.server(options=OPTIONS)
         entry_pb2_grpc.add_EntryServicer_to_server(
-            _Servicer(self._handlers), self._server
+            _Servicer(self._handlers, self._count), self._server
         )
         self._server.add_insecure_port(self._address)
         await self._server.start()
@@ -247,19 +251,25 @@
 class _Servicer(entry_pb2_grpc.EntryServicer):
     """Hands calls to the handlers; the names are the protocol's."""
 
-    def __init__(self, handlers: Handlers) -> None:
-        self.CallStore = _unary(handlers.call_store)
-        self.TakeTokens = _unary(handlers.take_tokens)
-        self.Reserve = _unary(handlers.reserve)
-        self.Settle = _unary(handlers.settle)
-        self.Place = _unary(handlers.place)
-        self.Report = _unary(handlers.report)
+    def __init__(
+        self, handlers: Handlers, count: Callable[[str], None]
+    ) -> None:
+        self.CallStore = _unary(handlers.call_store, count)
+        self.TakeTokens = _unary(handlers.take_tokens, count)
+        self.Reserve = _unary(handlers.reserve, count)
+        self.Settle = _unary(handlers.settle, count)
+        self.Place = _unary(handlers.place, count)
+        self.Report = _unary(handlers.report, count)
 
 
 def _unary(
     handler: Callable[[Any], Awaitable[Any]],
+    count: Callable[[str], None],
 ) -> Callable[[Any, Any], Awaitable[Any]]:
+    name = handler.__name__
+
     async def handle(request: Any, _context: Any) -> Any:
+        count(name)
         return await handler(request)
 
     return handle
--- a/tests/test_entry/test_lateness.py
+++ b/tests/test_entry/test_lateness.py
@@ -32,6 +32,16 @@
         self.assertEqual(self.found.take_most_ms(), 500.0)
         self.assertEqual(self.found.take_most_ms(), 0.0)
 
+    async def test_load_is_logged_with_the_calls_served(self) -> None:
+        self.found.count("place")
+        self.found.count("place")
+        with self.assertLogs(lateness.logger, "INFO") as logs:
+            await self._pass(lateness.LOAD_MS + 10.0)
+        load = next(each for each in logs.records if each.msg == "load")
+        self.assertEqual(load.__dict__["served_place"], 2)
+        self.assertGreaterEqual(load.__dict__["processor"], 0.0)
+        self.assertFalse(self.found.served)
+
     async def test_a_timely_process_is_silent(self) -> None:
         with self.assertNoLogs(lateness.logger, "WARNING"):
             await self._pass(12.0)
