Read all turns of a chain at once

Cause: a chain was read turn by turn, each with a read of the index and one of the content, which looked for the turn from a place before it. With 114 hosts a turn seldom finds all turns before it in the memory of its host. The objective of a turn is 250 ms. Now the index record of a turn tells where the turns before it are, exactly, with their size: one read of the index, then all contents at the same time, without looking for them. Entries of the index are kept as bytes, since they are larger. The module was split: records and places in turns, the writer in appending.

--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -22,6 +22,7 @@
     rates,
     requests,
     sending,
+    turns,
 )
 from mangotally.entry import knowledge as knowledge_lib
 from mangotally.entry import monitor as monitor_lib
@@ -420,7 +421,7 @@
         answer: attempts.StreamEnded,
     ) -> attempts.Result:
         data = b"".join(each + b"\n" for each in sink.data)
-        turn = history.Turn(
+        turn = turns.Turn(
             model.TurnId(received.id),
             _organisation_id(access),
             received.parent_turn,
--- a/mangotally/entry/history.py
+++ b/mangotally/entry/history.py
@@ -5,19 +5,19 @@
 import asyncio
 import collections
 import dataclasses
-import json
 import logging
-import struct
 from typing import TYPE_CHECKING
 
-from mangotally import ids
+from mangotally.entry import appending, turns
 from mangotally.entry import log as log_lib
-from mangotally.entry import model
 from mangotally.policy import homes
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
+
+    from mangotally import ids
+    from mangotally.entry import model
 
 logger = logging.getLogger(__name__)
 
@@ -26,30 +26,9 @@
 CACHE_BYTES = 24 * 1024 * 1024
 MAX_INDEX_ENTRIES = 200_000
 MAX_CHAIN_TURNS = 1000
-# Largest part of a turn in one record.
-PART_BYTES = 200_000
-# A read that looks for a turn's content.
-CONTENT_READ_KB = 64
+# A read that looks for a turn's content from a place before it.
+SEARCH_READ_KB = 64
 RETRY_MS = 40
-_HEADER = struct.Struct(">I")
-
-
-@dataclasses.dataclass(frozen=True)
-class Turn:
-    """A turn that was answered whole.
-
-    Attributes:
-        id: Its id.
-        organisation: Whose it is.
-        parent: The turn that it continues from, or None.
-        content: Its input, then the data of its events, each followed by a
-            line feed: what it adds to the input of later turns.
-    """
-
-    id: model.TurnId
-    organisation: ids.OrganisationId
-    parent: model.TurnId | None
-    content: bytes
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,23 +60,6 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True)
-class _Entry:
-    """Where a turn's content is.
-
-    Attributes:
-        organisation: Whose it is.
-        parent: The turn before, or None.
-        part: Partition of the content.
-        hint: The content is at this offset or later.
-    """
-
-    organisation: ids.OrganisationId
-    parent: model.TurnId | None
-    part: int
-    hint: log_lib.Offset
-
-
 class History:
     """Keeps turns and finds the chain of a turn."""
 
@@ -120,47 +82,46 @@
         self._clock = clock
         self._count = partition_count
         part = homes.partition_of_key(host, partition_count)
-        self._content = _Writer(log, CONTENT, part)
+        self._content = appending.Writer(log, CONTENT, part)
         self._index_writers = [
-            _Writer(log, INDEX, number) for number in range(partition_count)
+            appending.Writer(log, INDEX, number)
+            for number in range(partition_count)
         ]
         self._index = [
             log_lib.Cursor(log, INDEX, number)
             for number in range(partition_count)
         ]
         self._index_locks = [asyncio.Lock() for _ in range(partition_count)]
-        self._entries: collections.OrderedDict[model.TurnId, _Entry]
+        # As records, of which many take little memory.
+        self._entries: collections.OrderedDict[model.TurnId, bytes]
         self._entries = collections.OrderedDict()
-        self._cache: collections.OrderedDict[model.TurnId, Turn]
-        self._cache = collections.OrderedDict()
-        self._cached_bytes = 0
+        self._cache = _Cache()
 
-    async def keep(self, turn: Turn, until_ms: float) -> bool:
+    async def keep(self, turn: turns.Turn, until_ms: float) -> bool:
         """Records a turn; returns whether the log has it.
 
         Args:
             turn: The turn.
             until_ms: When to give up.
         """
-        entry = _Entry(
+        records = turns.content_records(turn)
+        size_kb = turns.size_kb(records)
+        writer = self._content
+        entry = turns.Entry(
             turn.organisation,
             turn.parent,
-            self._content.part,
-            self._content.end,
+            turns.Location(writer.part, writer.end, size_kb),
+            self._chain_of(turn.parent),
         )
         number = homes.partition_of_key(turn.id, self._count)
-        kept = await asyncio.gather(
-            self._write(self._content, _content_records(turn), until_ms),
-            self._write(
-                self._index_writers[number],
-                [_index_record(turn.id, entry)],
-                until_ms,
-            ),
+        index_record = turns.index_record(turn.id, entry)
+        offset, indexed = await asyncio.gather(
+            self._write(writer, records, until_ms),
+            self._write(self._index_writers[number], [index_record], until_ms),
         )
-        if not all(kept):
+        if offset is None or indexed is None:
             return False
-        self._remember(turn)
-        self._enter(turn.id, entry)
+        self._locate(turn, entry, offset)
         return True
 
     async def chain(
@@ -180,7 +141,7 @@
         name: model.TurnId | None = turn
         while name is not None and len(parts) < MAX_CHAIN_TURNS:
             found = await self._find(name, until_ms)
-            if not isinstance(found, Turn):
+            if not isinstance(found, turns.Turn):
                 return found
             if found.organisation != organisation:
                 return NoSuchTurn()
@@ -191,10 +152,9 @@
 
     async def _find(
         self, name: model.TurnId, until_ms: float
-    ) -> Turn | NoSuchTurn | Unknown:
-        cached = self._cache.get(name)
+    ) -> turns.Turn | NoSuchTurn | Unknown:
+        cached = self._cache.find(name)
         if cached is not None:
-            self._cache.move_to_end(name)
             return cached
         while True:
             found = await self._read(name)
@@ -204,8 +164,10 @@
                 return found
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
-    async def _read(self, name: model.TurnId) -> Turn | NoSuchTurn | Unknown:
-        entry = self._entries.get(name)
+    async def _read(
+        self, name: model.TurnId
+    ) -> turns.Turn | NoSuchTurn | Unknown:
+        entry = self._entry(name)
         if entry is None:
             number = homes.partition_of_key(name, self._count)
             async with self._index_locks[number]:
@@ -213,10 +175,13 @@
                     failure = await self._read_index(number)
                     if failure is not None:
                         return failure
-            entry = self._entries.get(name)
+            entry = self._entry(name)
         if entry is None:
             return NoSuchTurn()
-        return await self._read_content(name, entry)
+        found, *_ = await asyncio.gather(
+            self._read_content(name, entry), self._read_before(entry)
+        )
+        return found
 
     async def _read_index(self, number: int) -> Unknown | None:
         """Reads one partition of the index to its end."""
@@ -224,133 +189,204 @@
         return None if failure is None else Unknown(f"index: {failure.reason}")
 
     async def _read_content(
-        self, name: model.TurnId, entry: _Entry
-    ) -> Turn | NoSuchTurn | Unknown:
-        parts: dict[int, bytes] = {}
-        first = entry.hint
-        while True:
-            batch = await self._log.read(
-                CONTENT, entry.part, first, max_kb=CONTENT_READ_KB
+        self, name: model.TurnId, entry: turns.Entry
+    ) -> turns.Turn | NoSuchTurn | Unknown:
+        """Reads from where a turn may begin until it is found."""
+        size_kb = entry.location.size_kb if entry.is_exact else SEARCH_READ_KB
+        reader = _Reader(self._log, entry.location, size_kb)
+        found = await reader.search(lambda part: part.turn == name)
+        if isinstance(found, Unknown):
+            return found
+        if not found:
+            logger.error(
+                "turn_without_content",
+                extra={"turn": name, "part": entry.location.part},
             )
-            match batch:
-                case log_lib.Unavailable():
-                    return Unknown(f"content: {batch.reason}")
-                case log_lib.Trimmed():
-                    first = batch.first
-                    continue
-            for record in batch.records:
-                found, number, count, part = _split(record)
-                if found != name:
-                    continue
-                parts[number] = part
-                if len(parts) == count:
-                    content = b"".join(parts[i] for i in sorted(parts))
-                    turn = Turn(name, entry.organisation, entry.parent, content)
-                    self._remember(turn)
-                    return turn
-            if batch.next >= batch.end:
-                logger.error(
-                    "turn_without_content",
-                    extra={"turn": name, "part": entry.part},
-                )
-                return NoSuchTurn()
-            first = batch.next
+            return NoSuchTurn()
+        turn = turns.Turn(name, entry.organisation, entry.parent, _join(found))
+        self._locate(turn, entry, reader.offset)
+        return turn
+
+    async def _read_before(self, entry: turns.Entry) -> None:
+        """Reads the turns before a turn at once, those not in memory.
+
+        What can't be read is looked for again, turn by turn.
+        """
+        await asyncio.gather(
+            *(
+                self._read_at(number, entry)
+                for number, location in enumerate(entry.before)
+                if not self._cache.holds(location)
+            )
+        )
+
+    async def _read_at(self, number: int, entry: turns.Entry) -> None:
+        location = entry.before[number]
+        reader = _Reader(self._log, location, location.size_kb)
+        found = await reader.search(lambda _: True)
+        is_there = reader.offset == location.offset
+        if isinstance(found, Unknown) or not found or not is_there:
+            reason = found.reason if isinstance(found, Unknown) else "deleted"
+            logger.info(
+                "turn_not_read_ahead",
+                extra={"part": location.part, "reason": reason},
+            )
+            return
+        first = found[0]
+        turn = turns.Turn(
+            first.turn, entry.organisation, first.parent, _join(found)
+        )
+        known = turns.Entry(
+            entry.organisation, first.parent, location, entry.before[:number]
+        )
+        self._locate(turn, known, reader.offset)
 
     async def _write(
-        self, writer: _Writer, records: Sequence[bytes], until_ms: float
-    ) -> bool:
+        self,
+        writer: appending.Writer,
+        records: Sequence[bytes],
+        until_ms: float,
+    ) -> log_lib.Offset | None:
         while True:
-            if await writer.write(records):
-                return True
+            offset = await writer.write(records)
+            if offset is not None:
+                return offset
             if self._clock.now_ms() + RETRY_MS >= until_ms:
-                return False
+                return None
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
     def _take_index_record(self, record: bytes) -> None:
         try:
-            name, organisation, parent, part, hint = json.loads(record)
+            name, _ = turns.read_index_record(record)
         except ValueError:
             logger.error("index_record_unreadable")
             return
-        self._enter(name, _Entry(organisation, parent, part, hint))
+        if name not in self._entries:
+            self._enter(name, record)
+
+    def _entry(self, name: model.TurnId) -> turns.Entry | None:
+        record = self._entries.get(name)
+        return turns.read_index_record(record)[1] if record else None
+
+    def _chain_of(
+        self, name: model.TurnId | None
+    ) -> tuple[turns.Location, ...]:
+        entry = self._entry(name) if name is not None else None
+        return entry.chain if entry is not None else ()
 
-    def _enter(self, name: model.TurnId, entry: _Entry) -> None:
-        self._entries[name] = entry
+    def _enter(self, name: model.TurnId, record: bytes) -> None:
+        self._entries[name] = record
         if len(self._entries) > MAX_INDEX_ENTRIES:
             self._entries.popitem(last=False)
 
-    def _remember(self, turn: Turn) -> None:
-        known = self._cache.pop(turn.id, None)
-        if known is not None:
-            self._cached_bytes -= len(known.content)
-        self._cache[turn.id] = turn
-        self._cached_bytes += len(turn.content)
-        while self._cached_bytes > CACHE_BYTES:
-            _, oldest = self._cache.popitem(last=False)
-            self._cached_bytes -= len(oldest.content)
+    def _locate(
+        self, turn: turns.Turn, entry: turns.Entry, offset: log_lib.Offset
+    ) -> None:
+        """Remembers a turn, and where it is."""
+        location = dataclasses.replace(entry.location, offset=offset)
+        exact = dataclasses.replace(entry, location=location, is_exact=True)
+        self._enter(turn.id, turns.index_record(turn.id, exact))
+        self._cache.put(turn, location)
 
 
-class _Writer:
-    """Appends to one partition; what comes meanwhile goes together.
+class _Reader:
+    """Looks for a turn's parts from an offset on.
 
     Attributes:
-        part: The partition.
-        end: The partition ended here or later when this was last heard.
+        offset: Where the first part was.
     """
 
     def __init__(
-        self, log: log_lib.Log, topic: log_lib.Topic, part: int
+        self, log: log_lib.Log, location: turns.Location, size_kb: int
     ) -> None:
-        self.part = part
-        self.end = log_lib.Offset(0)
+        self.offset = location.offset
         self._log = log
-        self._topic = topic
-        self._waiting: list[tuple[Sequence[bytes], asyncio.Future[bool]]] = []
-        self._task: asyncio.Task[None] | None = None
-
-    async def write(self, records: Sequence[bytes]) -> bool:
-        """Appends records; returns whether the log has them."""
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.append((records, future))
-        if self._task is None or self._task.done():
-            self._task = asyncio.create_task(self._drain())
-        return await future
-
-    async def _drain(self) -> None:
-        while self._waiting:
-            batch, self._waiting = self._waiting, []
-            records = [record for each, _ in batch for record in each]
-            appended = await self._log.append(self._topic, self.part, records)
-            is_kept = isinstance(appended, log_lib.Appended)
-            if isinstance(appended, log_lib.Appended):
-                self.end = max(self.end, appended.end)
-            for _, future in batch:
-                if not future.done():
-                    future.set_result(is_kept)
-
-
-def _content_records(turn: Turn) -> list[bytes]:
-    content = turn.content
-    pieces = [
-        content[at : at + PART_BYTES]
-        for at in range(0, len(content), PART_BYTES)
-    ] or [b""]
-    records = []
-    for number, piece in enumerate(pieces):
-        head = json.dumps([turn.id, number, len(pieces)]).encode()
-        records.append(_HEADER.pack(len(head)) + head + piece)
-    return records
-
-
-def _split(record: bytes) -> tuple[str, int, int, bytes]:
-    """Returns turn, number of the part, count of parts, and the part."""
-    (length,) = _HEADER.unpack_from(record)
-    body_at = _HEADER.size + length
-    turn, number, count = json.loads(record[_HEADER.size : body_at])
-    return turn, number, count, record[body_at:]
-
-
-def _index_record(name: model.TurnId, entry: _Entry) -> bytes:
-    return json.dumps(
-        [name, entry.organisation, entry.parent, entry.part, entry.hint]
-    ).encode()
+        self._part = location.part
+        self._next = location.offset
+        self._size_kb = size_kb
+
+    async def search(
+        self, is_wanted: Callable[[turns.Part], bool]
+    ) -> list[turns.Part] | Unknown:
+        """Returns the parts of the first turn that is wanted, if any."""
+        found: list[turns.Part] = []
+        while True:
+            batch = await self._log.read(
+                CONTENT, self._part, self._next, max_kb=self._size_kb
+            )
+            match batch:
+                case log_lib.Unavailable():
+                    return Unknown(f"content: {batch.reason}")
+                case log_lib.Trimmed():
+                    self._next = batch.first
+                    continue
+            if self._take(batch, is_wanted, found):
+                return found
+            if batch.next >= batch.end:
+                return []
+            if not batch.records:
+                self._size_kb *= 2
+            self._next = batch.next
+
+    def _take(
+        self,
+        batch: log_lib.Batch,
+        is_wanted: Callable[[turns.Part], bool],
+        found: list[turns.Part],
+    ) -> bool:
+        """Adds the parts of a batch; returns whether the turn is whole."""
+        for number, record in enumerate(batch.records):
+            part = turns.read_part(record)
+            if found and part.turn != found[0].turn:
+                continue
+            if not found and (part.number or not is_wanted(part)):
+                continue
+            if not found:
+                self.offset = log_lib.Offset(batch.first + number)
+            found.append(part)
+            if len(found) == part.count:
+                return True
+        return False
+
+
+class _Cache:
+    """Turns in memory, as many as fit."""
+
+    def __init__(self) -> None:
+        self._turns: collections.OrderedDict[
+            model.TurnId, tuple[turns.Turn, turns.Location]
+        ] = collections.OrderedDict()
+        self._places: set[tuple[int, int]] = set()
+        self._bytes = 0
+
+    def find(self, name: model.TurnId) -> turns.Turn | None:
+        """Returns a turn if it is here."""
+        found = self._turns.get(name)
+        if found is None:
+            return None
+        self._turns.move_to_end(name)
+        return found[0]
+
+    def holds(self, location: turns.Location) -> bool:
+        """Returns whether the turn at a location is here."""
+        return location.key in self._places
+
+    def put(self, turn: turns.Turn, location: turns.Location) -> None:
+        """Adds a turn, and drops those used longest ago."""
+        self._drop(turn.id)
+        self._turns[turn.id] = (turn, location)
+        self._places.add(location.key)
+        self._bytes += len(turn.content)
+        while self._bytes > CACHE_BYTES:
+            self._drop(next(iter(self._turns)))
+
+    def _drop(self, name: model.TurnId) -> None:
+        found = self._turns.pop(name, None)
+        if found is not None:
+            turn, location = found
+            self._places.discard(location.key)
+            self._bytes -= len(turn.content)
+
+
+def _join(parts: list[turns.Part]) -> bytes:
+    return b"".join(each.data for each in parts)
--- a/tests/test_entry/fake_log.py
+++ b/tests/test_entry/fake_log.py
@@ -17,9 +17,14 @@
     def __init__(self) -> None:
         self.records: dict[tuple[str, int], list[bytes]] = {}
         self.reads = 0
+        # Reads that no other read was under way with.
+        self.rounds = 0
+        self._reading = 0
         self.appends = 0
         self.refuse = 0
         self.lose = 0
+        # Records before these offsets have been deleted.
+        self.first: dict[tuple[str, int], int] = {}
 
     async def append(
         self,
@@ -53,11 +58,17 @@
         max_kb: int = log_lib.MAX_READ_KB,
     ) -> log_lib.Batch | log_lib.Trimmed | log_lib.Unavailable:
         """Reads; waits for nothing."""
+        self.rounds += not self._reading
+        self._reading += 1
         await asyncio.sleep(0)
+        self._reading -= 1
         self.reads += 1
         if self.refuse:
             self.refuse -= 1
             return log_lib.Unavailable("refused")
+        oldest = self.first.get((topic, part), 0)
+        if first < oldest:
+            return log_lib.Trimmed(log_lib.Offset(oldest))
         found = self.records.get((topic, part), [])
         end = log_lib.Offset(len(found))
         return log_lib.Batch(first, tuple(found[first : first + 5]), end)
--- a/tests/test_entry/test_history.py
+++ b/tests/test_entry/test_history.py
@@ -6,7 +6,8 @@
 import unittest
 
 from mangotally import ids
-from mangotally.entry import history, model
+from mangotally.entry import history, model, turns
+from mangotally.policy import homes
 from mangotally.util import clock as clock_lib
 from tests.test_entry import fake_log
 
@@ -14,8 +15,8 @@
 PARTITIONS = 3
 
 
-def _turn(name: str, parent: str | None, content: bytes) -> history.Turn:
-    return history.Turn(
+def _turn(name: str, parent: str | None, content: bytes) -> turns.Turn:
+    return turns.Turn(
         model.TurnId(name),
         ORGANISATION,
         model.TurnId(parent) if parent else None,
@@ -38,7 +39,7 @@
         )
 
     async def _keep(
-        self, host: history.History, turn: history.Turn, for_ms: float = 500.0
+        self, host: history.History, turn: turns.Turn, for_ms: float = 500.0
     ) -> bool:
         return await host.keep(turn, self.clock.now_ms() + for_ms)
 
@@ -57,8 +58,38 @@
                 await self._chain(host, "c"), history.Chain(b"123", 3)
             )
 
+    async def test_a_long_chain_takes_no_longer_than_a_short_one(self) -> None:
+        parent = None
+        for number in range(20):
+            host = self.two if number % 2 else self.one
+            name = f"t{number}"
+            if parent is not None:
+                await self._chain(host, parent)
+            content = f"{number}.".encode()
+            self.assertTrue(
+                await self._keep(host, _turn(name, parent, content))
+            )
+            parent = name
+        new = self._host("new")
+        self.log.rounds = 0
+        found = await self._chain(new, "t19")
+        expected = "".join(f"{number}." for number in range(20)).encode()
+        self.assertEqual(found, history.Chain(expected, 20))
+        # The index, then all contents at once.
+        self.assertLessEqual(self.log.rounds, 4)
+
+    async def test_a_deleted_turn_is_not_mixed_up_with_the_next(self) -> None:
+        await self._keep(self.one, _turn("a", None, b"1"))
+        await self._keep(self.one, _turn("b", "a", b"2"))
+        await self._keep(self.one, _turn("c", "b", b"3"))
+        part = homes.partition_of_key("one", PARTITIONS)
+        self.log.first[history.CONTENT, part] = 1
+        with self.assertLogs(history.logger):
+            found = await self._chain(self.two, "c")
+        self.assertIsInstance(found, history.NoSuchTurn)
+
     async def test_finds_large_turns_among_many(self) -> None:
-        large = b"x" * (2 * history.PART_BYTES + 1)
+        large = b"x" * (2 * turns.PART_BYTES + 1)
         await asyncio.gather(
             *(
                 self._keep(self.one, _turn(f"t{n}", None, b"-"))
