--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -17,6 +17,7 @@
 from mangotally.homes import (
     admission,
     calls,
+    claims,
     configuration,
     leaving,
     membership,
@@ -189,6 +190,15 @@
             )
         )
         await stack.enter_async_context(self.sweep)
+        await stack.enter_async_context(
+            claims.Claimer(
+                self.members,
+                self.slots,
+                self.peers,
+                self.clock,
+                self.settings.targets.sweep_grace_ms,
+            )
+        )
         await stack.enter_async_context(self.orders)
         self._leaving = leaving.Leaving(
             self.readiness,
--- a/mangotally/homes/slots.py
+++ b/mangotally/homes/slots.py
@@ -163,13 +163,19 @@
     ) -> errors.Outcome[messages.CallsDescribed]:
         """Returns the calls that this host has under way in a pool."""
         return result.Success(
-            messages.CallsDescribed(
-                tuple(
-                    call
-                    for call in self._running.values()
-                    if call.service == message.service
-                )
-            )
+            messages.CallsDescribed(self.running(message.service))
+        )
+
+    def services(self) -> set[ids.ServiceId]:
+        """Returns the services with calls under way."""
+        return {call.service for call in self._running.values()}
+
+    def running(
+        self, service: ids.ServiceId
+    ) -> tuple[messages.RunningCall, ...]:
+        """Returns the calls that this host has under way in a pool."""
+        return tuple(
+            call for call in self._running.values() if call.service == service
         )
 
     async def _acquire(
--- a/mangotally/homes/sweeps.py
+++ b/mangotally/homes/sweeps.py
@@ -1,7 +1,8 @@
 """Finds what targets hold for programs and calls that are gone.
 
 The pool's home asks its engines what they hold and all hosts which calls
-they have under way. What nobody has under way is cancelled. Programs with
+they have under way; hosts outside the view claim theirs unasked. What nobody
+has under way is cancelled. Programs with
 a prefix but no call are asked of their own homes; those that have ended,
 or never were, have their prefixes released. Nothing is taken for gone on
 the word of a host that did not answer.
@@ -40,6 +41,7 @@
 PROGRAMS_PER_STEP = 16
 
 Held = tuple[ids.TargetId, ids.CallId]
+Holder = tuple[ids.ServiceId, ids.HostId]
 
 
 class Sweep:
@@ -66,14 +68,18 @@
         self._clock = clock
         self._calls: memory.Unclaimed[Held] = memory.Unclaimed(grace_ms)
         self._granted: memory.Unclaimed[ids.CallId] = memory.Unclaimed(grace_ms)
+        self._claims: memory.Claims[Holder, messages.RunningCall] = (
+            memory.Claims(grace_ms)
+        )
         self._rechecks: dict[
             ids.ServiceId, memory.Rechecks[messages.ProgramName]
         ] = {}
         self._background = background.Background(self._run)
 
     def attach(self, handlers: router.Router) -> None:
-        """Adds this host's handler."""
+        """Adds this host's handlers."""
         handlers.add_unary(messages.FindGonePrograms, self.find_gone)
+        handlers.add_unary(messages.ClaimCalls, self.claim)
 
     async def __aenter__(self) -> Self:
         """Starts to sweep."""
@@ -96,6 +102,17 @@
                 gone.append(name)
         return result.Success(messages.GonePrograms(tuple(gone)))
 
+    async def claim(
+        self, message: messages.ClaimCalls
+    ) -> errors.Outcome[messages.Done]:
+        """Takes the calls of a host that is not asked for them."""
+        self._claims.put(
+            (message.service, message.host),
+            message.calls,
+            self._clock.now_ms(),
+        )
+        return result.Success(messages.Done())
+
     async def sweep(self, pool: pool_lib.Pool) -> None:
         """Sweeps over one pool."""
         running = await self._running(pool.service)
@@ -110,6 +127,10 @@
             lambda item: item[1] in running or item[1] in pool.granted,
             now_ms,
         )
+        for target, call in lost:
+            logger.warning(
+                "call_unclaimed", extra={"target": target, "call": call}
+            )
         pool.cancels.update(lost)
         await self._release_gone(pool, held, running)
 
@@ -130,7 +151,8 @@
                 for host in self._members.view.hosts()
             )
         )
-        found: dict[ids.CallId, messages.RunningCall] = {}
+        claimed = self._claims.valid(self._clock.now_ms())
+        found = {item.call: item for item in claimed}
         for answer in answers:
             if not isinstance(answer, result.Success):
                 return None
--- a/mangotally/hosts/messages.py
+++ b/mangotally/hosts/messages.py
@@ -346,6 +346,22 @@
     calls: tuple[RunningCall, ...]
 
 
+@registry.register
+@dataclasses.dataclass(frozen=True)
+class ClaimCalls:
+    """Tells a pool's home of calls that a host without a lease has under way.
+
+    Attributes:
+        host: The host.
+        service: The service.
+        calls: Its calls under way in the pool.
+    """
+
+    host: ids.HostId
+    service: ids.ServiceId
+    calls: tuple[RunningCall, ...]
+
+
 @registry.register
 @dataclasses.dataclass(frozen=True)
 class EndProgram:
--- a/mangotally/policy/memory.py
+++ b/mangotally/policy/memory.py
@@ -9,6 +9,7 @@
     from collections.abc import Callable, Collection
 
 T = TypeVar("T")
+K = TypeVar("K")
 
 
 @dataclasses.dataclass
@@ -50,6 +51,35 @@
         ]
 
 
+@dataclasses.dataclass
+class Claims(Generic[K, T]):
+    """Things that their holders need, while they go on saying so.
+
+    Attributes:
+        valid_ms: How long a claim holds.
+    """
+
+    valid_ms: float
+    _claims: dict[K, tuple[float, tuple[T, ...]]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def put(self, holder: K, things: tuple[T, ...], now_ms: float) -> None:
+        """Replaces what a holder claims."""
+        self._claims[holder] = (now_ms, things)
+
+    def valid(self, now_ms: float) -> list[T]:
+        """Returns all that is claimed; drops claims that were not renewed."""
+        self._claims = {
+            holder: claim
+            for holder, claim in self._claims.items()
+            if now_ms - claim[0] < self.valid_ms
+        }
+        return [
+            thing for _, things in self._claims.values() for thing in things
+        ]
+
+
 @dataclasses.dataclass
 class Rechecks(Generic[T]):
     """Things that were found to be needed, and when to ask again.
--- a/tests/test_application/test_shutdown.py
+++ b/tests/test_application/test_shutdown.py
@@ -3,20 +3,70 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import unittest
+from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from mangotally.callers import readiness
+from mangotally.standins import platform
 from tests import fleet as fleet_lib
 
-_WORDS = " ".join(f"w{n}" for n in range(60))
-_SLOW_MS = 10.0
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
+    from mangotally.settings import host as host_settings
 
-async def _slow(fleet: fleet_lib.Fleet) -> None:
+_WORDS = " ".join(f"w{n}" for n in range(60))
+_SLOW_MS = 10.0
+_OUTLASTING_SWEEPS_MS = 30.0
+_OUTLASTING_LEASE_MS = 90.0
+_SWEEP_MS = 100
+_GRACE_MS = 200
+_BETWEEN_TOKENS_MS = 500
+_HOSTS = 3
+
+_Stream = asyncio.Task[tuple[int, Any]]
+
+
+class _SweptPlatform(platform.Platform):
+    """A platform whose hosts soon cancel calls that nobody claims."""
+
+    def host_settings(self, number: int) -> host_settings.HostSettings:
+        found = super().host_settings(number)
+        targets = found.targets.model_copy(
+            update={
+                "between_tokens_ms": _BETWEEN_TOKENS_MS,
+                "sweep_ms": _SWEEP_MS,
+                "sweep_grace_ms": _GRACE_MS,
+            }
+        )
+        return found.model_copy(update={"targets": targets})
+
+
+@contextlib.asynccontextmanager
+async def _swept_fleet(slow_ms: float) -> AsyncIterator[fleet_lib.Fleet]:
+    fleet = fleet_lib.Fleet(_HOSTS)
+    fleet.local.platform = _SweptPlatform(fleet.local.platform.deployment)
+    async with fleet:
+        await _slow(fleet, slow_ms)
+        yield fleet
+
+
+async def _open_streams(fleet: fleet_lib.Fleet, entry: int) -> list[_Stream]:
+    programs = [await fleet.open_program() for _ in range(6)]
+    streams = [
+        asyncio.create_task(fleet.turn(name, 1, _WORDS, entry, stream=True))
+        for name in programs
+    ]
+    await _until_running(fleet)
+    return streams
+
+
+async def _slow(fleet: fleet_lib.Fleet, slow_ms: float = _SLOW_MS) -> None:
     for item in fleet.engines():
-        item.faults.slow_ms = _SLOW_MS
+        item.faults.slow_ms = slow_ms
 
 
 async def _until_running(fleet: fleet_lib.Fleet) -> None:
@@ -62,6 +112,29 @@
                 content = answer["choices"][0]["message"]["content"]
                 self.assertIn("turn 2 of 3", content)
 
+    async def test_sweep_leaves_the_streams_of_a_leaving_host(self) -> None:
+        """Streams outlast the sweeps of the pool after their host has left."""
+        for leaving in range(_HOSTS):
+            with self.subTest(leaving=leaving):
+                async with _swept_fleet(_OUTLASTING_SWEEPS_MS) as fleet:
+                    streams = await _open_streams(fleet, leaving)
+                    await fleet.stop(leaving)
+                    await self._check_whole(streams)
+
+    async def test_sweep_leaves_the_streams_of_an_evicted_host(self) -> None:
+        """Streams outlast the sweeps of the pool after an eviction."""
+        for evicted in range(_HOSTS):
+            with self.subTest(evicted=evicted):
+                async with _swept_fleet(_OUTLASTING_LEASE_MS) as fleet:
+                    streams = await _open_streams(fleet, evicted)
+                    fleet.local.hosts[evicted].members.abandon()
+                    await self._check_whole(streams)
+
+    async def _check_whole(self, streams: list[_Stream]) -> None:
+        for status, text in await asyncio.gather(*streams):
+            self.assertEqual(status, 200)
+            self.assertTrue(text.endswith("data: [DONE]\n\n"), text[-400:])
+
     async def test_refuses_new_work_truthfully(self) -> None:
         """A leaving host is not ready, then says that nothing has run."""
         async with fleet_lib.Fleet(hosts=2) as fleet:
--- a/tests/test_policy/test_memory.py
+++ b/tests/test_policy/test_memory.py
@@ -26,6 +26,21 @@
                 self.assertEqual(found, gone)
 
 
+class ClaimsTest(unittest.TestCase):
+    """Claims hold while they are repeated."""
+
+    def test_validity(self) -> None:
+        """A claim replaces the holder's last one, and ends by itself."""
+        claims: memory.Claims[str, int] = memory.Claims(100)
+        claims.put("h1", (1, 2), 0)
+        claims.put("h2", (3,), 50)
+        self.assertEqual(claims.valid(99), [1, 2, 3])
+        claims.put("h1", (2,), 99)
+        self.assertEqual(sorted(claims.valid(120)), [2, 3])
+        self.assertEqual(claims.valid(150), [2])
+        self.assertEqual(claims.valid(199), [])
+
+
 class CorrectTest(unittest.TestCase):
     """Load reports that cannot be true."""
 
