Bound the head of a target's answer

Cause: the HTTP library bounds a status line, a header line (folded ones too) and the number of headers, but skips blank lines and interim (1xx) answers before a head without a bound. A target that sends them without end kept a request and the processor until the deadline, and the outcome was 'timeout'.

Ruled out by the same tests before the change: endless status line, header name, header value, folded lines and number of headers end quickly.

Failed first (tests.test_entry.test_sending.EndlessHeadTest): test_blank_lines_before_the_status, test_interim_answers: AssertionError: True is not false (is_timeout, after the deadline of 4 s).

--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -10,7 +10,7 @@
 import multidict
 import yarl
 
-from mangotally.entry import model
+from mangotally.entry import connections, model
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -210,7 +210,7 @@
 
     async def __aenter__(self) -> Self:
         """Opens the owner."""
-        connector = aiohttp.TCPConnector(
+        connector = connections.Connector(
             limit=0,
             keepalive_timeout=clock_lib.to_seconds(IDLE_CONNECTION_MS),
             use_dns_cache=False,
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+_WRITE_BYTES = 16_384
+
 
 class RawServer:
     """Counts connections and requests; `act` answers each connection."""
@@ -23,6 +25,7 @@
         self._act = act
         self._tasks: set[asyncio.Task[None]] = set()
         self.connections = 0
+        self.sent_bytes = 0
         self.requests: list[bytes] = []
         self.url = ""
 
@@ -49,6 +52,25 @@
         self.requests.append(head + body)
         return head + body
 
+    async def send_endlessly(
+        self, writer: asyncio.StreamWriter, begin: bytes, piece: bytes
+    ) -> None:
+        """Sends a beginning, then a piece again and again, until closed."""
+        writer.write(begin)
+        many = piece * max(1, _WRITE_BYTES // len(piece))
+        while not writer.is_closing():
+            writer.write(many)
+            await writer.drain()
+            self.sent_bytes += len(many)
+            await asyncio.sleep(0)
+
+    async def wait_until_closed(self, timeout_s: float = 1.0) -> None:
+        """Waits until no connection is open."""
+        if self._tasks:
+            _, pending = await asyncio.wait(self._tasks, timeout=timeout_s)
+            if pending:
+                raise TimeoutError("a connection is open")
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- /dev/null
+++ b/tests/test_entry/test_sending.py
@@ -0,0 +1,88 @@
+"""Requests sent to targets that answer wrongly."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import multidict
+
+from mangotally.entry import model, sending
+from mangotally.platform import headers
+from mangotally.util import clock as clock_lib
+from tests import raw_server
+
+if TYPE_CHECKING:
+    import asyncio
+
+# Far above what an answer may take, and below the deadline.
+QUICK_S = 1.0
+DEADLINE_MS = 4000.0
+NAME = model.RequestId("r1")
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    """A sender and one target."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = clock_lib.SystemClock()
+        self.sender = sending.Sender(headers.NAMES, self.clock)
+        await self.enterAsyncContext(self.sender)
+
+    async def send(self, server: raw_server.RawServer) -> sending.Outcome:
+        """Returns the outcome of a request to a target."""
+        request = sending.Outgoing(
+            NAME,
+            "POST",
+            "/",
+            multidict.CIMultiDict({"Request-Id": NAME}),
+            b"in",
+            self.clock.now_ms() + DEADLINE_MS,
+        )
+        address = server.url.removeprefix("http://")
+        return await self.sender.send(address, request)
+
+
+class EndlessHeadTest(SendingTest):
+    """A head without end is no answer; its connection is closed."""
+
+    async def test_status_line(self) -> None:
+        await self._check(b"HTTP/1.1 200 ", b"x")
+
+    async def test_header_name(self) -> None:
+        await self._check(HEAD, b"x")
+
+    async def test_header_value(self) -> None:
+        await self._check(HEAD + b"X: ", b"x")
+
+    async def test_folded_header(self) -> None:
+        await self._check(HEAD + b"X: a\r\n", b" b\r\n")
+
+    async def test_many_headers(self) -> None:
+        await self._check(HEAD, b"X: a\r\n")
+
+    async def test_blank_lines_before_the_status(self) -> None:
+        await self._check(b"", b"\r\n")
+
+    async def test_interim_answers(self) -> None:
+        await self._check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    async def _check(self, begin: bytes, piece: bytes) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            await server.send_endlessly(writer, begin, piece)
+
+        async with raw_server.RawServer(act) as server:
+            begin_s = time.monotonic()
+            outcome = await self.send(server)
+            took_s = time.monotonic() - begin_s
+            await server.wait_until_closed()
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertFalse(outcome.is_timeout)
+        self.assertLess(took_s, QUICK_S)
