Bound the body of a target's answer, framing included

Cause: only the decoded body was counted, up to 16 MiB; the library bounds neither the digits of a chunk's size nor a chunk's extension, so a target that sends these without end kept its request until the deadline, and dozens of large bodies are more than a host of 88 MB has.

Change: the connection counts all bytes after the head: 1 MiB for a whole answer, 4 MiB for a stream (real answers have up to 4,800 B, events 720 B). At most 16 KiB (twice that with what waits) of a body are read ahead, and a large answer gives way to other requests between its parts. Above the bound the connection is closed and the outcome is Broken (OversizeAnswerError).

Failed first (tests.test_entry.test_sending.EndlessBodyTest): test_body_with_a_length, test_body_without_a_length: AssertionError: not less than 9437184 (bytes sent) test_chunks, test_chunk_size, test_chunk_extension: AssertionError: True is not false (is_timeout, at the deadline) Now they pass.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -10,9 +10,14 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Mapping
 
 # Status line, header lines and interim answers together.
 MAX_HEAD_BYTES = 32 * 1024
+# Bodies with their framing. One event is bounded by itself.
+MAX_WHOLE_BYTES = 1024 * 1024
+MAX_STREAM_BYTES = 4 * 1024 * 1024
+EVENT_STREAM = "text/event-stream"
 # What the library is handed at once while a head is awaited.
 _HEAD_PART_BYTES = 4096
 _FIRST_FINAL_STATUS = 200
@@ -26,7 +31,8 @@
     """Counts what arrives for a request before it is parsed.
 
     The library bounds single lines, but not what it skips: blank lines and
-    interim answers before a head.
+    interim answers before a head, the size and extension of a chunk,
+    trailers.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -44,27 +50,37 @@
     def data_received(self, data: bytes) -> None:
         """Takes what has arrived."""
         while data and not self._has_head:
-            size = min(self._left_bytes, _HEAD_PART_BYTES)
-            if size == 0:
-                self._refuse("head")
+            part, data = data[:_HEAD_PART_BYTES], data[_HEAD_PART_BYTES:]
+            if not self._count(part):
                 return
-            self._left_bytes -= min(size, len(data))
-            super().data_received(data[:size])
-            data = data[size:]
-        super().data_received(data)
+            super().data_received(part)
+        if self._count(data):
+            super().data_received(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Takes a parsed head."""
         message, _ = data
         if message.code >= _FIRST_FINAL_STATUS:
             self._has_head = True
+            self._left_bytes = _most_bytes(message.headers)
         super().feed_data(data, size)
 
-    def _refuse(self, part: str) -> None:
+    def _count(self, data: bytes) -> bool:
+        """Returns whether the answer may have more bytes."""
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            self._refuse()
+            return False
+        return True
+
+    def _refuse(self) -> None:
         """Closes the connection; its request has no whole answer."""
-        error = OversizeAnswerError(f"the {part} is larger than the limit")
+        error = OversizeAnswerError("the answer is larger than the limit")
         self._buffer.clear()
         self.set_exception(error)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+            self._payload = None
         if self.transport is not None:
             self.transport.abort()
 
@@ -75,6 +91,17 @@
     def __init__(self, **options: Any) -> None:
         """Makes a connector of no connections."""
         super().__init__(**options)
-        factory: functools.partial[client_proto.ResponseHandler]
-        factory = functools.partial(AnswerHandler, loop=self._loop)
-        self._factory = factory
+        self._factory = functools.partial(_make_handler, loop=self._loop)
+
+
+def _most_bytes(headers: Mapping[str, str]) -> int:
+    content_type = headers.get("Content-Type", "")
+    if content_type.startswith(EVENT_STREAM):
+        return MAX_STREAM_BYTES
+    return MAX_WHOLE_BYTES
+
+
+def _make_handler(
+    loop: asyncio.AbstractEventLoop,
+) -> client_proto.ResponseHandler:
+    return AnswerHandler(loop)
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -20,9 +20,7 @@
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_CONNECTION_MS = 9000
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-READ_BYTES = 65_536
-_EVENT_STREAM = "text/event-stream"
+READ_BYTES = 16 * 1024
 _OK = 200
 _MISDIRECTED = 421
 _NOT_ADDED = frozenset(
@@ -219,6 +217,7 @@
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            read_bufsize=READ_BYTES,
             skip_auto_headers=_NOT_ADDED,
             timeout=aiohttp.ClientTimeout(
                 total=None,
@@ -303,7 +302,10 @@
         return None
 
     def _is_stream(self, response: aiohttp.ClientResponse) -> bool:
-        return response.status == _OK and response.content_type == _EVENT_STREAM
+        return (
+            response.status == _OK
+            and response.content_type == connections.EVENT_STREAM
+        )
 
     def _judge(
         self, response: aiohttp.ClientResponse, body: bytes
@@ -315,14 +317,13 @@
 
 
 async def _read_whole(response: aiohttp.ClientResponse) -> bytes:
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while chunk := await response.content.read(READ_BYTES):
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise ValueError("the answer is larger than the limit")
-        parts.append(chunk)
-    return b"".join(parts)
+        body += chunk
+        if len(chunk) == READ_BYTES:
+            # Others have their turn while a large answer is read.
+            await asyncio.sleep(0)
+    return bytes(body)
 
 
 def _reset_at_end(
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -20,7 +20,10 @@
 QUICK_S = 1.0
 DEADLINE_MS = 4000.0
 NAME = model.RequestId("r1")
+# What sockets hold beyond what was read.
+BUFFERED_BYTES = 8 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 class SendingTest(unittest.IsolatedAsyncioTestCase):
@@ -44,6 +47,27 @@
         address = server.url.removeprefix("http://")
         return await self.sender.send(address, request)
 
+    async def check_endless(self, begin: bytes, piece: bytes) -> int:
+        """Returns what a target could send that sends without end."""
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            await server.send_endlessly(writer, begin, piece)
+
+        async with raw_server.RawServer(act) as server:
+            begin_s = time.monotonic()
+            outcome = await self.send(server)
+            took_s = time.monotonic() - begin_s
+            await server.wait_until_closed()
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertFalse(outcome.is_timeout)
+        self.assertLess(took_s, QUICK_S)
+        return server.sent_bytes
+
 
 class EndlessHeadTest(SendingTest):
     """A head without end is no answer; its connection is closed."""
@@ -70,19 +94,32 @@
         await self._check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
 
     async def _check(self, begin: bytes, piece: bytes) -> None:
-        async def act(
-            server: raw_server.RawServer,
-            reader: asyncio.StreamReader,
-            writer: asyncio.StreamWriter,
-        ) -> None:
-            await server.read_request(reader)
-            await server.send_endlessly(writer, begin, piece)
+        sent_bytes = await self.check_endless(begin, piece)
+        self.assertLess(sent_bytes, BUFFERED_BYTES)
 
-        async with raw_server.RawServer(act) as server:
-            begin_s = time.monotonic()
-            outcome = await self.send(server)
-            took_s = time.monotonic() - begin_s
-            await server.wait_until_closed()
-        assert isinstance(outcome, sending.Broken), outcome
-        self.assertFalse(outcome.is_timeout)
-        self.assertLess(took_s, QUICK_S)
+
+class EndlessBodyTest(SendingTest):
+    """A body without end is no answer; its connection is closed."""
+
+    async def test_body_with_a_length(self) -> None:
+        await self._check(HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x")
+
+    async def test_body_without_a_length(self) -> None:
+        await self._check(HEAD + b"\r\n", b"x")
+
+    async def test_chunks(self) -> None:
+        await self._check(CHUNKED, b"1\r\nx\r\n")
+
+    async def test_chunk_size(self) -> None:
+        await self._check(CHUNKED, b"0")
+
+    async def test_chunk_extension(self) -> None:
+        await self._check(CHUNKED + b"1;", b"x")
+
+    async def test_trailers(self) -> None:
+        await self._check(CHUNKED + b"0\r\n", b"X: a\r\n")
+
+    async def _check(self, begin: bytes, piece: bytes) -> None:
+        sent_bytes = await self.check_endless(begin, piece)
+        bound = 1024 * 1024 + BUFFERED_BYTES
+        self.assertLess(sent_bytes, bound)
