End a garbled body at once, not at the deadline

Cause: when the HTTP library can't parse a body on (a bad chunk size, an overlong trailer), it closes the connection and tells only those who await a head; its parser has dropped the body, so the close is not told to the reader either. The request kept its place until its deadline and the outcome was 'timeout', too late to try another target.

Change: the connection hands the error to the body's reader. The outcome is Broken (ClientPayloadError) at once.

Failed first (tests.test_entry.test_sending.GarbledBodyTest): test_bad_size_in_a_stream: TimeoutError test_bad_size_of_a_later_chunk, test_large_trailer: AssertionError: True is not false (is_timeout, at the deadline of 4 s) test_bad_size_of_the_first_chunk passed before: there the head was not handed on yet.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp import client_proto
+from aiohttp import client_proto, http_exceptions
 
 if TYPE_CHECKING:
     import asyncio
@@ -53,9 +53,9 @@
             part, data = data[:_HEAD_PART_BYTES], data[_HEAD_PART_BYTES:]
             if not self._count(part):
                 return
-            super().data_received(part)
+            self._parse(part)
         if self._count(data):
-            super().data_received(data)
+            self._parse(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Takes a parsed head."""
@@ -65,6 +65,20 @@
             self._left_bytes = _most_bytes(message.headers)
         super().feed_data(data, size)
 
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        error = self._exception
+        if isinstance(error, http_exceptions.HttpProcessingError):
+            self._fail_body(aiohttp.ClientPayloadError(str(error)))
+
+    def _fail_body(self, error: BaseException) -> None:
+        """Wakes up who reads a body that can't be whole any more.
+
+        The library tells only those who await a head.
+        """
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+
     def _count(self, data: bytes) -> bool:
         """Returns whether the answer may have more bytes."""
         self._left_bytes -= len(data)
@@ -78,9 +92,7 @@
         error = OversizeAnswerError("the answer is larger than the limit")
         self._buffer.clear()
         self.set_exception(error)
-        if self._payload is not None:
-            self._payload.set_exception(error)
-            self._payload = None
+        self._fail_body(error)
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import unittest
-from typing import TYPE_CHECKING
 
 import multidict
 
@@ -13,9 +13,6 @@
 from mangotally.util import clock as clock_lib
 from tests import raw_server
 
-if TYPE_CHECKING:
-    import asyncio
-
 # Far above what an answer may take, and below the deadline.
 QUICK_S = 1.0
 DEADLINE_MS = 4000.0
@@ -24,6 +21,9 @@
 BUFFERED_BYTES = 8 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM = (
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 
 class SendingTest(unittest.IsolatedAsyncioTestCase):
@@ -123,3 +123,51 @@
         sent_bytes = await self.check_endless(begin, piece)
         bound = 1024 * 1024 + BUFFERED_BYTES
         self.assertLess(sent_bytes, bound)
+
+
+class GarbledBodyTest(SendingTest):
+    """A body that can't be read on ends its request at once."""
+
+    async def test_bad_size_of_the_first_chunk(self) -> None:
+        await self._check(CHUNKED + b"zz\r\n")
+
+    async def test_bad_size_of_a_later_chunk(self) -> None:
+        await self._check(CHUNKED + b"1\r\nx\r\n", b"zz\r\n")
+
+    async def test_large_trailer(self) -> None:
+        await self._check(CHUNKED + b"0\r\nX: a", b"x" * 16_384)
+
+    async def test_bad_size_in_a_stream(self) -> None:
+        outcome = await self._send(
+            HEAD + STREAM + b"7\r\nid: 1\n\n\r\n", b"zz\r\n"
+        )
+        assert isinstance(outcome, sending.Stream), outcome
+        async with asyncio.timeout(QUICK_S):
+            chunks = [each async for each in outcome.chunks()]
+        self.assertEqual(chunks, [b"id: 1\n\n"])
+        assert outcome.failure is not None
+        self.assertFalse(outcome.failure.is_timeout)
+
+    async def _check(self, *parts: bytes) -> None:
+        begin_s = time.monotonic()
+        outcome = await self._send(*parts)
+        took_s = time.monotonic() - begin_s
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertFalse(outcome.is_timeout)
+        self.assertLess(took_s, QUICK_S)
+
+    async def _send(self, *parts: bytes) -> sending.Outcome:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            for part in parts:
+                writer.write(part)
+                await asyncio.sleep(0.02)
+            await reader.read()
+
+        server = raw_server.RawServer(act)
+        await self.enterAsyncContext(server)
+        return await self.send(server)
