Refuse a stream of events that goes no further

Cause: comments, empty events and events that come again were parsed until the deadline, small whole events too: only a single event had a bound. A read handed over all that was buffered, so that hundreds of thousands of events could be made at once.

Change: 64 KiB without an event that goes on (a larger id, or data without an id), or more than 16,384 events, end the stream as 'bad-event'.

Failed first (tests.test_entry.test_parts.EventSplitterTest): test_comments_without_end_are_refused, test_empty_events_without_end_are_refused, test_an_event_that_comes_again_without_end_is_refused, test_small_events_without_end_are_refused: AssertionError: nothing was refused Now they pass; test_ordinary_streams_are_not_refused (4,000 events of 700 B) passed before and after.

--- a/mangotally/entry/events.py
+++ b/mangotally/entry/events.py
@@ -5,6 +5,9 @@
 import dataclasses
 
 MAX_EVENT_BYTES = 64 * 1024
+# What may come without an event that takes the stream further.
+MAX_IDLE_BYTES = 64 * 1024
+MAX_EVENTS = 16_384
 _END = b"\n\n"
 
 
@@ -22,13 +25,25 @@
     number: int | None
     data: bytes
 
+    def goes_on_from(self, last: int | None) -> bool:
+        """Whether it takes a stream further than an earlier event."""
+        if self.number is None:
+            return bool(self.data)
+        return last is None or self.number > last
+
 
 class EventSplitter:
-    """Collects bytes until an event is whole."""
+    """Collects bytes until an event is whole.
+
+    A stream that has no end, or goes no further, is refused.
+    """
 
     def __init__(self) -> None:
         """Makes a splitter at the start of a stream."""
         self._rest = bytearray()
+        self._last: int | None = None
+        self._idle_bytes = 0
+        self._events = 0
 
     @property
     def has_rest(self) -> bool:
@@ -39,7 +54,7 @@
         """Returns the events that became whole.
 
         Raises:
-            ValueError: An event is too large.
+            ValueError: An event is too large, or the stream too long.
         """
         # The end may have begun with the last byte before.
         search = max(0, len(self._rest) - 1)
@@ -47,13 +62,28 @@
         begin = 0
         found: list[Event] = []
         while (end := self._rest.find(_END, search)) >= 0:
-            found.append(_parse(bytes(self._rest[begin:end])))
+            event = _parse(bytes(self._rest[begin:end]))
+            self._note(event)
+            found.append(event)
             begin = search = end + len(_END)
         del self._rest[:begin]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError("an event is larger than the limit")
         return found
 
+    def _note(self, event: Event) -> None:
+        self._events += 1
+        self._idle_bytes += len(event.raw)
+        if event.goes_on_from(self._last):
+            self._idle_bytes = 0
+            self._last = (
+                event.number if event.number is not None else self._last
+            )
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise ValueError("the stream goes no further")
+        if self._events > MAX_EVENTS:
+            raise ValueError("the stream has too many events")
+
 
 def _parse(text: bytes) -> Event:
     number: int | None = None
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -165,7 +165,7 @@
             while True:
                 left_ms = self._deadline_ms - self._clock.now_ms()
                 async with asyncio.timeout(clock_lib.to_seconds(left_ms)):
-                    chunk = await self._response.content.readany()
+                    chunk = await self._response.content.read(READ_BYTES)
                 if not chunk:
                     break
                 yield chunk
--- a/tests/test_entry/test_parts.py
+++ b/tests/test_entry/test_parts.py
@@ -123,6 +123,20 @@
     def test_an_event_without_end_is_refused(self) -> None:
         self.assertLessEqual(_fed_bytes(b"data: x\n" * 512), MOST_BYTES)
 
+    def test_comments_without_end_are_refused(self) -> None:
+        self.assertLessEqual(_fed_bytes(b": still here\n\n" * 512), MOST_BYTES)
+
+    def test_empty_events_without_end_are_refused(self) -> None:
+        self.assertLessEqual(_fed_bytes(b"\n\n" * 512), MOST_BYTES)
+
+    def test_an_event_that_comes_again_without_end_is_refused(self) -> None:
+        fed_bytes = _fed_bytes(b"id: 1\ndata: a\n\n" * 512)
+        self.assertLessEqual(fed_bytes, MOST_BYTES)
+
+    def test_small_events_without_end_are_refused(self) -> None:
+        fed_bytes = _fed_bytes(b"data:a\n\n" * 512)
+        self.assertLessEqual(fed_bytes, 1024 * 1024)
+
     def test_small_parts_of_a_large_event_take_little_time(self) -> None:
         splitter = events.EventSplitter()
         begin_s = time.process_time()
