--- /dev/null
+++ b/tests/test_entry/test_sending.py
@@ -0,0 +1,173 @@
+"""Requests sent to targets that answer wrongly."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+import multidict
+
+from mangotally.entry import model, sending
+from mangotally.platform import headers
+from mangotally.util import clock as clock_lib
+from tests import raw_server
+
+# Far above what an answer may take, and below the deadline.
+QUICK_S = 1.0
+DEADLINE_MS = 4000.0
+NAME = model.RequestId("r1")
+# What sockets hold beyond what was read.
+BUFFERED_BYTES = 8 * 1024 * 1024
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM = (
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    """A sender and one target."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = clock_lib.SystemClock()
+        self.sender = sending.Sender(headers.NAMES, self.clock)
+        await self.enterAsyncContext(self.sender)
+
+    async def send(self, server: raw_server.RawServer) -> sending.Outcome:
+        """Returns the outcome of a request to a target."""
+        request = sending.Outgoing(
+            NAME,
+            "POST",
+            "/",
+            multidict.CIMultiDict({"Request-Id": NAME}),
+            b"in",
+            self.clock.now_ms() + DEADLINE_MS,
+        )
+        address = server.url.removeprefix("http://")
+        return await self.sender.send(address, request)
+
+    async def check_endless(self, begin: bytes, piece: bytes) -> int:
+        """Returns what a target could send that sends without end."""
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            await server.send_endlessly(writer, begin, piece)
+
+        async with raw_server.RawServer(act) as server:
+            begin_s = time.monotonic()
+            outcome = await self.send(server)
+            took_s = time.monotonic() - begin_s
+            await server.wait_until_closed()
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertFalse(outcome.is_timeout)
+        self.assertLess(took_s, QUICK_S)
+        return server.sent_bytes
+
+
+class EndlessHeadTest(SendingTest):
+    """A head without end is no answer; its connection is closed."""
+
+    async def test_status_line(self) -> None:
+        await self._check(b"HTTP/1.1 200 ", b"x")
+
+    async def test_header_name(self) -> None:
+        await self._check(HEAD, b"x")
+
+    async def test_header_value(self) -> None:
+        await self._check(HEAD + b"X: ", b"x")
+
+    async def test_folded_header(self) -> None:
+        await self._check(HEAD + b"X: a\r\n", b" b\r\n")
+
+    async def test_many_headers(self) -> None:
+        await self._check(HEAD, b"X: a\r\n")
+
+    async def test_blank_lines_before_the_status(self) -> None:
+        await self._check(b"", b"\r\n")
+
+    async def test_interim_answers(self) -> None:
+        await self._check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    async def _check(self, begin: bytes, piece: bytes) -> None:
+        sent_bytes = await self.check_endless(begin, piece)
+        self.assertLess(sent_bytes, BUFFERED_BYTES)
+
+
+class EndlessBodyTest(SendingTest):
+    """A body without end is no answer; its connection is closed."""
+
+    async def test_body_with_a_length(self) -> None:
+        await self._check(HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x")
+
+    async def test_body_without_a_length(self) -> None:
+        await self._check(HEAD + b"\r\n", b"x")
+
+    async def test_chunks(self) -> None:
+        await self._check(CHUNKED, b"1\r\nx\r\n")
+
+    async def test_chunk_size(self) -> None:
+        await self._check(CHUNKED, b"0")
+
+    async def test_chunk_extension(self) -> None:
+        await self._check(CHUNKED + b"1;", b"x")
+
+    async def test_trailers(self) -> None:
+        await self._check(CHUNKED + b"0\r\n", b"X: a\r\n")
+
+    async def _check(self, begin: bytes, piece: bytes) -> None:
+        sent_bytes = await self.check_endless(begin, piece)
+        bound = 1024 * 1024 + BUFFERED_BYTES
+        self.assertLess(sent_bytes, bound)
+
+
+class GarbledBodyTest(SendingTest):
+    """A body that can't be read on ends its request at once."""
+
+    async def test_bad_size_of_the_first_chunk(self) -> None:
+        await self._check(CHUNKED + b"zz\r\n")
+
+    async def test_bad_size_of_a_later_chunk(self) -> None:
+        await self._check(CHUNKED + b"1\r\nx\r\n", b"zz\r\n")
+
+    async def test_large_trailer(self) -> None:
+        await self._check(CHUNKED + b"0\r\nX: a", b"x" * 16_384)
+
+    async def test_bad_size_in_a_stream(self) -> None:
+        outcome = await self._send(
+            HEAD + STREAM + b"7\r\nid: 1\n\n\r\n", b"zz\r\n"
+        )
+        assert isinstance(outcome, sending.Stream), outcome
+        async with asyncio.timeout(QUICK_S):
+            chunks = [each async for each in outcome.chunks()]
+        self.assertEqual(chunks, [b"id: 1\n\n"])
+        assert outcome.failure is not None
+        self.assertFalse(outcome.failure.is_timeout)
+
+    async def _check(self, *parts: bytes) -> None:
+        begin_s = time.monotonic()
+        outcome = await self._send(*parts)
+        took_s = time.monotonic() - begin_s
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertFalse(outcome.is_timeout)
+        self.assertLess(took_s, QUICK_S)
+
+    async def _send(self, *parts: bytes) -> sending.Outcome:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            for part in parts:
+                writer.write(part)
+                await asyncio.sleep(0.02)
+            await reader.read()
+
+        server = raw_server.RawServer(act)
+        await self.enterAsyncContext(server)
+        return await self.send(server)
