Let only homes admit calls by themselves while no home answers

Callers could be admitted far beyond the rate of an organisation (QUOTA) on fleets of more hosts than partitions. A host that reaches no home admitted its part of a tenth of the tolerance, taken for as many hosts as `others()` knows. That is the number of owners, 24 at most on 24 partitions, while 114 hosts each took such a part. Nobody knows the number of hosts: the settings don't tell it, and the store lists owners only.

The new test has 114 hosts on 24 partitions. It failed on the code before:

test_more_hosts_than_partitions_admit_no_more AssertionError: 480 not less than or equal to 122.0

Now only hosts that the last list of owners names have a part, and the part is a fixed one of as many as there are partitions, which is the most owners that there can be. A host that was no home asks to try again, as it did already when its part was used up.

--- a/mangotally/entry/homes.py
+++ b/mangotally/entry/homes.py
@@ -26,6 +26,14 @@
 class Homes(Protocol):
     """Knows the homes of keys."""
 
+    @property
+    def max_homes(self) -> int:
+        """The most hosts that are homes of some keys at the same time."""
+
+    @property
+    def is_home(self) -> bool:
+        """Whether this host was one of them when they were last read."""
+
     def home_of(self, key: str) -> HostAddress | None:
         """Returns the home of a key as last read, or None."""
 
@@ -36,4 +44,7 @@
         """Returns since when this host is the home of a key, or None."""
 
     def others(self) -> list[HostAddress]:
-        """Returns other hosts that are up, as far as it is known."""
+        """Returns the other hosts that are homes of some keys.
+
+        There may be many more hosts, which nobody lists.
+        """
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -25,7 +25,6 @@
 HOME_TOLERANCE = 0.45
 DEPUTY_TOLERANCE = 0.35
 ALONE_TOLERANCE = 0.1
-MIN_HOSTS = 16
 MAX_RETRY_AFTER_MS = 1500
 
 
@@ -93,11 +92,16 @@
 def alone_calls(terms: model.Organisation, bounds: Bounds, hosts: int) -> int:
     """Returns the calls in a window that a host admits by itself.
 
-    All hosts together stay within the tolerance of the bound, whatever the
-    homes grant besides.
+    All of these hosts together stay within the tolerance of the bound,
+    whatever the homes grant besides.
+
+    Args:
+        terms: Terms of the organisation.
+        bounds: What is tolerated.
+        hosts: The most hosts that admit calls by themselves.
     """
     tolerance = bounds.tolerance(terms) * ALONE_TOLERANCE
-    return int(tolerance / max(MIN_HOSTS, hosts))
+    return int(tolerance / hosts)
 
 
 def home_key(organisation: ids.OrganisationId) -> str:
@@ -268,13 +272,19 @@
     def _admit_alone(
         self, organisation: model.Organisation
     ) -> Admitted | NoHome:
-        """Admits a call within this host's part of the tolerance."""
+        """Admits a call within this host's part of the tolerance.
+
+        Nobody knows the number of hosts, but no more than `max_homes` are
+        homes: only these have a part.
+        """
+        if not self._homes.is_home:
+            return NoHome(UNKNOWN_RETRY_MS)
         now_ms = self._clock.now_ms()
         used = self._alone[organisation.id]
         while used and now_ms - used[0] > self._bounds.window_ms:
             used.popleft()
-        hosts = len(self._homes.others()) + 1
-        if len(used) < alone_calls(organisation, self._bounds, hosts):
+        most = alone_calls(organisation, self._bounds, self._homes.max_homes)
+        if len(used) < most:
             used.append(now_ms)
             return Admitted(None, "alone")
         return NoHome(UNKNOWN_RETRY_MS)
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -69,6 +69,16 @@
         self._owners_ms = -float("inf")
         self._owners_generation = -1
 
+    @property
+    def max_homes(self) -> int:
+        """The most hosts that are homes of some keys at the same time."""
+        return self._partitions
+
+    @property
+    def is_home(self) -> bool:
+        """Whether this host was one of them when they were last read."""
+        return any(map(self.is_own, self._owners.values()))
+
     def home_of(self, key: str) -> homes.HostAddress | None:
         """Returns the home of a key as last read, or None."""
         return self._owners.get(self._partition(key))
