Keep a host that stops out of the group of homes

Callers of keys whose home is stopped in order got no word from it for up to some seconds: the host left the group at SIGTERM, which moves its keys at once, but its loop joined again within 0.8 s, while requests under way ended. So its keys moved back to it, and lapsed only 2.5 s after its end. With it, a join that was under way could arrive after the leave.

The new test failed on the code before:

test_a_host_that_stops_does_not_join_again AssertionError: Lists differ: ['leave', 'join'] != ['leave', 'owners']

A host that has left for good reads the owners only, since its requests under way still need the homes, and leaves after a join under way has its answer.

--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -65,6 +65,9 @@
         self._owned: frozenset[int] = frozenset()
         self._owned_until_ms = 0.0
         self._owned_since: dict[int, float] = {}
+        self._has_stopped = False
+        # A join under way must not arrive after this host has left.
+        self._calling = asyncio.Lock()
         self._owners: dict[int, homes.HostAddress] = {}
         self._owners_ms = -float("inf")
         self._owners_generation = -1
@@ -103,7 +106,8 @@
     async def run(self) -> None:
         """Stays in the group until cancelled."""
         while True:
-            is_in = await self._stay()
+            async with self._calling:
+                is_in = await self._stay()
             if is_in:
                 await self._read_owners()
             usual_ms = JOIN_MS if is_in else RETRY_MS
@@ -115,21 +119,29 @@
         self._isolation = isolation
 
     async def leave(self) -> None:
-        """Gives up this host's keys at once."""
-        self._owned_until_ms = 0.0
-        await self._client.leave(GROUP, self._member)
+        """Gives up this host's keys for good; it still learns the homes."""
+        self._has_stopped = True
+        async with self._calling:
+            await self._give_up()
 
     async def _stay(self) -> bool:
         """Joins, or leaves while other hosts can't reach this one."""
-        if self._isolation is None or not self._isolation.is_isolated:
+        is_isolated = self._isolation is not None and (
+            self._isolation.is_isolated
+        )
+        if not is_isolated and not self._has_stopped:
             return await self._join()
         if self._owned:
-            self._owned = frozenset()
-            self._owned_since.clear()
-            await self.leave()
+            await self._give_up()
         self._owners_generation = -1
         return True
 
+    async def _give_up(self) -> None:
+        self._owned = frozenset()
+        self._owned_since.clear()
+        self._owned_until_ms = 0.0
+        await self._client.leave(GROUP, self._member)
+
     async def _join(self) -> bool:
         sent_ms = self._clock.now_ms()
         joined = await self._client.join(
--- a/tests/test_platform/test_groups.py
+++ b/tests/test_platform/test_groups.py
@@ -130,6 +130,13 @@
         )
         self.assertEqual([each.host for each in self.member.others()], ["h1"])
 
+    async def test_a_host_that_stops_does_not_join_again(self) -> None:
+        await self._round()
+        await self.member.leave()
+        await self._round()
+        self.assertEqual(self.group.calls[-2:], ["leave", "owners"])
+        self.assertIsNone(self.member.owned_since_ms(KEY))
+
     async def test_an_isolated_host_leaves_once_and_returns(self) -> None:
         await self._round()
         self.isolation.is_isolated = True
