Let only hosts that are strong compared with the others be homes

Each request costs the home of its service two calls, Place and Report, some 2,000 a second in all, and the store's group dealt homes evenly over all 114 hosts, so the home of a service was nearly always a weak one. It answered too late, and the other hosts placed by their own counts. And each start, stop and kill of any host moved keys, while 90 members owned nothing.

Now the name of a member carries the host's capacity, a share of a core times its speed, and a host stays out of the group while homes that are 1.5 times as strong are enough (policy/candidacy.py). Hosts of equal capacity are all members, as before.

A host that is no member reads the owners every 2 s, and sooner when links tell that a home is silent or none. If no home answers, it joins on trial, and leaves if the silent homes still hold keys: else weak hosts would take the death of all homes for their own isolation, for good.

Not changed: where all hosts are weak, the home of a busy service is weak too; docs/design/dispatch.md weighs ways to split a service.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -173,6 +173,7 @@
             ids.HostId(settings.host),
             settings.listen.hosts,
             ids.PlaceId(settings.failure_domain),
+            settings.processor.capacity,
         )
         relays = relay.StoreRelay(links)
         transport = failover.FailoverTransport(self._direct, relays, clock)
@@ -181,6 +182,7 @@
             self._store, this_host, settings.store.partitions, clock
         )
         relays.use(self._member)
+        links.listen(self._member.refresh)
         self._isolation = isolation.Isolation(self._member, links)
         self._member.use(self._isolation)
         self._knowledge = knowledge.Knowledge(
--- a/mangotally/entry/homes.py
+++ b/mangotally/entry/homes.py
@@ -16,11 +16,13 @@
         host: Its id.
         address: IP address and port.
         failure_domain: Where it runs.
+        capacity: Its part of a core, times the speed of that core.
     """
 
     host: ids.HostId
     address: str
     failure_domain: ids.PlaceId
+    capacity: float = 1.0
 
 
 class Homes(Protocol):
@@ -48,3 +50,6 @@
 
         There may be many more hosts, which nobody lists.
         """
+
+    def refresh(self) -> None:
+        """Has the homes read again soon: one is silent, or is none."""
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -108,6 +108,7 @@
         self._clock = clock
         self._links: dict[str, _Link] = {}
         self._silent: dict[str, _Silence] = {}
+        self._note_stale: Callable[[], None] = lambda: None
 
     async def __aenter__(self) -> Self:
         """Returns the owner."""
@@ -118,6 +119,10 @@
         links, self._links = self._links, {}
         await asyncio.gather(*(link.channel.close() for link in links.values()))
 
+    def listen(self, note_stale: Callable[[], None]) -> None:
+        """Names what to call when a host turns out to be no home, or silent."""
+        self._note_stale = note_stale
+
     def home_address(self, homes: homes_lib.Homes, key: str) -> str | None:
         """Returns where the home of a key is called, or None.
 
@@ -144,7 +149,7 @@
         self, address: str, request: entry_pb2.TakeRequest, timeout_ms: float
     ) -> entry_pb2.TakeReply | None:
         """Asks an organisation's home; None if it does not answer."""
-        return await self._call(address, "TakeTokens", request, timeout_ms)
+        return await self._ask(address, "TakeTokens", request, timeout_ms)
 
     async def reserve(
         self,
@@ -153,7 +158,7 @@
         timeout_ms: float,
     ) -> entry_pb2.ReserveReply | None:
         """Asks a program's home; None if it does not answer."""
-        return await self._call(address, "Reserve", request, timeout_ms)
+        return await self._ask(address, "Reserve", request, timeout_ms)
 
     async def settle(
         self, address: str, request: entry_pb2.SettleRequest, timeout_ms: float
@@ -165,7 +170,7 @@
         self, address: str, request: entry_pb2.PlaceRequest, timeout_ms: float
     ) -> entry_pb2.PlaceReply | None:
         """Asks a service's home; None if it does not answer."""
-        return await self._call(address, "Place", request, timeout_ms)
+        return await self._ask(address, "Place", request, timeout_ms)
 
     async def report(
         self, address: str, request: entry_pb2.PlaceReport, timeout_ms: float
@@ -173,6 +178,15 @@
         """Reports to a service's home; None if it does not answer."""
         return await self._call(address, "Report", request, timeout_ms)
 
+    async def _ask(
+        self, address: str, method: str, request: Any, timeout_ms: float
+    ) -> Any:
+        """Calls a home that may not be it any more."""
+        reply = await self._call(address, method, request, timeout_ms)
+        if reply is not None and reply.outcome == reply.NOT_HOME:
+            self._note_stale()
+        return reply
+
     async def _call(
         self, address: str, method: str, request: Any, timeout_ms: float
     ) -> Any:
@@ -197,6 +211,7 @@
         return link
 
     def _note_silent(self, address: str, method: str, reason: str) -> None:
+        self._note_stale()
         now_ms = self._clock.now_ms()
         known = self._silent.get(address)
         if known is not None:
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
@@ -11,6 +12,7 @@
 from mangotally import ids
 from mangotally.entry import homes
 from mangotally.platform import store
+from mangotally.policy import candidacy
 from mangotally.policy import homes as homes_policy
 from mangotally.util import clock as clock_lib
 
@@ -24,9 +26,18 @@
 LIFETIME_MS = 2500
 JOIN_MS = 800
 RETRY_MS = 150
-# The owners are asked for again after this time, changes or not.
+# A new member has its keys once their holders have joined again.
+DEALT_MS = 1200
+# Members read the owners again after this time, changes or not.
 OWNERS_MS = 4000
+# Other hosts hear of no changes, and read the owners so often.
+OUTSIDE_MS = 2000
+# The next try when a home is silent or is none; doubled while nothing changes.
+REFRESH_MS = 300
+JITTER = 0.2
 _SEPARATOR = "|"
+# Without the capacity, as hosts of earlier versions have them.
+_MIN_FIELDS = 3
 
 
 class Isolation(Protocol):
@@ -58,6 +69,12 @@
         self._client = client
         self._this_host = this_host
         self._member = _name(this_host)
+        self._candidacy = candidacy.Candidacy(
+            this_host.host, this_host.capacity, random.random()
+        )
+        self._reason: candidacy.Reason | None = None
+        self._is_member = False
+        self._joined_ms = 0.0
         self._partitions = partitions
         self._clock = clock
         self._isolation: Isolation | None = None
@@ -71,6 +88,8 @@
         self._owners: dict[int, homes.HostAddress] = {}
         self._owners_ms = -float("inf")
         self._owners_generation = -1
+        self._stale = asyncio.Event()
+        self._refresh_ms = float(REFRESH_MS)
 
     @property
     def max_homes(self) -> int:
@@ -104,42 +123,94 @@
         return list(found.values())
 
     async def run(self) -> None:
-        """Stays in the group until cancelled."""
+        """Learns the homes, and is one if need be, until cancelled."""
         while True:
+            owners, is_refresh = self._owners, self._stale.is_set()
+            self._stale.clear()
             async with self._calling:
-                is_in = await self._stay()
-            if is_in:
-                await self._read_owners()
-            usual_ms = JOIN_MS if is_in else RETRY_MS
-            pause_ms = usual_ms * random.uniform(0.8, 1.2)
-            await asyncio.sleep(clock_lib.to_seconds(pause_ms))
+                pause_ms = await self._step(is_refresh)
+            if is_refresh and owners == self._owners:
+                self._refresh_ms = min(2 * self._refresh_ms, OUTSIDE_MS)
+            else:
+                self._refresh_ms = REFRESH_MS
+            await self._wait(pause_ms * random.uniform(1 - JITTER, 1 + JITTER))
 
     def use(self, isolation: Isolation) -> None:
         """Names who tells whether other hosts can reach this one."""
         self._isolation = isolation
 
+    def refresh(self) -> None:
+        """Has the homes read again soon: one is silent, or is none."""
+        self._stale.set()
+
     async def leave(self) -> None:
         """Gives up this host's keys for good; it still learns the homes."""
         self._has_stopped = True
         async with self._calling:
-            await self._give_up()
-
-    async def _stay(self) -> bool:
-        """Joins, or leaves while other hosts can't reach this one."""
+            if self._is_member:
+                await self._give_up()
+
+    async def _wait(self, pause_ms: float) -> None:
+        """Waits for a time, or less if the homes should be read again."""
+        least_ms = min(pause_ms, self._refresh_ms)
+        await asyncio.sleep(clock_lib.to_seconds(least_ms))
+        with contextlib.suppress(TimeoutError):
+            rest_s = clock_lib.to_seconds(pause_ms - least_ms)
+            await asyncio.wait_for(self._stale.wait(), rest_s)
+
+    async def _step(self, is_refresh: bool) -> float:
+        """Joins, stays out or leaves; returns when to decide again."""
+        if not self._is_member and not await self._read_owners():
+            return RETRY_MS
+        if self._has_stopped:
+            return OUTSIDE_MS
+        decision = self._decide()
+        if not decision.is_member:
+            if self._is_member:
+                await self._give_up()
+            return min(OUTSIDE_MS, decision.pause_ms)
+        if not self._is_member:
+            self._is_member = True
+            self._joined_ms = self._clock.now_ms()
+        if not await self._join():
+            return RETRY_MS
+        if is_refresh or self._are_owners_old():
+            await self._read_owners()
+        is_new = self._clock.now_ms() - self._joined_ms < DEALT_MS
+        usual_ms = RETRY_MS if is_new and not self._owned else JOIN_MS
+        return min(usual_ms, decision.pause_ms)
+
+    def _decide(self) -> candidacy.Decision:
         is_isolated = self._isolation is not None and (
             self._isolation.is_isolated
         )
-        if not is_isolated and not self._has_stopped:
-            return await self._join()
-        if self._owned:
-            await self._give_up()
-        self._owners_generation = -1
-        return True
+        owners = {each.host: each.capacity for each in self._owners.values()}
+        view = candidacy.View(owners, self._is_member, is_isolated)
+        decision = self._candidacy.decide(view, self._clock.now_ms())
+        if decision.reason is not self._reason:
+            self._reason = decision.reason
+            logger.info(
+                "candidacy_changed",
+                extra={
+                    "member": decision.is_member,
+                    "reason": decision.reason.value,
+                    "capacity": self._this_host.capacity,
+                    "homes": len(owners),
+                },
+            )
+        return decision
 
     async def _give_up(self) -> None:
+        """Leaves the group; other members have the keys at once."""
+        self._is_member = False
         self._owned = frozenset()
         self._owned_since.clear()
         self._owned_until_ms = 0.0
+        self._owners = {
+            number: host
+            for number, host in self._owners.items()
+            if not self.is_own(host)
+        }
         await self._client.leave(GROUP, self._member)
 
     async def _join(self) -> bool:
@@ -175,24 +246,35 @@
         self._generation = generation
         self._owned = owned
 
-    async def _read_owners(self) -> None:
+    def _are_owners_old(self) -> bool:
+        if self._owners_generation != self._generation:
+            return True
+        return self._clock.now_ms() - self._owners_ms >= OWNERS_MS
+
+    async def _read_owners(self) -> bool:
+        """Reads the homes; returns whether they have ever been read."""
         now_ms = self._clock.now_ms()
-        is_current = self._owners_generation == self._generation
-        if is_current and now_ms - self._owners_ms < OWNERS_MS:
-            return
         rows = await self._client.owners(GROUP)
-        if isinstance(rows, store.Unavailable):
-            return
-        self._owners_ms = now_ms
-        self._owners_generation = self._generation
-        self._owners = _owners(rows)
+        if not isinstance(rows, store.Unavailable):
+            self._owners_ms = now_ms
+            self._owners_generation = self._generation
+            self._owners = _owners(rows)
+        return self._owners_ms > -float("inf")
 
     def _partition(self, key: str) -> int:
         return homes_policy.partition_of_key(key, self._partitions)
 
 
 def _name(host: homes.HostAddress) -> str:
-    return _SEPARATOR.join((host.host, host.address, host.failure_domain))
+    """Returns what tells all hosts of a member."""
+    return _SEPARATOR.join(
+        (
+            host.host,
+            host.address,
+            host.failure_domain,
+            f"{host.capacity:.3f}",
+        )
+    )
 
 
 def _owners(
@@ -200,9 +282,18 @@
 ) -> dict[int, homes.HostAddress]:
     found = {}
     for (_, number), member in rows.items():
-        fields = member.split(_SEPARATOR)
-        if len(fields) == len(dataclasses.fields(homes.HostAddress)):
-            found[number] = homes.HostAddress(
-                ids.HostId(fields[0]), fields[1], ids.PlaceId(fields[2])
-            )
+        host = _host(member)
+        if host is not None:
+            found[number] = host
     return found
+
+
+def _host(member: str) -> homes.HostAddress | None:
+    fields = member.split(_SEPARATOR)
+    if len(fields) < _MIN_FIELDS:
+        return None
+    name, address, domain, *more = fields
+    found = homes.HostAddress(ids.HostId(name), address, ids.PlaceId(domain))
+    if not more:
+        return found
+    return dataclasses.replace(found, capacity=float(more[0]))
--- a/mangotally/settings/entry.py
+++ b/mangotally/settings/entry.py
@@ -31,6 +31,23 @@
     metrics: Address
 
 
+class Processor(_Model):
+    """What the host may use of a processor.
+
+    Attributes:
+        share: Part of a core.
+        speed: Speed of that core, as a multiple of the platform's unit.
+    """
+
+    share: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    speed: Annotated[float, pydantic.Field(gt=0)] = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Work that is done in a time, as a multiple of a unit core's."""
+        return self.share * self.speed
+
+
 class Store(_Model):
     """The platform's store.
 
@@ -69,6 +86,7 @@
         failure_domain: Where it runs.
         listen: Where it listens.
         store: The platform's store.
+        processor: What it may use of a processor.
         bounds: What the operators are promised.
     """
 
@@ -76,4 +94,5 @@
     failure_domain: Annotated[str, pydantic.Field(min_length=1)]
     listen: Listen
     store: Store
+    processor: Processor = Processor()
     bounds: Bounds = Bounds()
--- a/tests/test_platform/test_groups.py
+++ b/tests/test_platform/test_groups.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import math
 import unittest
 from typing import TYPE_CHECKING, cast
+from unittest import mock
 
 from mangotally import ids
 from mangotally.entry import homes
 from mangotally.entry import log as log_lib
 from mangotally.platform import groups, store
 from mangotally.util import clock as clock_lib
+from tests import entry_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -147,3 +151,59 @@
         self.isolation.is_isolated = False
         await self._round()
         self.assertIsNotNone(self.member.owned_since_ms(KEY))
+
+
+class OutsideTest(unittest.IsolatedAsyncioTestCase):
+    """A host that is no member reads the homes now and then."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.group = _Group(self.clock)
+        self.group.owners = self._owners  # type: ignore[method-assign]
+        self.homes = ["10.0.1.1:1"] * PARTITIONS
+        self.enterContext(mock.patch.object(groups, "REFRESH_MS", 20))
+        weak = dataclasses.replace(THIS, capacity=0.1)
+        self.member = groups.HomesMember(
+            cast("store.Store", self.group), weak, PARTITIONS, self.clock
+        )
+        task = asyncio.create_task(self.member.run())
+        self.addCleanup(task.cancel)
+        await self._reads(1)
+
+    async def _owners(self, _group: str) -> dict[tuple[str, int], str]:
+        self.group.calls.append("owners")
+        return {
+            ("homes", number): f"s{number}|{address}|z|2.000"
+            for number, address in enumerate(self.homes)
+        }
+
+    async def _reads(self, count: int) -> None:
+        await entry_fleet.wait_for(
+            lambda: self.group.calls == ["owners"] * count, timeout_s=1.0
+        )
+
+    async def test_knows_the_homes_without_joining(self) -> None:
+        home = self.member.home_of(KEY)
+        assert home is not None
+        self.assertEqual((home.address, home.capacity), ("10.0.1.1:1", 2.0))
+        self.assertFalse(self.member.is_home)
+        self.assertEqual(len(self.member.others()), PARTITIONS)
+
+    async def test_reads_the_homes_again_when_one_is_in_doubt(self) -> None:
+        self.homes = ["10.0.1.2:1"] * PARTITIONS
+        self.member.refresh()
+        await self._reads(2)
+        home = self.member.home_of(KEY)
+        assert home is not None
+        self.assertEqual(home.address, "10.0.1.2:1")
+
+    async def test_reads_less_often_while_nothing_changes(self) -> None:
+        loop = asyncio.get_running_loop()
+        begin_s = loop.time()
+        for _ in range(100):
+            self.member.refresh()
+            await asyncio.sleep(0.005)
+        # The pauses double, so that their sum does.
+        pauses = 1000.0 * (loop.time() - begin_s) / groups.REFRESH_MS
+        most_reads = 2 + math.log2(1 + pauses)
+        self.assertLess(len(self.group.calls), 1 + most_reads)
