Hand keys over as soon as a member learns that they move

The store gives a partition to its new member once the old one has joined with the new generation. The old one learnt that it had lost the partition from a join, gave it up, and joined with that generation only 0.6 to 1 s later, so nobody was home meanwhile. Hosts that read the owners in between waited 0.6 and 1.2 s for the next read.

Now a member that has lost keys joins again at once, and the pause between reads of homes in doubt stays at 1 s or less. The new test failed before:

test_keys_that_move_are_given_up_at_once AssertionError: Lists differ: [0, 1] != [0, 1, 2]

--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -34,6 +34,7 @@
 OUTSIDE_MS = 2000
 # The next try when a home is silent or is none; doubled while nothing changes.
 REFRESH_MS = 300
+MAX_REFRESH_MS = 1000
 JITTER = 0.2
 _SEPARATOR = "|"
 # Without the capacity, as hosts of earlier versions have them.
@@ -130,7 +131,7 @@
             async with self._calling:
                 pause_ms = await self._step(is_refresh)
             if is_refresh and owners == self._owners:
-                self._refresh_ms = min(2 * self._refresh_ms, OUTSIDE_MS)
+                self._refresh_ms = min(2 * self._refresh_ms, MAX_REFRESH_MS)
             else:
                 self._refresh_ms = REFRESH_MS
             await self._wait(pause_ms * random.uniform(1 - JITTER, 1 + JITTER))
@@ -172,8 +173,12 @@
         if not self._is_member:
             self._is_member = True
             self._joined_ms = self._clock.now_ms()
+        owned = self._owned
         if not await self._join():
             return RETRY_MS
+        if owned - self._owned:
+            # Others get them once this host joins with the new generation.
+            await self._join()
         if is_refresh or self._are_owners_old():
             await self._read_owners()
         is_new = self._clock.now_ms() - self._joined_ms < DEALT_MS
