--- a/mangotally/entry/homes.py
+++ b/mangotally/entry/homes.py
@@ -16,16 +16,26 @@
         host: Its id.
         address: IP address and port.
         failure_domain: Where it runs.
+        capacity: Its part of a core, times the speed of that core.
     """
 
     host: ids.HostId
     address: str
     failure_domain: ids.PlaceId
+    capacity: float = 1.0
 
 
 class Homes(Protocol):
     """Knows the homes of keys."""
 
+    @property
+    def max_homes(self) -> int:
+        """The most hosts that are homes of some keys at the same time."""
+
+    @property
+    def is_home(self) -> bool:
+        """Whether this host was one of them when they were last read."""
+
     def home_of(self, key: str) -> HostAddress | None:
         """Returns the home of a key as last read, or None."""
 
@@ -36,4 +46,10 @@
         """Returns since when this host is the home of a key, or None."""
 
     def others(self) -> list[HostAddress]:
-        """Returns other hosts that are up, as far as it is known."""
+        """Returns the other hosts that are homes of some keys.
+
+        There may be many more hosts, which nobody lists.
+        """
+
+    def refresh(self) -> None:
+        """Has the homes read again soon: one is silent, or is none."""
