Bound all answers under way together, and what one hands over at once

Cause: with a bound for each answer only, 48 endless ones at the same time held 57 MB (bodies) and 30 MB (interim answers), more than a host of 88 MB has, and reads of 256 KiB from each of them in one turn of the event loop held up other requests for 0.9 s.

Change: whole answers under way have 4 MiB together; beyond that an answer above 64 KiB is refused (a small one never is). At most 16 interim answers and 16 KiB of a head. The receive buffer of a connection has 32 KiB, so that no target hands over more in one turn. Streams are not counted together: their events are passed on, and a single event has its bound; a stream has 2 MiB in all. Weighed: a smaller bound for each answer (a real large answer would be lost on an idle host); refusing the largest answer (needs a list of all); counting streams too (ordinary long streams would be refused).

The outcome over the whole path is tested with the stand-in worker's new fault 'endless' (test_path.EndlessAnswerTest): 502 for a call that may have run, another target for one that may be repeated or resumed, a cut where events were passed on.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
+import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -10,16 +12,21 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Mapping
 
 # Status line, header lines and interim answers together.
-MAX_HEAD_BYTES = 32 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+MAX_INTERIM_ANSWERS = 16
 # Bodies with their framing. One event is bounded by itself.
 MAX_WHOLE_BYTES = 1024 * 1024
-MAX_STREAM_BYTES = 4 * 1024 * 1024
+MAX_STREAM_BYTES = 2 * 1024 * 1024
+# All whole answers under way together; small ones are never refused.
+MAX_UNDER_WAY_BYTES = 4 * 1024 * 1024
+SMALL_ANSWER_BYTES = 64 * 1024
+# What one connection can hand over in one turn of the event loop.
+RECEIVE_BYTES = 32 * 1024
 EVENT_STREAM = "text/event-stream"
 # What the library is handed at once while a head is awaited.
-_HEAD_PART_BYTES = 4096
+_HEAD_PART_BYTES = 2048
 _FIRST_FINAL_STATUS = 200
 
 
@@ -27,6 +34,17 @@
     """A target sent more than an answer may have."""
 
 
+@dataclasses.dataclass
+class UnderWay:
+    """Whole answers that have not come to their end.
+
+    Attributes:
+        size_bytes: What has arrived of them, heads included.
+    """
+
+    size_bytes: int = 0
+
+
 class AnswerHandler(client_proto.ResponseHandler):
     """Counts what arrives for a request before it is parsed.
 
@@ -35,41 +53,99 @@
     trailers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Makes the handler of one connection."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, under_way: UnderWay
+    ) -> None:
+        """Makes the handler of one connection.
+
+        Args:
+            loop: The event loop.
+            under_way: What the answers on all connections hold.
+        """
         super().__init__(loop)
+        self._under_way = under_way
+        self._size_bytes = 0
+        self._counted_bytes = 0
+        self._most_bytes = MAX_HEAD_BYTES
+        self._is_stream = False
         self._has_head = False
-        self._left_bytes = MAX_HEAD_BYTES
+        self._interim_answers = 0
 
     def set_response_params(self, **params: Any) -> None:
         """Begins to await the answer to a request."""
+        self._release()
+        self._size_bytes = 0
+        self._most_bytes = MAX_HEAD_BYTES
+        self._is_stream = False
         self._has_head = False
-        self._left_bytes = MAX_HEAD_BYTES
+        self._interim_answers = 0
         super().set_response_params(**params)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Notes that nothing more arrives."""
+        self._release()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Takes what has arrived."""
-        while data and not self._has_head:
+        while data and not self._has_head and self._exception is None:
             part, data = data[:_HEAD_PART_BYTES], data[_HEAD_PART_BYTES:]
-            if not self._count(part):
-                return
-            self._parse(part)
-        if self._count(data):
-            self._parse(data)
+            self._take(part)
+        if data and self._exception is None:
+            self._take(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Takes a parsed head."""
         message, _ = data
-        if message.code >= _FIRST_FINAL_STATUS:
+        if message.code < _FIRST_FINAL_STATUS:
+            self._interim_answers += 1
+        else:
             self._has_head = True
-            self._left_bytes = _most_bytes(message.headers)
+            content_type = message.headers.get("Content-Type", "")
+            self._is_stream = content_type.startswith(EVENT_STREAM)
+            most_bytes = (
+                MAX_STREAM_BYTES if self._is_stream else MAX_WHOLE_BYTES
+            )
+            self._most_bytes = MAX_HEAD_BYTES + most_bytes
         super().feed_data(data, size)
 
-    def _parse(self, data: bytes) -> None:
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Goes on after the reader of a body has fallen behind."""
+        super().resume_reading(resume_parser)
+        self._check_parsed()
+
+    def _take(self, data: bytes) -> None:
+        self._size_bytes += len(data)
+        if not self._is_stream:
+            self._counted_bytes += len(data)
+            self._under_way.size_bytes += len(data)
+        if self._is_oversize():
+            self._refuse()
+            return
         super().data_received(data)
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            self._refuse()
+        self._check_parsed()
+
+    def _is_oversize(self) -> bool:
+        if self._size_bytes > self._most_bytes:
+            return True
+        return (
+            self._counted_bytes > SMALL_ANSWER_BYTES
+            and self._under_way.size_bytes > MAX_UNDER_WAY_BYTES
+        )
+
+    def _check_parsed(self) -> None:
         error = self._exception
         if isinstance(error, http_exceptions.HttpProcessingError):
             self._fail_body(aiohttp.ClientPayloadError(str(error)))
+        if self._is_stream or self._payload is None or self._payload.is_eof():
+            self._release()
+
+    def _release(self) -> None:
+        """Counts the answer no longer."""
+        self._under_way.size_bytes -= self._counted_bytes
+        self._counted_bytes = 0
 
     def _fail_body(self, error: BaseException) -> None:
         """Wakes up who reads a body that can't be whole any more.
@@ -79,14 +155,6 @@
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
 
-    def _count(self, data: bytes) -> bool:
-        """Returns whether the answer may have more bytes."""
-        self._left_bytes -= len(data)
-        if self._left_bytes < 0:
-            self._refuse()
-            return False
-        return True
-
     def _refuse(self) -> None:
         """Closes the connection; its request has no whole answer."""
         error = OversizeAnswerError("the answer is larger than the limit")
@@ -102,18 +170,20 @@
 
     def __init__(self, **options: Any) -> None:
         """Makes a connector of no connections."""
-        super().__init__(**options)
-        self._factory = functools.partial(_make_handler, loop=self._loop)
-
-
-def _most_bytes(headers: Mapping[str, str]) -> int:
-    content_type = headers.get("Content-Type", "")
-    if content_type.startswith(EVENT_STREAM):
-        return MAX_STREAM_BYTES
-    return MAX_WHOLE_BYTES
+        super().__init__(socket_factory=_make_socket, **options)
+        self._factory = functools.partial(
+            _make_handler, loop=self._loop, under_way=UnderWay()
+        )
 
 
 def _make_handler(
-    loop: asyncio.AbstractEventLoop,
+    loop: asyncio.AbstractEventLoop, under_way: UnderWay
 ) -> client_proto.ResponseHandler:
-    return AnswerHandler(loop)
+    return AnswerHandler(loop, under_way)
+
+
+def _make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    return made
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -17,6 +17,15 @@
     from collections.abc import Awaitable, Callable
 
 STAMP = "stamp"
+# What an answer begins with, after the usual headers but for "head", and
+# what follows without end.
+ENDLESS = {
+    "head": (b"HTTP/1.1 100 Continue\r\n\r\n", b"\r\n"),
+    "body": (b"\r\n", b"x"),
+    "event": (b"Content-Type: text/event-stream\r\n\r\n", b"data: x\n"),
+    "events": (b"Content-Type: text/event-stream\r\n\r\n", b"data:\n\n"),
+}
+_ENDLESS_BYTES = 16_384
 _NAMES = headers.NAMES
 
 
@@ -30,6 +39,7 @@
         cut_after: Events after which a stream is cut, or -1.
         wrong_id: Answer as if to another request.
         no_stamp: Leave the signature out.
+        endless: What is sent without end: a key of `ENDLESS`, or nothing.
     """
 
     shed: bool = False
@@ -37,6 +47,7 @@
     cut_after: int = -1
     wrong_id: bool = False
     no_stamp: bool = False
+    endless: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,11 +162,31 @@
         }
         if not self.faults.no_stamp:
             headers_[_NAMES.stamp] = STAMP
+        if self.faults.endless:
+            await self._send_endlessly(request, headers_)
         if _NAMES.token_usage in request.headers:
             return await self._stream(request, headers_)
         await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
         return web.Response(body=b"answer", headers=headers_)
 
+    async def _send_endlessly(
+        self, request: web.Request, headers_: dict[str, str]
+    ) -> None:
+        """Sends until the caller closes the connection."""
+        begin, piece = ENDLESS[self.faults.endless]
+        if self.faults.endless != "head":
+            lines = [f"{name}: {value}" for name, value in headers_.items()]
+            head = "\r\n".join(["HTTP/1.1 200 OK", *lines, ""])
+            begin = head.encode() + begin
+        transport = request.transport
+        pieces = piece * (_ENDLESS_BYTES // len(piece))
+        while transport is not None and not transport.is_closing():
+            transport.write(begin + pieces)
+            begin = b""
+            await request.protocol._drain_helper()
+            await asyncio.sleep(0)
+        raise ConnectionAbortedError
+
     async def _stream(
         self, request: web.Request, headers_: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -99,6 +99,51 @@
         self.assertEqual(status, 413)
 
 
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Targets that send without end are given up soon."""
+
+    @awaiting
+    async def test_an_unsafe_call_may_have_run(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for kind in ("head", "body", "event"):
+            for worker in fleet.desks:
+                worker.faults.endless = kind
+            async with asyncio.timeout(1.0):
+                status, _, _ = await fleet.call(PAY)
+            self.assertEqual(status, 502, kind)
+
+    @awaiting
+    async def test_a_safe_call_is_tried_at_another_target(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for kind in ("head", "body", "event"):
+            fleet.desks[0].faults.endless = kind
+            async with asyncio.timeout(1.0):
+                status, _, _ = await fleet.call(LOOKUP)
+            self.assertEqual(status, 200, kind)
+
+    @awaiting
+    async def test_a_stream_is_resumed_at_another_target(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for kind in ("head", "body", "event"):
+            fleet.models[0].faults.endless = kind
+            async with asyncio.timeout(1.0):
+                status, body, _ = await fleet.turn(QUERY)
+            self.assertEqual((status, body), (200, WHOLE), kind)
+
+    @awaiting
+    async def test_events_that_were_passed_on_are_cut(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.desks:
+            worker.faults.endless = "events"
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with asyncio.timeout(1.0):
+                await fleet.call(PAY)
+
+
 class GarbageTest(unittest.IsolatedAsyncioTestCase):
     """Whatever comes over a connection, the host goes on."""
 
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import tracemalloc
 import unittest
 
 import multidict
@@ -17,6 +18,10 @@
 QUICK_S = 1.0
 DEADLINE_MS = 4000.0
 NAME = model.RequestId("r1")
+# Of 88 MB, 45 MB are in use; the senders of a test have their part as well.
+MOST_HELD_BYTES = 24 * 1024 * 1024
+# Longest time of a request beside endless answers; their senders run here too.
+LONGEST_S = 0.5
 # What sockets hold beyond what was read.
 BUFFERED_BYTES = 8 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
@@ -24,6 +29,9 @@
 STREAM = (
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+INTERIM = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+BODY = (HEAD + b"\r\n", b"x")
+SMALL_CHUNKS = (CHUNKED, b"1\r\nx\r\n")
 
 
 class SendingTest(unittest.IsolatedAsyncioTestCase):
@@ -91,7 +99,7 @@
         await self._check(b"", b"\r\n")
 
     async def test_interim_answers(self) -> None:
-        await self._check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+        await self._check(*INTERIM)
 
     async def _check(self, begin: bytes, piece: bytes) -> None:
         sent_bytes = await self.check_endless(begin, piece)
@@ -105,10 +113,10 @@
         await self._check(HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x")
 
     async def test_body_without_a_length(self) -> None:
-        await self._check(HEAD + b"\r\n", b"x")
+        await self._check(*BODY)
 
     async def test_chunks(self) -> None:
-        await self._check(CHUNKED, b"1\r\nx\r\n")
+        await self._check(*SMALL_CHUNKS)
 
     async def test_chunk_size(self) -> None:
         await self._check(CHUNKED, b"0")
@@ -171,3 +179,63 @@
         server = raw_server.RawServer(act)
         await self.enterAsyncContext(server)
         return await self.send(server)
+
+
+class ManyEndlessAnswersTest(SendingTest):
+    """Dozens of endless answers neither fill a host nor hold it up."""
+
+    async def test_others_beside_heads(self) -> None:
+        self.assertLess(await self._longest_s(*INTERIM), LONGEST_S)
+
+    async def test_others_beside_bodies(self) -> None:
+        self.assertLess(await self._longest_s(*BODY), LONGEST_S)
+
+    async def test_others_beside_small_chunks(self) -> None:
+        self.assertLess(await self._longest_s(*SMALL_CHUNKS), LONGEST_S)
+
+    async def test_memory_of_heads(self) -> None:
+        self.assertLess(await self._peak_bytes(*INTERIM), MOST_HELD_BYTES)
+
+    async def test_memory_of_bodies(self) -> None:
+        self.assertLess(await self._peak_bytes(*BODY), MOST_HELD_BYTES)
+
+    async def test_memory_of_small_chunks(self) -> None:
+        self.assertLess(await self._peak_bytes(*SMALL_CHUNKS), MOST_HELD_BYTES)
+
+    async def _peak_bytes(self, begin: bytes, piece: bytes) -> int:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await self._longest_s(begin, piece)
+        return tracemalloc.get_traced_memory()[1]
+
+    async def _longest_s(self, begin: bytes, piece: bytes) -> float:
+        """Returns the longest time of requests to a sound target."""
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            await server.send_endlessly(writer, begin, piece)
+
+        async def answer(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                await server.read_request(reader)
+                writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+
+        faulty = await self.enterAsyncContext(raw_server.RawServer(act))
+        sound = await self.enterAsyncContext(raw_server.RawServer(answer))
+        endless = [asyncio.create_task(self.send(faulty)) for _ in range(48)]
+        longest_s = 0.0
+        while not all(each.done() for each in endless):
+            begin_s = time.monotonic()
+            self.assertIsInstance(await self.send(sound), sending.Whole)
+            longest_s = max(longest_s, time.monotonic() - begin_s)
+        for each in endless:
+            self.assertIsInstance(each.result(), sending.Broken)
+        return longest_s
