Close a connection on which bytes follow a whole answer

Cause: an answer that arrived on an idle connection was queued there, and the next request got it: 'answer-to-other-request', so that a call that may not be repeated was lost though its target had not failed it. Garbage in one part with the end of an answer lost that whole answer too.

Change: bytes after a whole answer close the connection and are dropped (event bytes_after_answer); a head is parsed apart from what follows it, so that garbage behind a whole answer leaves the answer whole.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import logging
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +13,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+logger = logging.getLogger(__name__)
 
 # Status line, header lines and interim answers together.
 MAX_HEAD_BYTES = 16 * 1024
@@ -27,6 +29,7 @@
 EVENT_STREAM = "text/event-stream"
 # What the library is handed at once while a head is awaited.
 _HEAD_PART_BYTES = 2048
+_HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
 
 
@@ -86,17 +89,28 @@
         self._release()
         super().connection_lost(exc)
 
+    @property
+    def _is_whole(self) -> bool:
+        """Whether the answer has come to its end."""
+        return self._has_head and (
+            self._payload is None or self._payload.is_eof()
+        )
+
     def data_received(self, data: bytes) -> None:
         """Takes what has arrived."""
         while data and not self._has_head and self._exception is None:
-            part, data = data[:_HEAD_PART_BYTES], data[_HEAD_PART_BYTES:]
-            self._take(part)
+            size = _head_part_size(data)
+            self._take(data[:size])
+            data = data[size:]
         if data and self._exception is None:
             self._take(data)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Takes a parsed head."""
         message, _ = data
+        if self._has_head:
+            self._drop("answer")
+            return
         if message.code < _FIRST_FINAL_STATUS:
             self._interim_answers += 1
         else:
@@ -115,6 +129,9 @@
         self._check_parsed()
 
     def _take(self, data: bytes) -> None:
+        if self._is_whole:
+            self._drop("bytes")
+            return
         self._size_bytes += len(data)
         if not self._is_stream:
             self._counted_bytes += len(data)
@@ -139,9 +156,15 @@
         error = self._exception
         if isinstance(error, http_exceptions.HttpProcessingError):
             self._fail_body(aiohttp.ClientPayloadError(str(error)))
-        if self._is_stream or self._payload is None or self._payload.is_eof():
+        if self._is_stream or self._is_whole:
             self._release()
 
+    def _drop(self, what: str) -> None:
+        """Closes the connection: what came belongs to no request."""
+        logger.info("bytes_after_answer", extra={"what": what})
+        if self.transport is not None:
+            self.transport.abort()
+
     def _release(self) -> None:
         """Counts the answer no longer."""
         self._under_way.size_bytes -= self._counted_bytes
@@ -176,6 +199,15 @@
         )
 
 
+def _head_part_size(data: bytes) -> int:
+    """Returns how much of a head, but nothing after it, is handed over.
+
+    An error in what follows would take the head with it.
+    """
+    end = data.find(_HEAD_END, 0, _HEAD_PART_BYTES)
+    return end + len(_HEAD_END) if end >= 0 else _HEAD_PART_BYTES
+
+
 def _make_handler(
     loop: asyncio.AbstractEventLoop, under_way: UnderWay
 ) -> client_proto.ResponseHandler:
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -9,6 +9,7 @@
 import aiohttp
 import multidict
 import yarl
+from aiohttp import http_exceptions
 
 from mangotally.entry import connections, model
 from mangotally.util import clock as clock_lib
@@ -331,10 +332,15 @@
 ) -> Broken | None:
     """Returns a fault if the connection was reset rather than closed.
 
-    An answer without a length ends with its connection.
+    An answer without a length ends with its connection. Bytes after a whole
+    answer that can't be parsed belong to no request.
     """
-    if protocol is None or protocol.exception() is None:
+    error = protocol.exception() if protocol is not None else None
+    if error is None:
         return None
-    if isinstance(protocol.exception(), aiohttp.ServerDisconnectedError):
+    if isinstance(
+        error,
+        aiohttp.ServerDisconnectedError | http_exceptions.HttpProcessingError,
+    ):
         return None
     return Broken("reset-at-end")
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -12,7 +12,7 @@
 from mangotally.entry import model, sending
 from mangotally.platform import headers
 from mangotally.util import clock as clock_lib
-from tests import raw_server
+from tests import entry_fleet, raw_server
 
 # Far above what an answer may take, and below the deadline.
 QUICK_S = 1.0
@@ -29,6 +29,8 @@
 STREAM = (
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
+EXTRA = ANSWER.replace(b"r1", b"r0").replace(b"ok", b"no")
 INTERIM = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
 BODY = (HEAD + b"\r\n", b"x")
 SMALL_CHUNKS = (CHUNKED, b"1\r\nx\r\n")
@@ -210,6 +212,7 @@
 
     async def _longest_s(self, begin: bytes, piece: bytes) -> float:
         """Returns the longest time of requests to a sound target."""
+        all_are_sent = asyncio.Event()
 
         async def act(
             server: raw_server.RawServer,
@@ -217,6 +220,7 @@
             writer: asyncio.StreamWriter,
         ) -> None:
             await server.read_request(reader)
+            await all_are_sent.wait()
             await server.send_endlessly(writer, begin, piece)
 
         async def answer(
@@ -226,11 +230,14 @@
         ) -> None:
             while True:
                 await server.read_request(reader)
-                writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+                writer.write(ANSWER)
 
         faulty = await self.enterAsyncContext(raw_server.RawServer(act))
         sound = await self.enterAsyncContext(raw_server.RawServer(answer))
+        await self.send(sound)
         endless = [asyncio.create_task(self.send(faulty)) for _ in range(48)]
+        await entry_fleet.wait_for(lambda: len(faulty.requests) == len(endless))
+        all_are_sent.set()
         longest_s = 0.0
         while not all(each.done() for each in endless):
             begin_s = time.monotonic()
@@ -239,3 +246,65 @@
         for each in endless:
             self.assertIsInstance(each.result(), sending.Broken)
         return longest_s
+
+
+class BytesAfterAnswerTest(SendingTest):
+    """What follows a whole answer belongs to no request."""
+
+    async def test_after_a_while(self) -> None:
+        await self._check(ANSWER, EXTRA)
+
+    async def test_with_the_end_of_the_body(self) -> None:
+        await self._check(ANSWER[:-1], ANSWER[-1:] + EXTRA)
+
+    async def test_with_the_whole_answer(self) -> None:
+        await self._check(ANSWER + EXTRA)
+
+    async def test_garbage_after_a_while(self) -> None:
+        await self._check(ANSWER, b"garbage")
+
+    async def test_garbage_with_the_end_of_the_body(self) -> None:
+        await self._check(ANSWER[:-1], ANSWER[-1:] + b"garbage")
+
+    async def test_garbage_with_the_whole_answer(self) -> None:
+        await self._check(ANSWER + b"garbage")
+
+    async def test_blank_lines_after_a_while(self) -> None:
+        await self._check(ANSWER, b"\r\n")
+
+    async def _check(self, *parts: bytes) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                await server.read_request(reader)
+                for part in parts:
+                    writer.write(part)
+                    await asyncio.sleep(0.02)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        for _ in range(2):
+            outcome = await self.send(server)
+            assert isinstance(outcome, sending.Whole), outcome
+            self.assertEqual(outcome.body, b"ok")
+            await asyncio.sleep(0.1)
+        self.assertEqual(server.connections, 2)
+
+    async def test_without_end(self) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(ANSWER)
+            await asyncio.sleep(0.05)
+            await server.send_endlessly(writer, b"", EXTRA)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        self.assertIsInstance(await self.send(server), sending.Whole)
+        await asyncio.sleep(0.1)
+        await server.wait_until_closed()
+        self.assertLess(server.sent_bytes, BUFFERED_BYTES)
