Keep a connection as long as its target says, and tell which are idle

Cause: idle connections were kept for 9 s, whatever Keep-Alive a target sent, so that a request met the target's own timeout: reset, and a call that may not be repeated was lost. Which addresses have an idle connection was guessed beside the library: a connection that the target had closed still counted when the home was told of connected targets.

Change: a connection is idle for at most the target's 'timeout' less 200 ms since its last byte (9 s without the header); is_idle asks the library's pool. The guess is removed.

Failed first (tests.test_entry.test_sending.IdleConnectionTest): test_is_not_used_at_the_end_of_its_time, test_no_time_at_all, test_one_that_the_target_closed_is_not_idle: AssertionError: True is not false Now they pass.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -5,11 +5,14 @@
 import dataclasses
 import functools
 import logging
+import re
 import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp import client_proto, http_exceptions
+from aiohttp import client_proto, client_reqrep, http_exceptions
+
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     import asyncio
@@ -26,9 +29,13 @@
 SMALL_ANSWER_BYTES = 64 * 1024
 # What one connection can hand over in one turn of the event loop.
 RECEIVE_BYTES = 32 * 1024
+IDLE_CONNECTION_MS = 9000.0
+# A request has to arrive before its target closes the connection.
+KEEP_ALIVE_MARGIN_MS = 200.0
 EVENT_STREAM = "text/event-stream"
 # What the library is handed at once while a head is awaited.
 _HEAD_PART_BYTES = 2048
+_TIMEOUT = re.compile(r"\btimeout=(\d{1,9})(?!\d)", re.ASCII | re.IGNORECASE)
 _HEAD_END = b"\r\n\r\n"
 _FIRST_FINAL_STATUS = 200
 
@@ -73,6 +80,21 @@
         self._is_stream = False
         self._has_head = False
         self._interim_answers = 0
+        self._idle_ms = IDLE_CONNECTION_MS
+        self._last_ms = 0.0
+
+    def is_connected(self) -> bool:
+        """Whether a request may be sent; an idle connection ages."""
+        return super().is_connected() and not self._is_expired
+
+    @property
+    def _is_expired(self) -> bool:
+        return (
+            self._is_whole and self._now_ms() >= self._last_ms + self._idle_ms
+        )
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * clock_lib.MS_PER_S
 
     def set_response_params(self, **params: Any) -> None:
         """Begins to await the answer to a request."""
@@ -121,6 +143,7 @@
                 MAX_STREAM_BYTES if self._is_stream else MAX_WHOLE_BYTES
             )
             self._most_bytes = MAX_HEAD_BYTES + most_bytes
+            self._idle_ms = _idle_ms(message.headers.get("Keep-Alive", ""))
         super().feed_data(data, size)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -132,6 +155,7 @@
         if self._is_whole:
             self._drop("bytes")
             return
+        self._last_ms = self._now_ms()
         self._size_bytes += len(data)
         if not self._is_stream:
             self._counted_bytes += len(data)
@@ -193,11 +217,45 @@
 
     def __init__(self, **options: Any) -> None:
         """Makes a connector of no connections."""
-        super().__init__(socket_factory=_make_socket, **options)
+        super().__init__(
+            socket_factory=_make_socket,
+            keepalive_timeout=clock_lib.to_seconds(IDLE_CONNECTION_MS),
+            **options,
+        )
+        self._keys: dict[str, client_reqrep.ConnectionKey] = {}
         self._factory = functools.partial(
             _make_handler, loop=self._loop, under_way=UnderWay()
         )
 
+    def is_idle(self, address: str) -> bool:
+        """Returns whether a request to an address would find a connection."""
+        key = self._keys.get(address)
+        if key is None:
+            return False
+        if key not in self._conns:
+            del self._keys[address]
+            return False
+        return any(handler.is_connected() for handler, _ in self._conns[key])
+
+    def _release(
+        self,
+        key: client_reqrep.ConnectionKey,
+        protocol: client_proto.ResponseHandler,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        self._keys[f"{key.host}:{key.port}"] = key
+
+
+def _idle_ms(keep_alive: str) -> float:
+    """Returns how long a connection may be idle, by its target's header."""
+    found = _TIMEOUT.search(keep_alive)
+    if found is None:
+        return IDLE_CONNECTION_MS
+    stated_ms = float(found[1]) * clock_lib.MS_PER_S
+    return min(stated_ms - KEEP_ALIVE_MARGIN_MS, IDLE_CONNECTION_MS)
+
 
 def _head_part_size(data: bytes) -> int:
     """Returns how much of a head, but nothing after it, is handed over.
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -15,12 +15,11 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator
 
     from mangotally.entry import headers as headers_lib
 
 CONNECT_TIMEOUT_MS = 500
-IDLE_CONNECTION_MS = 9000
 READ_BYTES = 16 * 1024
 _OK = 200
 _MISDIRECTED = 421
@@ -93,40 +92,6 @@
     is_timeout: bool = False
 
 
-class Connections:
-    """Which addresses have an idle connection, as far as can be told.
-
-    The library does not say; a connection that was returned is idle until
-    it is used again or too old.
-    """
-
-    def __init__(self, clock: clock_lib.Clock) -> None:
-        """Makes a view of no connections."""
-        self._clock = clock
-        self._idle: dict[str, list[float]] = {}
-
-    def take(self, address: str) -> None:
-        """Notes that a request goes to an address."""
-        idle = self._idle.get(address)
-        if idle:
-            idle.pop()
-
-    def give_back(self, address: str) -> None:
-        """Notes that a connection stays open after an answer."""
-        self._idle.setdefault(address, []).append(self._clock.now_ms())
-
-    def is_idle(self, address: str) -> bool:
-        """Returns whether a request would find a connection."""
-        idle = self._idle.get(address)
-        if not idle:
-            return False
-        oldest_ms = self._clock.now_ms() - IDLE_CONNECTION_MS
-        if idle[-1] < oldest_ms:
-            del self._idle[address]
-            return False
-        return True
-
-
 class Stream:
     """An answer that comes as a series of events."""
 
@@ -135,7 +100,6 @@
         response: aiohttp.ClientResponse,
         clock: clock_lib.Clock,
         deadline_ms: float,
-        on_whole: Callable[[], None],
     ) -> None:
         """Takes over a response whose headers have come.
 
@@ -143,9 +107,7 @@
             response: The response.
             clock: Time.
             deadline_ms: When its caller stops to wait.
-            on_whole: Called when the answer has come whole.
         """
-        self._on_whole = on_whole
         self._response = response
         self._clock = clock
         self._deadline_ms = deadline_ms
@@ -177,8 +139,6 @@
         else:
             self.is_done = True
             self.failure = _reset_at_end(self._protocol)
-            if self.failure is None:
-                self._on_whole()
         if self.failure is not None:
             self.close()
 
@@ -204,18 +164,14 @@
         """
         self._names = names
         self._clock = clock
-        self.connections = Connections(clock)
+        self.connections: connections.Connector
         self._session: aiohttp.ClientSession
 
     async def __aenter__(self) -> Self:
         """Opens the owner."""
-        connector = connections.Connector(
-            limit=0,
-            keepalive_timeout=clock_lib.to_seconds(IDLE_CONNECTION_MS),
-            use_dns_cache=False,
-        )
+        self.connections = connections.Connector(limit=0, use_dns_cache=False)
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=self.connections,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             read_bufsize=READ_BYTES,
@@ -236,7 +192,6 @@
 
     async def send(self, address: str, request: Outgoing) -> Outcome:
         """Sends a request and reads the answer, or the head of a stream."""
-        self.connections.take(address)
         left_ms = request.deadline_ms - self._clock.now_ms()
         url = yarl.URL(f"http://{address}{request.path}", encoded=True)
         try:
@@ -248,7 +203,7 @@
                     data=request.body or None,
                     allow_redirects=False,
                 )
-                return await self._receive(response, address, request)
+                return await self._receive(response, request)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -260,30 +215,20 @@
             return Broken(type(error).__name__)
 
     async def _receive(
-        self,
-        response: aiohttp.ClientResponse,
-        address: str,
-        request: Outgoing,
+        self, response: aiohttp.ClientResponse, request: Outgoing
     ) -> Outcome:
-        def note_whole() -> None:
-            if "close" not in response.headers.get("Connection", ""):
-                self.connections.give_back(address)
-
         try:
             if (fault := self._check(response, request)) is not None:
                 response.close()
                 return fault
             if self._is_stream(response):
-                return Stream(
-                    response, self._clock, request.deadline_ms, note_whole
-                )
+                return Stream(response, self._clock, request.deadline_ms)
             protocol = (
                 response.connection.protocol if response.connection else None
             )
             body = await _read_whole(response)
             if (reset := _reset_at_end(protocol)) is not None:
                 return reset
-            note_whole()
             return self._judge(response, body)
         except BaseException:
             response.close()
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -71,6 +71,11 @@
             if pending:
                 raise TimeoutError("a connection is open")
 
+    def close_connections(self) -> None:
+        """Closes all connections."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -308,3 +308,77 @@
         await asyncio.sleep(0.1)
         await server.wait_until_closed()
         self.assertLess(server.sent_bytes, BUFFERED_BYTES)
+
+
+class IdleConnectionTest(SendingTest):
+    """Which connection is used again, and for how long."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.server = raw_server.RawServer(self._act)
+        await self.enterAsyncContext(self.server)
+        self.address = self.server.url.removeprefix("http://")
+        self.head = HEAD
+        self.work_s = 0.0
+        self.used: list[int] = []
+
+    async def test_is_used_again(self) -> None:
+        await self._send()
+        self.assertTrue(self._is_idle())
+        await self._send()
+        self.assertEqual(self.used, [1, 1])
+
+    async def test_is_not_used_at_the_end_of_its_time(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=1\r\n"
+        await self._send()
+        self.assertTrue(self._is_idle())
+        await asyncio.sleep(0.9)
+        self.assertFalse(self._is_idle())
+        await self._send()
+        self.assertEqual(self.used, [1, 2])
+
+    async def test_time_counts_from_the_last_answer(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=1, max=9\r\n"
+        await self._send()
+        await asyncio.sleep(0.5)
+        await self._send()
+        await asyncio.sleep(0.5)
+        await self._send()
+        self.assertEqual(self.used, [1, 1, 1])
+
+    async def test_no_time_at_all(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=0\r\n"
+        await self._send()
+        self.assertFalse(self._is_idle())
+
+    async def test_bad_times_are_passed_over(self) -> None:
+        for value in (b"timeout=x", b"timeout=-1", b"timeout", b"=", b"9" * 99):
+            self.head = HEAD + b"Keep-Alive: " + value + b"\r\n"
+            await self._send()
+        self.assertEqual(self.used, [1] * 5)
+
+    async def test_one_that_the_target_closed_is_not_idle(self) -> None:
+        await self._send()
+        self.server.close_connections()
+        await asyncio.sleep(0.05)
+        self.assertFalse(self._is_idle())
+
+    def _is_idle(self) -> bool:
+        return self.sender.connections.is_idle(self.address)
+
+    async def _send(self) -> None:
+        outcome = await self.send(self.server)
+        assert isinstance(outcome, sending.Whole), outcome
+
+    async def _act(
+        self,
+        server: raw_server.RawServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        number = server.connections
+        while True:
+            await server.read_request(reader)
+            self.used.append(number)
+            await asyncio.sleep(self.work_s * number)
+            writer.write(self.head + b"Content-Length: 2\r\n\r\nok")
