Use the most recently used connection of a target first

Cause: the HTTP library takes the connection that has been idle longest. With several to a target all of them age evenly, and a request meets the one that its target is the most likely to have dropped.

Change: a released connection goes to the front. Those that are not needed age and are closed.

Failed first (tests.test_entry.test_sending.IdleConnectionTest): test_the_last_one_used_is_taken_first: AssertionError: Lists differ: [1, 2, 1] != [2, 2, 2] Now it passes.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -246,6 +246,11 @@
     ) -> None:
         super()._release(key, protocol, should_close=should_close)
         self._keys[f"{key.host}:{key.port}"] = key
+        idle = self._conns.get(key)
+        if idle and idle[-1][0] is protocol:
+            # The library takes the first: the one that was used last, which
+            # is the least likely to have been dropped by its target.
+            idle.rotate(1)
 
 
 def _idle_ms(keep_alive: str) -> float:
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -357,6 +357,14 @@
             await self._send()
         self.assertEqual(self.used, [1] * 5)
 
+    async def test_the_last_one_used_is_taken_first(self) -> None:
+        self.work_s = 0.05
+        await asyncio.gather(self._send(), self._send())
+        self.used.clear()
+        for _ in range(3):
+            await self._send()
+        self.assertEqual(self.used, [2, 2, 2])
+
     async def test_one_that_the_target_closed_is_not_idle(self) -> None:
         await self._send()
         self.server.close_connections()
