--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import tracemalloc
 import unittest
 
 import multidict
@@ -11,12 +12,16 @@
 from mangotally.entry import model, sending
 from mangotally.platform import headers
 from mangotally.util import clock as clock_lib
-from tests import raw_server
+from tests import entry_fleet, raw_server
 
 # Far above what an answer may take, and below the deadline.
 QUICK_S = 1.0
 DEADLINE_MS = 4000.0
 NAME = model.RequestId("r1")
+# Of 88 MB, 45 MB are in use; the senders of a test have their part as well.
+MOST_HELD_BYTES = 24 * 1024 * 1024
+# Longest time of a request beside endless answers; their senders run here too.
+LONGEST_S = 0.5
 # What sockets hold beyond what was read.
 BUFFERED_BYTES = 8 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
@@ -24,6 +29,11 @@
 STREAM = (
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
+EXTRA = ANSWER.replace(b"r1", b"r0").replace(b"ok", b"no")
+INTERIM = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+BODY = (HEAD + b"\r\n", b"x")
+SMALL_CHUNKS = (CHUNKED, b"1\r\nx\r\n")
 
 
 class SendingTest(unittest.IsolatedAsyncioTestCase):
@@ -91,7 +101,7 @@
         await self._check(b"", b"\r\n")
 
     async def test_interim_answers(self) -> None:
-        await self._check(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+        await self._check(*INTERIM)
 
     async def _check(self, begin: bytes, piece: bytes) -> None:
         sent_bytes = await self.check_endless(begin, piece)
@@ -105,10 +115,10 @@
         await self._check(HEAD + b"Content-Length: 999999999999\r\n\r\n", b"x")
 
     async def test_body_without_a_length(self) -> None:
-        await self._check(HEAD + b"\r\n", b"x")
+        await self._check(*BODY)
 
     async def test_chunks(self) -> None:
-        await self._check(CHUNKED, b"1\r\nx\r\n")
+        await self._check(*SMALL_CHUNKS)
 
     async def test_chunk_size(self) -> None:
         await self._check(CHUNKED, b"0")
@@ -171,3 +181,212 @@
         server = raw_server.RawServer(act)
         await self.enterAsyncContext(server)
         return await self.send(server)
+
+
+class ManyEndlessAnswersTest(SendingTest):
+    """Dozens of endless answers neither fill a host nor hold it up."""
+
+    async def test_others_beside_heads(self) -> None:
+        self.assertLess(await self._longest_s(*INTERIM), LONGEST_S)
+
+    async def test_others_beside_bodies(self) -> None:
+        self.assertLess(await self._longest_s(*BODY), LONGEST_S)
+
+    async def test_others_beside_small_chunks(self) -> None:
+        self.assertLess(await self._longest_s(*SMALL_CHUNKS), LONGEST_S)
+
+    async def test_memory_of_heads(self) -> None:
+        self.assertLess(await self._peak_bytes(*INTERIM), MOST_HELD_BYTES)
+
+    async def test_memory_of_bodies(self) -> None:
+        self.assertLess(await self._peak_bytes(*BODY), MOST_HELD_BYTES)
+
+    async def test_memory_of_small_chunks(self) -> None:
+        self.assertLess(await self._peak_bytes(*SMALL_CHUNKS), MOST_HELD_BYTES)
+
+    async def _peak_bytes(self, begin: bytes, piece: bytes) -> int:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await self._longest_s(begin, piece)
+        return tracemalloc.get_traced_memory()[1]
+
+    async def _longest_s(self, begin: bytes, piece: bytes) -> float:
+        """Returns the longest time of requests to a sound target."""
+        all_are_sent = asyncio.Event()
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            await all_are_sent.wait()
+            await server.send_endlessly(writer, begin, piece)
+
+        async def answer(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                await server.read_request(reader)
+                writer.write(ANSWER)
+
+        faulty = await self.enterAsyncContext(raw_server.RawServer(act))
+        sound = await self.enterAsyncContext(raw_server.RawServer(answer))
+        await self.send(sound)
+        endless = [asyncio.create_task(self.send(faulty)) for _ in range(48)]
+        await entry_fleet.wait_for(lambda: len(faulty.requests) == len(endless))
+        all_are_sent.set()
+        longest_s = 0.0
+        while not all(each.done() for each in endless):
+            begin_s = time.monotonic()
+            self.assertIsInstance(await self.send(sound), sending.Whole)
+            longest_s = max(longest_s, time.monotonic() - begin_s)
+        for each in endless:
+            self.assertIsInstance(each.result(), sending.Broken)
+        return longest_s
+
+
+class BytesAfterAnswerTest(SendingTest):
+    """What follows a whole answer belongs to no request."""
+
+    async def test_after_a_while(self) -> None:
+        await self._check(ANSWER, EXTRA)
+
+    async def test_with_the_end_of_the_body(self) -> None:
+        await self._check(ANSWER[:-1], ANSWER[-1:] + EXTRA)
+
+    async def test_with_the_whole_answer(self) -> None:
+        await self._check(ANSWER + EXTRA)
+
+    async def test_garbage_after_a_while(self) -> None:
+        await self._check(ANSWER, b"garbage")
+
+    async def test_garbage_with_the_end_of_the_body(self) -> None:
+        await self._check(ANSWER[:-1], ANSWER[-1:] + b"garbage")
+
+    async def test_garbage_with_the_whole_answer(self) -> None:
+        await self._check(ANSWER + b"garbage")
+
+    async def test_blank_lines_after_a_while(self) -> None:
+        await self._check(ANSWER, b"\r\n")
+
+    async def _check(self, *parts: bytes) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            while True:
+                await server.read_request(reader)
+                for part in parts:
+                    writer.write(part)
+                    await asyncio.sleep(0.02)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        for _ in range(2):
+            outcome = await self.send(server)
+            assert isinstance(outcome, sending.Whole), outcome
+            self.assertEqual(outcome.body, b"ok")
+            await asyncio.sleep(0.1)
+        self.assertEqual(server.connections, 2)
+
+    async def test_without_end(self) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(ANSWER)
+            await asyncio.sleep(0.05)
+            await server.send_endlessly(writer, b"", EXTRA)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        self.assertIsInstance(await self.send(server), sending.Whole)
+        await asyncio.sleep(0.1)
+        await server.wait_until_closed()
+        self.assertLess(server.sent_bytes, BUFFERED_BYTES)
+
+
+class IdleConnectionTest(SendingTest):
+    """Which connection is used again, and for how long."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.server = raw_server.RawServer(self._act)
+        await self.enterAsyncContext(self.server)
+        self.address = self.server.url.removeprefix("http://")
+        self.head = HEAD
+        self.work_s = 0.0
+        self.used: list[int] = []
+
+    async def test_is_used_again(self) -> None:
+        await self._send()
+        self.assertTrue(self._is_idle())
+        await self._send()
+        self.assertEqual(self.used, [1, 1])
+
+    async def test_is_not_used_at_the_end_of_its_time(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=1\r\n"
+        await self._send()
+        self.assertTrue(self._is_idle())
+        await asyncio.sleep(0.9)
+        self.assertFalse(self._is_idle())
+        await self._send()
+        self.assertEqual(self.used, [1, 2])
+
+    async def test_time_counts_from_the_last_answer(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=1, max=9\r\n"
+        await self._send()
+        await asyncio.sleep(0.5)
+        await self._send()
+        await asyncio.sleep(0.5)
+        await self._send()
+        self.assertEqual(self.used, [1, 1, 1])
+
+    async def test_no_time_at_all(self) -> None:
+        self.head = HEAD + b"Keep-Alive: timeout=0\r\n"
+        await self._send()
+        self.assertFalse(self._is_idle())
+
+    async def test_bad_times_are_passed_over(self) -> None:
+        for value in (b"timeout=x", b"timeout=-1", b"timeout", b"=", b"9" * 99):
+            self.head = HEAD + b"Keep-Alive: " + value + b"\r\n"
+            await self._send()
+        self.assertEqual(self.used, [1] * 5)
+
+    async def test_the_last_one_used_is_taken_first(self) -> None:
+        self.work_s = 0.05
+        await asyncio.gather(self._send(), self._send())
+        self.used.clear()
+        for _ in range(3):
+            await self._send()
+        self.assertEqual(self.used, [2, 2, 2])
+
+    async def test_one_that_the_target_closed_is_not_idle(self) -> None:
+        await self._send()
+        self.server.close_connections()
+        await asyncio.sleep(0.05)
+        self.assertFalse(self._is_idle())
+
+    def _is_idle(self) -> bool:
+        return self.sender.connections.is_idle(self.address)
+
+    async def _send(self) -> None:
+        outcome = await self.send(self.server)
+        assert isinstance(outcome, sending.Whole), outcome
+
+    async def _act(
+        self,
+        server: raw_server.RawServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        number = server.connections
+        while True:
+            await server.read_request(reader)
+            self.used.append(number)
+            await asyncio.sleep(self.work_s * number)
+            writer.write(self.head + b"Content-Length: 2\r\n\r\nok")
