--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real entry processes; see docs/design/soak.md."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,69 @@
+"""Runs the soak by hand.
+
+python -m tests.soak --seeds 1-50 --seconds 20 --hosts 6
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import os
+from pathlib import Path
+
+from tests.soak import soak
+
+# Memory of one entry process, with room to spare.
+HOST_BYTES = 120 * 2**20
+
+
+def main() -> int:
+    """Runs the seeds that the arguments name; returns the exit code."""
+    arguments = _parse()
+    logging.disable(logging.CRITICAL)
+    options = soak.Options(
+        seconds=arguments.seconds,
+        hosts=arguments.hosts,
+        callers=arguments.callers,
+        logs=arguments.logs,
+        keep=arguments.keep,
+    )
+    if not _has_memory(options.hosts):
+        print(f"{options.hosts} hosts take over half of the memory")
+        return 2
+    findings = 0
+    for seed in _seeds(arguments.seeds):
+        report = asyncio.run(soak.run(seed, options))
+        print(report, flush=True)
+        findings += len(report.findings)
+    return 1 if findings else 0
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    usual = soak.Options()
+    add = parser.add_argument
+    add("--seeds", default="1-10", help="7, or 1-50, or 3,8,20-30")
+    add("--seconds", type=float, default=usual.seconds)
+    add("--hosts", type=int, default=usual.hosts)
+    add("--callers", type=int, default=usual.callers)
+    add("--logs", type=Path, help="folder for the logs of runs with findings")
+    add("--keep", action="store_true", help="keep the logs of all runs")
+    return parser.parse_args()
+
+
+def _seeds(text: str) -> list[int]:
+    found: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        found += range(int(first), int(last or first) + 1)
+    return found
+
+
+def _has_memory(hosts: int) -> bool:
+    total = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return hosts * HOST_BYTES < total / 2
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,416 @@
+"""Checks the promises from what callers and targets have seen."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+from typing import TYPE_CHECKING, Any
+
+from mangotally.util import clock as clock_lib
+from tests.soak import processes, shapes
+from tests.soak.shapes import Kind
+
+if TYPE_CHECKING:
+    import pathlib
+
+
+SETTLE_MS = 1000
+# A stop may close a connection on a request that it has not read.
+UNREAD_MS = 200
+MAX_FINDINGS = 20
+MOST_IN_WINDOW = (
+    shapes.RATE_PER_S * processes.RATE_WINDOW_S + shapes.BURST
+) * (1 + processes.RATE_OVERSHOOT) + processes.RATE_SLACK
+_OK = 200
+_SPENT = 402
+_NOT_RUN = frozenset({408, 421, 429, 503})
+_NO_TURN = frozenset({404, 410})
+_MAY_HAVE_RUN = frozenset({502, 504})
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that a target began to work on.
+
+    Attributes:
+        target: The target.
+        service: Its service.
+        stamp: Signature of its answer.
+        at_ms: When it began.
+        status: Status of its answer.
+        body: The whole answer.
+        is_faulty: Whether the target itself spoils the answer.
+    """
+
+    target: str
+    service: str
+    stamp: str
+    at_ms: float
+    status: int
+    body: bytes
+    is_faulty: bool = False
+
+
+@dataclasses.dataclass
+class Program:
+    """What was sent for one program.
+
+    Attributes:
+        id: Its id.
+        budget: Tokens that its turns may generate.
+        attempts: Its turns, failed ones included.
+        wrong_refusals: Turns refused though the budget held one more.
+    """
+
+    id: str
+    budget: int
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    wrong_refusals: int = 0
+
+    @property
+    def handed(self) -> int:
+        """Tokens that callers were handed."""
+        events = sum(each.events for each in self.attempts)
+        return events * shapes.EVENT_TOKENS
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller, and what became of it.
+
+    Attributes:
+        id: Its id.
+        kind: Kind of its route.
+        host: Name of the host that took it.
+        key: The caller's key.
+        method: HTTP method.
+        path: Path and query.
+        body: Body as sent.
+        parent: The turn that it continues from, or None.
+        program: Its program, or None.
+        is_foreign: Whether its parent is another organisation's turn.
+        sent_ms: When the caller began to send.
+        ended_ms: When the answer or the connection had ended.
+        status: Status of the answer, or 0.
+        stamp: Signature of the answer.
+        events: Events received.
+        is_whole: Whether the answer ended as complete.
+        error: What the caller saw if not.
+        is_abandoned: Whether the caller left early.
+        runs: Where it ran.
+    """
+
+    id: str
+    kind: Kind
+    host: str
+    key: str
+    method: str
+    path: str
+    body: bytes
+    parent: Attempt | None = None
+    program: Program | None = None
+    is_foreign: bool = False
+    sent_ms: float = 0.0
+    ended_ms: float | None = None
+    status: int = 0
+    stamp: str = ""
+    events: int = 0
+    is_whole: bool = False
+    error: str = ""
+    is_abandoned: bool = False
+    runs: list[Run] = dataclasses.field(default_factory=list)
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the caller got a whole success."""
+        return self.is_whole and self.status == _OK
+
+    @property
+    def chain(self) -> bytes:
+        """What a turn that continues from this one is preceded by."""
+        before = self.parent.chain if self.parent else b""
+        return before + shapes.kept_bytes(self.id, self.body)
+
+    @property
+    def body_at_target(self) -> bytes:
+        """The body that a target is to receive."""
+        return (self.parent.chain if self.parent else b"") + self.body
+
+
+class Oracle:
+    """Knows all requests, and notes each broken promise once."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        """Makes an oracle that has seen nothing."""
+        self.clock = clock
+        self.numbers = itertools.count(1)
+        self.findings: list[str] = []
+        self.attempts: dict[str, Attempt] = {}
+        self.programs: list[Program] = []
+        self.organisations: dict[str, str] = {}
+        self.steady_keys: set[str] = set()
+        self.withdrawn_ms: dict[str, float] = {}
+        self.services: dict[str, set[str]] = {}
+        self.planned_stops: dict[str, float] = {}
+        self._kinds_found: set[tuple[str, str]] = set()
+
+    def find(self, rule: str, attempt: Attempt | None, detail: str) -> None:
+        """Notes a broken promise."""
+        request = attempt.id if attempt else ""
+        if (rule, request) in self._kinds_found:
+            return
+        self._kinds_found.add((rule, request))
+        if len(self.findings) < MAX_FINDINGS:
+            host = f" at {attempt.host}" if attempt else ""
+            now_ms = self.clock.wall_ms()
+            self.findings.append(f"{rule} {request}{host} {detail} ({now_ms})")
+
+    def note_sent(self, attempt: Attempt) -> None:
+        """Notes a request just before it is sent."""
+        attempt.sent_ms = self.clock.now_ms()
+        self.attempts[attempt.id] = attempt
+        if attempt.program is not None:
+            attempt.program.attempts.append(attempt)
+
+    def note_run(
+        self, run: Run, method: str, path: str, headers: Any, body: bytes
+    ) -> None:
+        """Checks a request that a target begins to work on."""
+        attempt = self.attempts.get(headers.get("Request-Id", ""))
+        if attempt is None:
+            self.find("UNASKED", None, f"{run.stamp}: unknown id")
+            return
+        attempt.runs.append(run)
+        self._check_content(attempt, method, path, headers, body)
+        self._check_key(attempt, run, headers)
+        if len(attempt.runs) > 1 and not attempt.kind.is_repeatable:
+            stamps = [each.stamp for each in attempt.runs]
+            self.find("TWICE", attempt, f"{stamps}")
+        if attempt.ended_ms is not None:
+            self._check_refusal(attempt)
+        if run.service not in self.services[attempt.kind.value]:
+            self.find("ROUTE", attempt, f"run by {run.service}")
+
+    def note_events(self, attempt: Attempt, events: list[bytes]) -> None:
+        """Checks events as they reach the caller."""
+        for event in events:
+            attempt.events += 1
+            if event != shapes.event_bytes(attempt.id, attempt.events)[:-2]:
+                self.find(
+                    "ORDER", attempt, f"event {attempt.events}: {event!r}"
+                )
+        program = attempt.program
+        if program is None:
+            return
+        if program.handed > program.budget + shapes.MOST_TOKENS:
+            self.find(
+                "BUDGET",
+                attempt,
+                f"{program.id}: {program.handed} of {program.budget}",
+            )
+
+    def note_end(self, attempt: Attempt, body: bytes) -> None:
+        """Checks a request that has ended; its fields are set."""
+        attempt.ended_ms = self.clock.now_ms()
+        if attempt.is_whole:
+            self._check_answer(attempt, body)
+            self._check_refusal(attempt)
+        if attempt.status == _SPENT and attempt.is_whole:
+            self._check_spent(attempt)
+        self._check_planned_stop(attempt)
+
+    def check_rates(self) -> None:
+        """Checks the limited organisation over every window.
+
+        A lower limit binds only once all hosts have been in touch, so the
+        first one, which is the highest, counts.
+        """
+        window_ms = processes.RATE_WINDOW_S * clock_lib.MS_PER_S
+        found = sorted(
+            (each.runs[0].at_ms, each.sent_ms)
+            for each in self.attempts.values()
+            if each.runs and each.key == shapes.LIMITED_KEY
+        )
+        for number, (end_ms, _) in enumerate(found):
+            begin_ms = end_ms - window_ms
+            count = sum(
+                sent_ms >= begin_ms for _, sent_ms in found[: number + 1]
+            )
+            if count > MOST_IN_WINDOW:
+                self.find("QUOTA", None, f"{count} in the window to {end_ms}")
+
+    def worst_spent(self, program: Program, but: Attempt) -> int:
+        """Returns what a program may have spent at most, by its callers.
+
+        Args:
+            program: The program.
+            but: A turn that is left out, and at whose end it is asked.
+        """
+        assert but.ended_ms is not None
+        settled_ms = but.sent_ms - SETTLE_MS
+        return sum(
+            _most_spent(each, settled_ms)
+            for each in program.attempts
+            if each is not but
+        )
+
+    def write(self, path: pathlib.Path) -> None:
+        """Writes all requests, one a line."""
+        with path.open("w") as lines:
+            for each in self.attempts.values():
+                lines.write(json.dumps(_describe(each)) + "\n")
+
+    def _check_content(
+        self,
+        attempt: Attempt,
+        method: str,
+        path: str,
+        headers: Any,
+        body: bytes,
+    ) -> None:
+        if (method, path) != (attempt.method, attempt.path):
+            self.find("UNASKED", attempt, f"{method} {path}")
+        if attempt.is_foreign:
+            self.find("UNASKED", attempt, "continues from another's turn")
+        elif body != attempt.body_at_target:
+            self.find(
+                "UNASKED",
+                attempt,
+                f"body of {len(body)}, not {len(attempt.body_at_target)}",
+            )
+        last = headers.get("Last-Event-Id")
+        if last is not None and attempt.kind is not shapes.Kind.QUERY:
+            self.find("UNASKED", attempt, f"resumed at {last}")
+
+    def _check_key(self, attempt: Attempt, run: Run, headers: Any) -> None:
+        if any(attempt.key in each for each in headers.values()):
+            self.find("KEY", attempt, "the target was sent the key")
+        organisation = headers.get("Tenant")
+        if organisation != self.organisations.get(attempt.key):
+            self.find("KEY", attempt, f"organisation {organisation}")
+        withdrawn_ms = self.withdrawn_ms.get(attempt.key)
+        if withdrawn_ms is None:
+            return
+        late_ms = attempt.sent_ms - withdrawn_ms
+        if late_ms > processes.WITHDRAWN_KEY_MS:
+            self.find(
+                "WITHDRAWN",
+                attempt,
+                f"sent {late_ms:.0f} ms after the key went; {run.stamp}",
+            )
+
+    def _check_refusal(self, attempt: Attempt) -> None:
+        """Checks that nothing ran that was said not to."""
+        if not attempt.is_whole or not attempt.runs:
+            return
+        is_refused = (
+            attempt.status in _NOT_RUN and not attempt.kind.is_repeatable
+        )
+        if is_refused or attempt.status == _SPENT:
+            last = attempt.runs[-1]
+            self.find(
+                "REFUSED", attempt, f"{attempt.status}, ran: {last.stamp}"
+            )
+
+    def _check_answer(self, attempt: Attempt, body: bytes) -> None:
+        match attempt.status:
+            case 200:
+                self._check_success(attempt, body)
+            case 401:
+                if attempt.key in self.steady_keys:
+                    self.find("DENIED", attempt, "401")
+            case status if status in _NO_TURN:
+                self._check_no_turn(attempt)
+            case 500:
+                self._check_failure(attempt)
+            case status if status in _NOT_RUN | _MAY_HAVE_RUN | {_SPENT}:
+                pass
+            case status:
+                self.find("DENIED", attempt, f"{status} {body[:80]!r}")
+
+    def _check_success(self, attempt: Attempt, body: bytes) -> None:
+        if attempt.is_foreign:
+            self.find("UNASKED", attempt, "continued from another's turn")
+        runs = [each for each in attempt.runs if each.stamp == attempt.stamp]
+        if not runs or runs[0].status != _OK:
+            self.find("MIXED", attempt, f"stamp {attempt.stamp!r}")
+        elif attempt.kind.is_stream:
+            if attempt.events != shapes.event_count(attempt.id):
+                self.find(
+                    "ORDER", attempt, f"complete after {attempt.events} events"
+                )
+            if body:
+                self.find("MIXED", attempt, f"rest of a stream {body[:80]!r}")
+        elif body != runs[0].body:
+            self.find(
+                "MIXED", attempt, f"body of {len(body)}, {len(runs[0].body)}"
+            )
+
+    def _check_no_turn(self, attempt: Attempt) -> None:
+        if attempt.is_foreign:
+            return
+        rule = "DENIED" if attempt.parent is None else "LOST"
+        parent = attempt.parent.id if attempt.parent else None
+        self.find(rule, attempt, f"{attempt.status}, parent {parent}")
+
+    def _check_failure(self, attempt: Attempt) -> None:
+        if not any(each.status == attempt.status for each in attempt.runs):
+            self.find("MIXED", attempt, f"{attempt.status} of no target")
+
+    def _check_spent(self, attempt: Attempt) -> None:
+        program = attempt.program
+        if program is None:
+            self.find("DENIED", attempt, "402 without a program")
+            return
+        spent = self.worst_spent(program, attempt)
+        if spent + shapes.MOST_TOKENS <= program.budget:
+            program.wrong_refusals += 1
+
+    def _check_planned_stop(self, attempt: Attempt) -> None:
+        stop_ms = self.planned_stops.get(attempt.host)
+        is_cut = not attempt.is_whole and not attempt.is_abandoned
+        if stop_ms is None or not is_cut or attempt.error == "connect":
+            return
+        assert attempt.ended_ms is not None
+        if attempt.ended_ms < stop_ms:
+            return
+        took_ms = attempt.ended_ms - attempt.sent_ms
+        if attempt.runs or took_ms > UNREAD_MS:
+            self.find(
+                "STOP",
+                attempt,
+                f"cut {attempt.ended_ms - stop_ms:.0f} ms after SIGTERM, "
+                f"{took_ms:.0f} ms after it was sent: {attempt.error}, "
+                f"{len(attempt.runs)} runs",
+            )
+
+
+def _most_spent(attempt: Attempt, settled_ms: float) -> int:
+    if attempt.ended_ms is None:
+        return shapes.MOST_TOKENS
+    if not attempt.runs:
+        return 0
+    is_settled = attempt.is_whole and attempt.ended_ms < settled_ms
+    if is_settled and attempt.status == _OK:
+        return attempt.events * shapes.EVENT_TOKENS
+    return shapes.MOST_TOKENS
+
+
+def _describe(attempt: Attempt) -> dict[str, Any]:
+    found = {
+        field.name: getattr(attempt, field.name)
+        for field in dataclasses.fields(attempt)
+        if field.name not in ("parent", "program", "kind", "body", "runs")
+    }
+    found["kind"] = attempt.kind.name
+    found["body_bytes"] = len(attempt.body)
+    found["parent"] = attempt.parent.id if attempt.parent else None
+    if attempt.program is not None:
+        found["program"] = attempt.program.id
+        found["budget"] = attempt.program.budget
+    found["runs"] = [
+        [each.stamp, each.at_ms, each.status, each.is_faulty]
+        for each in attempt.runs
+    ]
+    return found
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,155 @@
+"""Entry hosts as processes of their own, and the signals sent to them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from mangotally.util import clock as clock_lib
+
+if TYPE_CHECKING:
+    import pathlib
+
+GRACE_S = 4.0
+POLL_MS = 20.0
+CALLERS_PORT = 7001
+READINESS_PORT = 7002
+HOSTS_PORT = 7003
+METRICS_PORT = 7004
+ZONES = 3
+WITHDRAWN_KEY_MS = 2500
+RATE_WINDOW_S = 5
+RATE_OVERSHOOT = 0.1
+RATE_SLACK = 20
+
+
+def host_ip(number: int) -> str:
+    """Returns an address of the loopback that other soaks don't use."""
+    pid = os.getpid()
+    return f"127.{64 + pid // 250 % 128}.{1 + pid % 250}.{1 + number}"
+
+
+class HostProcess:
+    """One entry host, over all starts of its process.
+
+    Attributes:
+        name: Its id.
+        ip: Address that it listens at.
+        starts: How often it was started.
+        is_to_run: Whether the soak wants it to run.
+        own_ends: Exit codes of processes that ended by themselves.
+    """
+
+    def __init__(self, number: int, store: str, folder: pathlib.Path) -> None:
+        """Makes a host that does not run.
+
+        Args:
+            number: Its number, from 0.
+            store: Address of the store as this host is to see it.
+            folder: For its settings and its log.
+        """
+        self.name = f"h{number}"
+        self.ip = host_ip(number)
+        self.starts = 0
+        self.is_to_run = False
+        self.own_ends: list[int] = []
+        self._settings = folder / f"{self.name}.yaml"
+        self._log = folder / f"{self.name}.log"
+        self._settings.write_text(
+            yaml.safe_dump(self._make_settings(f"z{number % ZONES}", store))
+        )
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        """Where callers reach it."""
+        return f"http://{self.ip}:{CALLERS_PORT}"
+
+    @property
+    def readiness_url(self) -> str:
+        """Where the balancer asks."""
+        return f"http://{self.ip}:{READINESS_PORT}/readyz"
+
+    @property
+    def hosts_address(self) -> str:
+        """Where it listens for other hosts."""
+        return f"{self.ip}:{HOSTS_PORT}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process exists."""
+        if self._process is None:
+            return False
+        code = self._process.poll()
+        if code is None:
+            return True
+        if self.is_to_run:
+            self.own_ends.append(code)
+        self._process = None
+        return False
+
+    def start(self) -> None:
+        """Starts the process unless it runs."""
+        if self.is_running:
+            return
+        environment = dict(os.environ)
+        environment.pop("UV_USE_IO_URING", None)
+        arguments = ["--settings", str(self._settings)]
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "mangotally.entry", *arguments],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self.starts += 1
+        self.is_to_run = True
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if it exists."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.is_running  # noqa: B018 - notes an end of its own first
+            self.is_to_run = False
+        if self._process is not None:
+            self._process.send_signal(number)
+
+    async def wait_for_end(self, timeout_s: float = GRACE_S) -> None:
+        """Waits for the end; ends the process after the timeout."""
+        for _ in range(int(timeout_s * clock_lib.MS_PER_S / POLL_MS)):
+            if not self.is_running:
+                return
+            await asyncio.sleep(clock_lib.to_seconds(POLL_MS))
+        self.kill()
+
+    def kill(self) -> None:
+        """Ends the process at once and reaps it."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+            self._process = None
+
+    def _make_settings(self, zone: str, store: str) -> dict[str, Any]:
+        return {
+            "host": self.name,
+            "failure_domain": zone,
+            "listen": {
+                "callers": f"{self.ip}:{CALLERS_PORT}",
+                "readiness": f"{self.ip}:{READINESS_PORT}",
+                "hosts": self.hosts_address,
+                "metrics": f"{self.ip}:{METRICS_PORT}",
+            },
+            "store": {"address": store},
+            "bounds": {
+                "withdrawn_key_ms": WITHDRAWN_KEY_MS,
+                "grace_s": GRACE_S,
+                "rate_window_s": RATE_WINDOW_S,
+                "rate_overshoot": RATE_OVERSHOOT,
+                "rate_slack": RATE_SLACK,
+            },
+        }
--- /dev/null
+++ b/tests/soak/shapes.py
@@ -0,0 +1,100 @@
+"""What requests and answers of the soak look like."""
+
+from __future__ import annotations
+
+import enum
+import zlib
+from typing import Any
+
+from tests import entry_fleet
+
+EVENT_TOKENS = entry_fleet.EVENT_TOKENS
+MAX_EVENTS = 8
+MOST_TOKENS = EVENT_TOKENS * MAX_EVENTS
+CONFIG_APPLY_MS = 2000
+TIMEOUT_MS = 3000
+# Longer than any run, so that no turn expires in it.
+RETENTION_S = 3600.0
+LIMITED = "org-limited"
+LIMITED_KEY = "key-limited"
+RATE_PER_S = 20.0
+BURST = 10.0
+# The service that routes are moved to and from.
+SPARE_DESK = "desk-2"
+
+
+class Kind(enum.Enum):
+    """A kind of request, by the prefix of its route."""
+
+    TURN = entry_fleet.CHAT
+    QUERY = entry_fleet.QUERY
+    LOOKUP = entry_fleet.LOOKUP
+    PAY = entry_fleet.PAY
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether events are answered."""
+        return self in (Kind.TURN, Kind.QUERY)
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self in (Kind.QUERY, Kind.LOOKUP)
+
+
+def event_data(request: str, number: int) -> bytes:
+    """Returns the data of an event, the same whoever runs the request."""
+    return f"{request}.{number}.".encode() + b"x" * (_hash(request) % 300)
+
+
+def event_count(request: str) -> int:
+    """Returns how many events a request's whole answer has."""
+    return 1 + _hash(request) % MAX_EVENTS
+
+
+def event_bytes(request: str, number: int) -> bytes:
+    """Returns an event as it is sent."""
+    return b"id: %d\ndata: %s\n\n" % (number, event_data(request, number))
+
+
+def stream_bytes(request: str, first: int = 1) -> bytes:
+    """Returns a whole stream, from an event on."""
+    last = event_count(request)
+    return b"".join(
+        event_bytes(request, number) for number in range(first, last + 1)
+    )
+
+
+def kept_bytes(request: str, body: bytes) -> bytes:
+    """Returns what a kept turn adds to the prompt of later ones."""
+    numbers = range(1, event_count(request) + 1)
+    return body + b"".join(event_data(request, n) + b"\n" for n in numbers)
+
+
+def plain_body(request: str, stamp: str) -> bytes:
+    """Returns the body of a plain answer."""
+    return f"{request}/{stamp}/".encode() + b"y" * (_hash(request) % 9000)
+
+
+def configuration() -> dict[str, Any]:
+    """Returns the first configuration, as operators write it."""
+    found = entry_fleet.configuration()
+    for route in found["Routes"]:
+        route["RetentionS"] = RETENTION_S
+        route["TimeoutMs"] = TIMEOUT_MS
+    found["Services"].append(
+        {"Name": SPARE_DESK, "HealthPath": "/h", "MaxConns": 99}
+    )
+    found["Tenants"].append(
+        {
+            "Name": LIMITED,
+            "ApiKeys": [LIMITED_KEY],
+            "RatePerS": RATE_PER_S,
+            "Burst": BURST,
+        }
+    )
+    return found
+
+
+def _hash(request: str) -> int:
+    return zlib.crc32(request.encode())
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,421 @@
+"""One run: hosts, faults, recovery, and a stop while all is calm."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import shutil
+import tempfile
+from pathlib import Path
+from typing import Self
+
+from mangotally.util import clock as clock_lib
+from tests import entry_fleet
+from tests.soak import (
+    faults,
+    oracle,
+    processes,
+    proxy,
+    shapes,
+    targets,
+    traffic,
+)
+from tests.soak import store as store_lib
+from tests.soak.shapes import Kind
+
+START_TIMEOUT_MS = 60_000
+RECOVER_MS = 12_000
+# A stop counts as calm so long after the last fault.
+STABLE_MS = 3000
+POLL_MS = 250.0
+WINDOW_MS = 2000.0
+LEAST_REQUESTS = 10
+LEAST_SHARE = 0.9
+PROBED_TURNS = 30
+PROBED_PROGRAMS = 20
+PROBERS = 6
+PROBE_PAUSE_MS = 500.0
+REFUSED_TRIES = 5
+DESKS = 3
+SPARE_DESKS = 2
+MODELS = 4
+# More hosts than this get more targets.
+HOSTS_PER_TARGET = 3
+_SPENT = 402
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """Size of a run.
+
+    Attributes:
+        seconds: How long faults come.
+        hosts: Entry hosts.
+        callers: Callers that send one request or program after another.
+        logs: Folder for what is kept of runs with findings, or None.
+        keep: Whether logs are kept without findings.
+    """
+
+    seconds: float = 20.0
+    hosts: int = 6
+    callers: int = 10
+    logs: Path | None = None
+    keep: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What a run has found.
+
+    Attributes:
+        seed: Its seed.
+        requests: Requests sent.
+        served: Those that were answered with a whole success.
+        faults: Faults caused.
+        findings: Broken promises.
+        folder: Where the logs are, or None.
+    """
+
+    seed: int
+    requests: int
+    served: int
+    faults: int
+    findings: list[str]
+    folder: Path | None
+
+    def __str__(self) -> str:
+        """Returns the line that is printed."""
+        line = (
+            f"seed {self.seed}: {self.requests} requests, "
+            f"{self.served} served, {self.faults} faults, "
+            f"{len(self.findings)} findings"
+        )
+        if self.folder is not None:
+            line += f", logs in {self.folder}"
+        return "\n  ".join([line, *self.findings])
+
+
+async def run(seed: int, options: Options) -> Report:
+    """Runs one seed.
+
+    Args:
+        seed: All faults come from it.
+        options: Size of the run.
+
+    Returns:
+        What was found; logs are kept if a promise was broken.
+    """
+    if options.logs is not None:
+        options.logs.mkdir(parents=True, exist_ok=True)
+    name = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.logs)
+    folder = Path(name)
+    plan = faults.make_plan(seed, options.seconds * clock_lib.MS_PER_S)
+    async with Soak(seed, options, folder) as found:
+        await found.play(plan)
+    watcher = found.oracle
+    watcher.write(folder / "requests.jsonl")
+    lines = [*found.injector.log, *watcher.findings]
+    (folder / "faults.txt").write_text("\n".join(lines) + "\n")
+    is_kept = bool(watcher.findings) or options.keep
+    if not is_kept:
+        shutil.rmtree(folder)
+    attempts = watcher.attempts.values()
+    return Report(
+        seed,
+        len(attempts),
+        sum(each.is_served for each in attempts),
+        len(plan),
+        watcher.findings,
+        folder if is_kept else None,
+    )
+
+
+class Soak:
+    """Everything that a run needs, while entered."""
+
+    def __init__(self, seed: int, options: Options, folder: Path) -> None:
+        """Makes a run.
+
+        Args:
+            seed: Seed of all that is chosen.
+            options: Size of the run.
+            folder: For settings and logs.
+        """
+        self._options = options
+        self._folder = folder
+        self._chance = random.Random(seed)
+        self._clock = clock_lib.BootClock()
+        self.oracle = oracle.Oracle(self._clock)
+        self._store = store_lib.SoakStore(seed)
+        self._targets = [
+            targets.Target(number, service, self.oracle, seed + number)
+            for number, service in enumerate(_services(options.hosts))
+        ]
+        self._links: list[proxy.Link] = []
+        self._hosts: list[processes.HostProcess] = []
+        self._keys = traffic.Keys(self._chance)
+        self._callers: list[traffic.Caller] = []
+        self._balancer: traffic.Balancer
+        self.injector: faults.Injector
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self._stack.aclose()
+
+    async def play(self, plan: list[faults.Fault]) -> None:
+        """Plays a plan under traffic, then checks what must hold after it."""
+        await self._wait_until_ready()
+        for caller in self._callers:
+            self._start_task(caller.run())
+        self._start_task(self._callers[0].run_limited())
+        self._start_task(self._callers[1].run_limited())
+        await self.injector.run(plan)
+        healed_ms = self._clock.now_ms()
+        await self._wait_until_recovered(healed_ms)
+        await self._probe_turns(healed_ms + RECOVER_MS)
+        await self._probe_programs()
+        await self._stop_calmly(healed_ms)
+        await self._stop_tasks()
+        self.oracle.check_rates()
+        self._check_own_ends()
+
+    async def _start(self) -> None:
+        enter = self._stack.enter_async_context
+        self._stack.push_async_callback(self._stop_tasks)
+        await enter(self._store)
+        self._stack.callback(self._kill_hosts)
+        for target in self._targets:
+            await enter(target)
+            target.link = await self._enter_link(
+                f"target-{target.name}", target.url.removeprefix("http://")
+            )
+        configuration = shapes.configuration()
+        self._note_configuration(configuration)
+        self._store.put("keyed.op", "config", configuration)
+        for target in self._targets:
+            self._store.put("keyed.servers", target.name, target.entry())
+        await self._start_hosts()
+        self._balancer = traffic.Balancer(self._hosts, self._chance)
+        for _ in range(max(2, self._options.callers)):
+            caller = traffic.Caller(
+                self.oracle, self._balancer, self._keys, self._chance
+            )
+            self._callers.append(await enter(caller))
+        self.injector = faults.Injector(
+            faults.World(
+                self._hosts,
+                self._store,
+                self._targets,
+                self._links,
+                self._keys,
+                self.oracle,
+                configuration,
+            )
+        )
+        self._start_task(self._balancer.run())
+
+    async def _start_hosts(self) -> None:
+        store = self._store.url.removeprefix("http://")
+        for number in range(self._options.hosts):
+            link = await self._enter_link(
+                f"store-h{number}", store, processes.host_ip(number)
+            )
+            host = processes.HostProcess(number, link.address, self._folder)
+            self._hosts.append(host)
+            link = await self._enter_link(
+                f"hosts-{host.name}", host.hosts_address
+            )
+            self._store.aliases[host.hosts_address] = link.address
+            host.start()
+
+    async def _enter_link(
+        self, name: str, server: str, source: str = "127.0.0.1"
+    ) -> proxy.Link:
+        host, _, port = server.partition(":")
+        link = proxy.Link(name, (host, int(port)), source)
+        self._links.append(link)
+        return await self._stack.enter_async_context(link)
+
+    def _note_configuration(self, configuration: dict[str, object]) -> None:
+        organisations, routes = (
+            configuration["Tenants"],
+            configuration["Routes"],
+        )
+        assert isinstance(organisations, list)
+        assert isinstance(routes, list)
+        for each in organisations:
+            for key in each["ApiKeys"]:
+                self.oracle.organisations[key] = each["Name"]
+        self.oracle.steady_keys = {entry_fleet.KEY, shapes.LIMITED_KEY}
+        for route in routes:
+            self.oracle.services[route["PathPrefix"]] = {route["Service"]}
+
+    def _kill_hosts(self) -> None:
+        for host in self._hosts:
+            host.kill()
+
+    def _start_task(self, work: object) -> None:
+        assert asyncio.iscoroutine(work)
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _stop_tasks(self) -> None:
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                raise outcome
+
+    async def _wait_until_ready(self) -> None:
+        for _ in range(int(START_TIMEOUT_MS / POLL_MS)):
+            if len(self._balancer.ready) == len(self._hosts):
+                return
+            await _sleep(POLL_MS)
+        raise TimeoutError(f"the hosts are not ready: {self._folder}")
+
+    async def _wait_until_recovered(self, healed_ms: float) -> None:
+        while not self._is_recovered(healed_ms):
+            if self._clock.now_ms() > healed_ms + RECOVER_MS + WINDOW_MS:
+                seen = [
+                    (each.host, each.kind.name, each.status, each.error)
+                    for each in self._recent()
+                    if not each.is_served
+                ]
+                self.oracle.find("RECOVER", None, f"{seen[-20:]}")
+                return
+            await _sleep(POLL_MS)
+
+    def _is_recovered(self, healed_ms: float) -> bool:
+        if self._clock.now_ms() < healed_ms + WINDOW_MS:
+            return False
+        found = self._recent()
+        served = sum(each.is_served for each in found)
+        return len(found) >= LEAST_REQUESTS and served >= LEAST_SHARE * len(
+            found
+        )
+
+    def _recent(self) -> list[oracle.Attempt]:
+        """Returns requests of a moment ago that were to be served."""
+        since_ms = self._clock.now_ms() - WINDOW_MS
+        return [
+            each
+            for each in self.oracle.attempts.values()
+            if each.sent_ms > since_ms
+            and each.ended_ms is not None
+            and each.key == entry_fleet.KEY
+            and each.status != _SPENT
+            and not each.is_foreign
+            and not each.is_abandoned
+        ]
+
+    async def _probe_turns(self, until_ms: float) -> None:
+        """Continues from turns that were kept before the faults ended."""
+        kept = [
+            each
+            for each in self.oracle.attempts.values()
+            if each.kind is Kind.TURN
+            and each.is_served
+            and each.key == entry_fleet.KEY
+        ]
+        chosen = self._chance.sample(kept, min(PROBED_TURNS, len(kept)))
+        limit = asyncio.Semaphore(PROBERS)
+        await asyncio.gather(
+            *(self._probe_turn(each, until_ms, limit) for each in chosen)
+        )
+
+    async def _probe_turn(
+        self,
+        parent: oracle.Attempt,
+        until_ms: float,
+        limit: asyncio.Semaphore,
+    ) -> None:
+        caller = self._chance.choice(self._callers)
+        # A program of its own: it is the turn that is looked for.
+        program = caller.make_program(max(traffic.BUDGET_TURNS))
+        async with limit:
+            while True:
+                attempt = caller.make(
+                    Kind.TURN, entry_fleet.KEY, program, parent
+                )
+                await caller.send(attempt)
+                if attempt.is_served:
+                    return
+                if self._clock.now_ms() > until_ms:
+                    break
+                await _sleep(PROBE_PAUSE_MS)
+        detail = f"{attempt.status} {attempt.error}"
+        self.oracle.find("LOST", attempt, f"kept {parent.id}: {detail}")
+
+    async def _probe_programs(self) -> None:
+        """Asks again where a budget was said to be spent and was not."""
+        found = [
+            each
+            for each in self.oracle.programs
+            if each.wrong_refusals and each.attempts[0].key == entry_fleet.KEY
+        ]
+        chosen = self._chance.sample(found, min(PROBED_PROGRAMS, len(found)))
+        await asyncio.gather(*(self._probe_program(each) for each in chosen))
+
+    async def _probe_program(self, program: oracle.Program) -> None:
+        caller = self._chance.choice(self._callers)
+        kept = [each for each in program.attempts if each.is_served]
+        is_turn = kept and kept[-1].kind is Kind.TURN
+        for _ in range(REFUSED_TRIES):
+            attempt = caller.make(
+                program.attempts[0].kind,
+                entry_fleet.KEY,
+                program,
+                kept[-1] if is_turn else None,
+            )
+            await caller.send(attempt)
+            spent = self.oracle.worst_spent(program, attempt)
+            is_owed = spent + shapes.MOST_TOKENS <= program.budget
+            if attempt.status != _SPENT or not is_owed:
+                return
+            await _sleep(PROBE_PAUSE_MS)
+        self.oracle.find(
+            "LOST-402" if is_turn else "SPENT",
+            attempt,
+            f"{program.id}: at most {spent} of {program.budget} spent",
+        )
+
+    async def _stop_calmly(self, healed_ms: float) -> None:
+        calm_ms = healed_ms + STABLE_MS - self._clock.now_ms()
+        await _sleep(max(0.0, calm_ms))
+        count = max(1, len(self._hosts) // 3)
+        chosen = self._chance.sample(self._hosts, count)
+        await asyncio.gather(
+            *(self.injector.stop_calmly(each) for each in chosen)
+        )
+
+    def _check_own_ends(self) -> None:
+        for host in self._hosts:
+            # Asking notes an end that was not seen yet.
+            if host.is_to_run and not host.is_running:
+                self.oracle.find("ENDED", None, f"{host.name} is gone")
+            if host.own_ends:
+                self.oracle.find("ENDED", None, f"{host.name} {host.own_ends}")
+
+
+def _services(hosts: int) -> list[str]:
+    factor = max(1, hosts // (HOSTS_PER_TARGET * MODELS))
+    return (
+        [entry_fleet.DESK] * DESKS * factor
+        + [shapes.SPARE_DESK] * SPARE_DESKS * factor
+        + [entry_fleet.MODEL] * MODELS * factor
+    )
+
+
+async def _sleep(time_ms: float) -> None:
+    await asyncio.sleep(clock_lib.to_seconds(time_ms))
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,235 @@
+"""Targets whose answers the oracle knows, and their faults."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import random
+
+from aiohttp import web
+
+from mangotally.standins import server
+from mangotally.util import clock as clock_lib
+from tests.soak import oracle as oracle_lib
+from tests.soak import proxy, shapes
+
+SLOTS = 8
+MAX_EVENT_MS = 40.0
+# A few requests take long, so that stops and kills meet them midway.
+SLOW_SHARE = 0.1
+SLOW_FACTOR = 6.0
+HANG_MS = 4000.0
+GARBAGE = b"\x00\x9fnot HTTP\r\n\r\n"
+LATE_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: other\r\n"
+    b"Content-Length: 5\r\n\r\nother"
+)
+
+
+@dataclasses.dataclass
+class Faults:
+    """Share of the requests that suffer each fault.
+
+    Attributes:
+        shed: Refused as not run.
+        drop: Run, and the connection is closed without an answer.
+        cut: The answer is cut midway.
+        garble: Answered by bytes that are no response.
+        wrong_id: Answered as if to another request.
+        no_stamp: Answered without a signature.
+        late_answer: A second response follows the first.
+        fail: Answered 500 after they ran.
+        hang: Answered after seconds.
+    """
+
+    shed: float = 0.0
+    drop: float = 0.0
+    cut: float = 0.0
+    garble: float = 0.0
+    wrong_id: float = 0.0
+    no_stamp: float = 0.0
+    late_answer: float = 0.0
+    fail: float = 0.0
+    hang: float = 0.0
+
+
+class Target(server.StandIn):
+    """Runs requests and tells the oracle of each.
+
+    Attributes:
+        name: Its id, a new one after a crash.
+        service: Its service.
+        faults: What it does wrong.
+        link: The proxy that hosts reach it through.
+    """
+
+    link: proxy.Link
+
+    def __init__(
+        self, number: int, service: str, oracle: oracle_lib.Oracle, seed: int
+    ) -> None:
+        """Makes a target.
+
+        Args:
+            number: Its number.
+            service: Its service.
+            oracle: Is told of each run.
+            seed: Seed of its faults and times.
+        """
+        super().__init__()
+        self.service = service
+        self.faults = Faults()
+        self._number = number
+        self._oracle = oracle
+        self._chance = random.Random(seed)
+        self._starts = itertools.count(1)
+        self._counts = itertools.count(1)
+        self._running = 0
+        self._born_ms = 0
+        self.name = ""
+        self.renew()
+
+    def renew(self) -> None:
+        """Takes the identity of a new start."""
+        self.name = f"t{self._number}-{next(self._starts)}"
+        self._born_ms = clock_lib.SystemClock().wall_ms()
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns what it writes about itself to the store."""
+        return {
+            "Service": self.service,
+            "Address": self.link.address,
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": SLOTS,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Seq": 1,
+            "born": self._born_ms,
+        }
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        name = request.headers.get("Request-Id", "")
+        body = await request.read()
+        if request.headers.get("Expect-Instance", self.name) != self.name:
+            return web.Response(status=421, headers={"Instance-Id": self.name})
+        if self._running >= SLOTS or self._suffers(self.faults.shed):
+            return web.Response(
+                status=503, headers={"Not-Executed": "1", "Request-Id": name}
+            )
+        run = self._begin(request, name)
+        self._oracle.note_run(
+            run, request.method, request.raw_path, request.headers, body
+        )
+        self._running += 1
+        try:
+            return await self._answer(request, name, run)
+        finally:
+            self._running -= 1
+
+    def _begin(self, request: web.Request, name: str) -> oracle_lib.Run:
+        stamp = f"{self.name}.{next(self._counts)}"
+        is_failure = self._suffers(self.faults.fail)
+        is_stream = "Token-Usage" in request.headers
+        body = b"failed" if is_failure else shapes.plain_body(name, stamp)
+        return oracle_lib.Run(
+            target=self.name,
+            service=self.service,
+            stamp=stamp,
+            at_ms=self._oracle.clock.now_ms(),
+            status=500 if is_failure else 200,
+            body=b"" if is_stream and not is_failure else body,
+        )
+
+    async def _answer(
+        self, request: web.Request, name: str, run: oracle_lib.Run
+    ) -> web.StreamResponse:
+        faults = self.faults
+        if self._suffers(faults.hang):
+            run.is_faulty = True
+            await asyncio.sleep(clock_lib.to_seconds(HANG_MS))
+        if self._suffers(faults.drop):
+            self._abort(request, run)
+        if self._suffers(faults.garble):
+            assert request.transport is not None
+            request.transport.write(GARBAGE)
+            self._abort(request, run)
+        headers = {"Request-Id": name, "Server-Stamp": run.stamp}
+        if self._suffers(faults.wrong_id):
+            run.is_faulty = True
+            headers["Request-Id"] = "other"
+        if self._suffers(faults.no_stamp):
+            run.is_faulty = True
+            del headers["Server-Stamp"]
+        if run.status == 200 and "Token-Usage" in request.headers:
+            return await self._stream(request, name, headers, run)
+        return await self._plain(request, headers, run)
+
+    async def _plain(
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        run: oracle_lib.Run,
+    ) -> web.StreamResponse:
+        await self._work()
+        response = web.StreamResponse(status=run.status, headers=headers)
+        how = self._chance.randrange(3)
+        if how == 0:
+            response.enable_chunked_encoding()
+        elif how == 1:
+            response.content_length = len(run.body)
+        else:
+            # No length: the answer ends with its connection.
+            response.force_close()
+        await response.prepare(request)
+        if self._suffers(self.faults.cut):
+            await response.write(run.body[: len(run.body) // 2])
+            self._abort(request, run)
+        await response.write(run.body)
+        await response.write_eof()
+        if self._suffers(self.faults.late_answer) and request.transport:
+            request.transport.write(LATE_ANSWER)
+        return response
+
+    async def _stream(
+        self,
+        request: web.Request,
+        name: str,
+        headers: dict[str, str],
+        run: oracle_lib.Run,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        is_slow = self._suffers(SLOW_SHARE)
+        for number in range(first, shapes.event_count(name) + 1):
+            await self._work(SLOW_FACTOR if is_slow else 1.0)
+            event = shapes.event_bytes(name, number)
+            if self._suffers(self.faults.cut / 2):
+                await response.write(event[: len(event) // 2])
+                self._abort(request, run)
+            await response.write(event)
+        await response.write_eof()
+        return response
+
+    async def _work(self, factor: float = 1.0) -> None:
+        work_ms = self._chance.uniform(0.0, MAX_EVENT_MS) * factor
+        await asyncio.sleep(clock_lib.to_seconds(work_ms))
+
+    def _suffers(self, share: float) -> bool:
+        return share > 0 and self._chance.random() < share
+
+    def _abort(self, request: web.Request, run: oracle_lib.Run) -> None:
+        """Resets the connection; a plain end could look like a whole answer."""
+        run.is_faulty = True
+        if request.transport is not None:
+            proxy.reset(request.transport)
+        raise ConnectionAbortedError
--- /dev/null
+++ b/tests/soak/traffic.py
@@ -0,0 +1,315 @@
+"""Callers: programs of turns and tools, and single requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Self
+
+import aiohttp
+import yarl
+
+from mangotally.util import clock as clock_lib
+from tests import entry_fleet
+from tests.soak import oracle as oracle_lib
+from tests.soak import shapes
+from tests.soak.shapes import Kind
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from tests.soak import processes
+
+CALLER_WAIT_MS = 3000
+PAUSE_MS = 40.0
+BALANCER_MS = 400.0
+MISSES = 2
+MAX_TURNS = 5
+TRIES = 3
+RETRY_MS = 200.0
+# Budgets in turns at their most; the last is never spent.
+BUDGET_TURNS = (2, 4, 400)
+MOVE_SHARE = 0.05
+ABANDON_SHARE = 0.02
+FOREIGN_SHARE = 0.03
+OLD_KEY_SHARE = 0.5
+LIMITED_PAUSE_MS = 20.0
+_OK = 200
+_SPENT = 402
+
+
+class Balancer:
+    """Knows which hosts are ready, as the platform's balancer does."""
+
+    def __init__(
+        self, hosts: Sequence[processes.HostProcess], chance: random.Random
+    ) -> None:
+        """Makes a balancer that has asked no host."""
+        self.hosts = hosts
+        self._chance = chance
+        self._misses = {each.name: MISSES for each in hosts}
+
+    @property
+    def ready(self) -> list[processes.HostProcess]:
+        """The hosts that take new connections."""
+        return [each for each in self.hosts if self.is_ready(each)]
+
+    def is_ready(self, host: processes.HostProcess) -> bool:
+        """Whether a host takes new connections."""
+        return self._misses[host.name] < MISSES
+
+    def choose(self) -> processes.HostProcess:
+        """Returns the host for a new connection."""
+        return self._chance.choice(self.ready or list(self.hosts))
+
+    async def run(self) -> None:
+        """Asks all hosts until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=clock_lib.to_seconds(BALANCER_MS))
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.gather(
+                    *(self._ask(session, each) for each in self.hosts)
+                )
+                await asyncio.sleep(clock_lib.to_seconds(BALANCER_MS))
+
+    async def _ask(
+        self, session: aiohttp.ClientSession, host: processes.HostProcess
+    ) -> None:
+        try:
+            async with session.get(host.readiness_url) as response:
+                is_ready = response.status == _OK
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            is_ready = False
+        self._misses[host.name] = 0 if is_ready else self._misses[host.name] + 1
+
+
+class Keys:
+    """The keys that callers use; one organisation's change."""
+
+    def __init__(self, chance: random.Random) -> None:
+        """Makes the keys of the first configuration."""
+        self._chance = chance
+        self.rotating = [entry_fleet.OTHER_KEY]
+
+    def choose(self) -> str:
+        """Returns a key, at times one that was withdrawn."""
+        if self._chance.random() < 0.6:
+            return entry_fleet.KEY
+        if self._chance.random() < OLD_KEY_SHARE:
+            return self._chance.choice(self.rotating[-3:])
+        return self.rotating[-1]
+
+
+class Caller:
+    """One caller with connections of its own, kept while they last."""
+
+    def __init__(
+        self,
+        oracle: oracle_lib.Oracle,
+        balancer: Balancer,
+        keys: Keys,
+        chance: random.Random,
+    ) -> None:
+        """Makes a caller; entering it opens its connections."""
+        self._oracle = oracle
+        self._balancer = balancer
+        self._keys = keys
+        self._chance = chance
+        self._host: processes.HostProcess | None = None
+        self._session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> Self:
+        wait_s = clock_lib.to_seconds(CALLER_WAIT_MS)
+        self._session = aiohttp.ClientSession(
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=wait_s + 1, sock_connect=1),
+        )
+        # Each request of the soak is sent once.
+        self._session._retry_connection = False
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self._session.close()
+
+    async def run(self) -> None:
+        """Sends requests until cancelled."""
+        while True:
+            if self._chance.random() < 0.3:
+                await self._run_program()
+            else:
+                kind = self._chance.choice((Kind.LOOKUP, Kind.PAY))
+                await self.send(self.make(kind, self._keys.choose()))
+            await self._pause(PAUSE_MS)
+
+    async def run_limited(self) -> None:
+        """Sends more than its organisation's rate until cancelled."""
+        while True:
+            kind = self._chance.choice((Kind.LOOKUP, Kind.PAY))
+            await self.send(self.make(kind, shapes.LIMITED_KEY))
+            await self._pause(LIMITED_PAUSE_MS)
+
+    def make(
+        self,
+        kind: Kind,
+        key: str,
+        program: oracle_lib.Program | None = None,
+        parent: oracle_lib.Attempt | None = None,
+    ) -> oracle_lib.Attempt:
+        """Returns a request that is still to be sent."""
+        number = next(self._oracle.numbers)
+        attempt = oracle_lib.Attempt(
+            id=f"r{number}",
+            kind=kind,
+            host="",
+            key=key,
+            method="POST",
+            path=f"{kind.value}{number}?q=%2F",
+            body=f"in-{number};".encode() * self._chance.randrange(1, 40),
+            program=program,
+            parent=parent,
+        )
+        if kind is Kind.LOOKUP and self._chance.random() < 0.5:
+            attempt.method, attempt.body = "GET", b""
+        return attempt
+
+    def make_program(self, turns: int) -> oracle_lib.Program:
+        """Returns a new program with a budget of so many full turns."""
+        program = oracle_lib.Program(
+            f"p{next(self._oracle.numbers)}", turns * shapes.MOST_TOKENS
+        )
+        self._oracle.programs.append(program)
+        return program
+
+    async def send(
+        self,
+        attempt: oracle_lib.Attempt,
+        host: processes.HostProcess | None = None,
+    ) -> None:
+        """Sends a request and reads its answer; the oracle sees all."""
+        host = host or self._choose_host()
+        attempt.host = host.name
+        abandons = self._chance.random() < ABANDON_SHARE
+        limit_s = self._chance.uniform(0.0, 0.2) if abandons else None
+        self._oracle.note_sent(attempt)
+        body = b""
+        try:
+            async with asyncio.timeout(limit_s):
+                body = await self._exchange(attempt, host)
+            attempt.is_whole = True
+        except TimeoutError:
+            attempt.error = "timeout"
+            attempt.is_abandoned = True
+        except aiohttp.ClientConnectorError:
+            attempt.error = "connect"
+        except (aiohttp.ClientError, OSError) as error:
+            attempt.error = repr(error)
+        except BaseException:
+            attempt.is_abandoned = True
+            raise
+        finally:
+            self._oracle.note_end(attempt, body)
+        if attempt.error or not self._balancer.is_ready(host):
+            self._host = None
+
+    def _choose_host(self) -> processes.HostProcess:
+        """Stays with the host of the open connection, mostly."""
+        if self._host is None or self._chance.random() < MOVE_SHARE:
+            self._host = self._balancer.choose()
+        return self._host
+
+    async def _exchange(
+        self, attempt: oracle_lib.Attempt, host: processes.HostProcess
+    ) -> bytes:
+        async with self._session.request(
+            attempt.method,
+            yarl.URL(host.url + attempt.path, encoded=True),
+            data=attempt.body or None,
+            headers=_headers(attempt),
+        ) as response:
+            attempt.status = response.status
+            attempt.stamp = response.headers.get("Server-Stamp", "")
+            echoed = response.headers.get("Request-Id")
+            if echoed not in (attempt.id, None):
+                self._oracle.find("MIXED", attempt, f"answer to {echoed}")
+            if not attempt.kind.is_stream or response.status != _OK:
+                return await response.read()
+            rest = b""
+            async for chunk in response.content.iter_any():
+                *events, rest = (rest + chunk).split(b"\n\n")
+                self._oracle.note_events(attempt, events)
+            return rest
+
+    async def _run_program(self) -> None:
+        """Runs turns, some in parallel, that continue from earlier ones."""
+        program = self.make_program(self._chance.choice(BUDGET_TURNS))
+        key = self._keys.choose()
+        kind = self._chance.choice((Kind.TURN, Kind.TURN, Kind.QUERY))
+        kept: list[oracle_lib.Attempt] = []
+        for _ in range(self._chance.randrange(1, MAX_TURNS)):
+            count = self._chance.choice((1, 1, 2))
+            done = await asyncio.gather(
+                *(
+                    self._run_turn(kind, key, program, kept)
+                    for _ in range(count)
+                )
+            )
+            kept += [each for each in done if each is not None]
+            if not all(done):
+                return
+            await self._pause(PAUSE_MS)
+
+    async def _run_turn(
+        self,
+        kind: Kind,
+        key: str,
+        program: oracle_lib.Program,
+        kept: list[oracle_lib.Attempt],
+    ) -> oracle_lib.Attempt | None:
+        """Runs a turn, again if it fails; returns it if it was answered."""
+        parent = None
+        if kind is Kind.TURN and kept:
+            parent = self._chance.choice(kept)
+        for _ in range(TRIES):
+            attempt = self.make(kind, key, program, parent)
+            if parent is not None and self._chance.random() < FOREIGN_SHARE:
+                self._make_foreign(attempt)
+            await self.send(attempt)
+            if attempt.is_served:
+                return attempt
+            if attempt.status == _SPENT:
+                return None
+            await self._pause(RETRY_MS)
+        return None
+
+    def _make_foreign(self, attempt: oracle_lib.Attempt) -> None:
+        """Has a request name a turn of another organisation."""
+        if attempt.key == entry_fleet.KEY:
+            attempt.key = self._keys.rotating[-1]
+        else:
+            attempt.key = entry_fleet.KEY
+        attempt.is_foreign = True
+
+    async def _pause(self, mean_ms: float) -> None:
+        pause_ms = self._chance.uniform(0.0, 2 * mean_ms)
+        await asyncio.sleep(clock_lib.to_seconds(pause_ms))
+
+
+def _headers(attempt: oracle_lib.Attempt) -> dict[str, str]:
+    found = {
+        "Host": entry_fleet.HOST,
+        "Request-Id": attempt.id,
+        "Deadline-Ms": str(CALLER_WAIT_MS),
+        "Authorization": f"Bearer {attempt.key}",
+        "Tenant": "forged",
+    }
+    if attempt.program is not None:
+        found |= {
+            "Program-Id": attempt.program.id,
+            "Session-Id": attempt.program.id,
+            "Program-Deadline-Ms": "9000",
+            "Token-Budget": str(attempt.program.budget),
+            "Token-Usage": f"5,{shapes.MOST_TOKENS}",
+        }
+    if attempt.parent is not None:
+        found["Parent-Turn"] = attempt.parent.id
+    return found
--- /dev/null
+++ b/tests/test_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak, and a short soak."""
--- /dev/null
+++ b/tests/test_soak/test_parts.py
@@ -0,0 +1,149 @@
+"""The proxy, the store's groups and the plans of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import unittest
+
+import aiohttp
+
+from tests.soak import faults, proxy, store
+
+MOMENT_S = 0.1
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """A link to a server that echoes."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        address = self.server.sockets[0].getsockname()
+        self.link = proxy.Link("link", address)
+        await self.enterAsyncContext(self.link)
+        self.reader, self.writer = await self._connect()
+        self.assertEqual(await self._echoed(b"one"), b"one")
+
+    async def test_holds_and_delivers(self) -> None:
+        for direction in proxy.Direction:
+            self.link.hold(direction)
+            with self.assertRaises(TimeoutError):
+                await self._echoed(b"two")
+            self.link.heal()
+            self.assertEqual(await self.reader.read(9), b"two")
+
+    async def test_silences_open_connections_only(self) -> None:
+        self.link.silence(1.0, random.Random(1))
+        with self.assertRaises(TimeoutError):
+            await self._echoed(b"two")
+        self.reader, self.writer = await self._connect()
+        self.assertEqual(await self._echoed(b"two"), b"two")
+
+    async def test_resets(self) -> None:
+        self.link.reset(1.0, random.Random(1))
+        with self.assertRaises(ConnectionResetError):
+            await self.reader.read(9)
+
+    async def test_refuses(self) -> None:
+        self.link.refuses = True
+        reader, _ = await self._connect()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read(9)
+
+    async def test_passes_on_an_end(self) -> None:
+        self.writer.write_eof()
+        self.assertEqual(await self.reader.read(), b"")
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.link.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def _echoed(self, data: bytes) -> bytes:
+        self.writer.write(data)
+        return await asyncio.wait_for(self.reader.read(9), MOMENT_S)
+
+
+class GroupTest(unittest.IsolatedAsyncioTestCase):
+    """Partitions wait for a holder that lives."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = store.SoakStore(seed=1)
+        await self.enterAsyncContext(self.store)
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        self.generations: dict[str, int] = {}
+
+    async def test_holder_hands_over_once_it_knows(self) -> None:
+        self.assertEqual(len(await self._join("a|x|z")), 12)
+        self.assertEqual(await self._join("b|y|z"), set())
+        left = await self._join("a|x|z")
+        self.assertEqual(len(left), 6)
+        self.assertEqual(await self._join("b|y|z"), set())
+        await self._join("a|x|z")
+        self.assertEqual(len(await self._join("b|y|z")), 6)
+
+    async def test_no_partition_has_two_holders(self) -> None:
+        chance = random.Random(3)
+        members = [f"{name}|x|z" for name in "abcd"]
+        held: dict[str, set[int]] = {each: set() for each in members}
+        for _ in range(300):
+            member = chance.choice(members)
+            if chance.random() < 0.1:
+                self.store.rebalance()
+            held[member] = await self._join(member)
+            parts = [part for found in held.values() for part in found]
+            self.assertEqual(len(parts), len(set(parts)), held)
+
+    async def _join(self, member: str) -> set[int]:
+        async with self.session.post(
+            self.store.url + "/log-join",
+            json={
+                "group": "g",
+                "Member": member,
+                "Topics": ["t"],
+                "TtlMs": 60_000,
+                "Generation": self.generations.get(member, 0),
+            },
+        ) as response:
+            found = await response.json()
+        self.generations[member] = found["Generation"]
+        return {part for _, part, _ in found["parts"]}
+
+
+class PlanTest(unittest.TestCase):
+    """Plans come from their seed alone."""
+
+    def test_seeds(self) -> None:
+        plans = [faults.make_plan(seed, 20_000) for seed in range(50)]
+        self.assertEqual(faults.make_plan(7, 20_000), plans[7])
+        kinds = {fault.kind for plan in plans for fault in plan}
+        self.assertEqual(kinds, set(faults.FaultKind))
+
+    def test_faults_overlap_and_end(self) -> None:
+        plan = faults.make_plan(1, 20_000)
+        overlaps = sum(
+            second.at_ms < first.at_ms + first.length_ms
+            for first, second in itertools.pairwise(plan)
+        )
+        self.assertGreater(overlaps, len(plan) / 4)
+        ends_ms = [fault.at_ms + fault.length_ms for fault in plan]
+        self.assertLessEqual(max(ends_ms), 20_000)
+
+
+async def _echo(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    with contextlib.suppress(ConnectionResetError):
+        while data := await reader.read(100):
+            writer.write(data)
+    writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
