--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,11 +7,12 @@
 
 import argparse
 import asyncio
+import dataclasses
 import logging
 import os
 from pathlib import Path
 
-from tests.soak import soak
+from tests.soak import regressions, soak
 
 # Memory of one entry process, with room to spare.
 HOST_BYTES = 120 * 2**20
@@ -31,9 +32,15 @@
     if not _has_memory(options.hosts):
         print(f"{options.hosts} hosts take over half of the memory")
         return 2
+    runs = [(seed, options) for seed in _seeds(arguments.seeds)]
+    if arguments.regressions:
+        runs = [
+            (each.seed, dataclasses.replace(each.options, logs=options.logs))
+            for each in regressions.REGRESSIONS
+        ]
     findings = 0
-    for seed in _seeds(arguments.seeds):
-        report = asyncio.run(soak.run(seed, options))
+    for seed, size in runs:
+        report = asyncio.run(soak.run(seed, size))
         print(report, flush=True)
         findings += len(report.findings)
     return 1 if findings else 0
@@ -49,6 +56,7 @@
     add("--callers", type=int, default=usual.callers)
     add("--logs", type=Path, help="folder for the logs of runs with findings")
     add("--keep", action="store_true", help="keep the logs of all runs")
+    add("--regressions", action="store_true", help="run the seeds that failed")
     return parser.parse_args()
 
 
