Relay calls of the store through hosts that reach it

What callers saw: at hosts that were cut off the store with others, turns whose chain or record was read or kept through another host took up to a second longer, or were refused (turn-unknown). Cause: a call goes to two hosts drawn from all others, whether they reach the store or not; one that does not waits 700 ms for it. With 40 of 114 hosts cut off, each call met such a host in 35 of 100 cases, and two of them in 12. Same class as the probe beside the calls: a fault that is known already is not waited for again.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -134,7 +134,7 @@
         self, request: entry_pb2.StoreCall
     ) -> entry_pb2.StoreReply:
         """Passes a call on to the store."""
-        return await relay.call_for_other(self._direct, request)
+        return await relay.call_for_other(self._transport, request)
 
     async def take_tokens(
         self, request: entry_pb2.TakeRequest
@@ -177,8 +177,10 @@
             settings.processor.capacity,
         )
         relays = relay.StoreRelay(links)
-        transport = failover.FailoverTransport(self._direct, relays, clock)
-        self._store = store.Store(transport)
+        self._transport = failover.FailoverTransport(
+            self._direct, relays, clock
+        )
+        self._store = store.Store(self._transport)
         self._member = groups.HomesMember(
             self._store, this_host, settings.store.partitions, clock
         )
--- a/mangotally/platform/failover.py
+++ b/mangotally/platform/failover.py
@@ -17,6 +17,8 @@
 RETRY_DIRECT_MS = 300
 # A call without effect that is answered from memory.
 PROBE = store.Call("GET", "/log-owners?group=none", timeout_ms=RETRY_DIRECT_MS)
+# The answer of a host that knows that it does not reach the store.
+CUT_OFF = store.Unavailable("cut-off")
 _BUSY = frozenset({429, 503})
 
 
@@ -71,6 +73,21 @@
             return await self._direct.call(call)
         return _as_unavailable(relayed)
 
+    async def call_for_other(
+        self, call: store.Call
+    ) -> store.Reply | store.Unavailable:
+        """Returns the store's answer to a host that can't reach it.
+
+        While this host can't either, that host is told so at once.
+        """
+        if self._lost_ms is not None:
+            self._probe_if_due()
+            return CUT_OFF
+        reply = await self._direct.call(call)
+        if not _is_good(reply):
+            self._lose(reply)
+        return reply
+
     def _probe_if_due(self) -> None:
         """Tries the direct way beside the calls, which must not wait for it."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/tests/test_platform/test_relay.py
@@ -0,0 +1,95 @@
+"""Calls of the store that other hosts carry, some of them cut off too."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from mangotally import ids
+from mangotally.entry import entry_pb2, homes
+from mangotally.entry import log as log_lib
+from mangotally.platform import failover, relay, store
+from mangotally.util import clock as clock_lib
+
+SILENT_S = 0.3
+CALL = store.Call("GET", "/log-owners?group=g")
+
+
+class _Silent:
+    """A way to the store that loses every call."""
+
+    async def call(self, _call: store.Call) -> log_lib.Unavailable:
+        await asyncio.sleep(SILENT_S)
+        return log_lib.Unavailable("timeout")
+
+
+class _Good:
+    """A way to the store that works."""
+
+    async def call(self, _call: store.Call) -> store.Reply:
+        return store.Reply(200, b"{}")
+
+
+class _Links:
+    """Other hosts, each with its own way to the store."""
+
+    def __init__(self, ways: dict[str, store.Transport]) -> None:
+        self.clock = clock_lib.SystemClock()
+        self.asked: list[str] = []
+        self._ways = {
+            address: failover.FailoverTransport(way, self, self.clock)
+            for address, way in ways.items()
+        }
+
+    def others(self) -> list[homes.HostAddress]:
+        return [
+            homes.HostAddress(ids.HostId(each), each, ids.PlaceId("z"))
+            for each in self._ways
+        ]
+
+    async def relay(self, _call: store.Call) -> log_lib.Unavailable:
+        return log_lib.Unavailable("no host")
+
+    async def call_store(
+        self, address: str, request: entry_pb2.StoreCall, _timeout_ms: float
+    ) -> entry_pb2.StoreReply:
+        self.asked.append(address)
+        return await relay.call_for_other(self._ways[address], request)
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """Half of the other hosts are cut off the store as well."""
+
+    def setUp(self) -> None:
+        self.links = _Links(
+            {
+                "cut-1": _Silent(),
+                "cut-2": _Silent(),
+                "good-1": _Good(),
+                "good-2": _Good(),
+            }
+        )
+        self.relay = relay.StoreRelay(self.links)  # type: ignore[arg-type]
+        self.relay.use(self.links)  # type: ignore[arg-type]
+
+    async def test_no_call_waits_for_a_host_that_knows_it_is_cut_off(
+        self,
+    ) -> None:
+        for address in ("cut-1", "cut-2"):
+            request = entry_pb2.StoreCall(method="GET", target=CALL.target)
+            await self.links.call_store(address, request, 0.0)
+        begin_s = time.monotonic()
+        for _ in range(20):
+            found = await self.relay.relay(CALL)
+            self.assertIsInstance(found, store.Reply)
+        self.assertLess(time.monotonic() - begin_s, SILENT_S)
+
+    async def test_goes_back_to_the_host_that_carried_a_call(self) -> None:
+        while not isinstance(await self.relay.relay(CALL), store.Reply):
+            pass
+        last = self.links.asked[-1]
+        self.links.asked.clear()
+        for _ in range(10):
+            await self.relay.relay(CALL)
+        self.assertEqual(self.links.asked, [last] * 10)
