--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -30,6 +30,8 @@
 AWAY_FAILURES = 2
 # Time without calls while it does; then one call asks again.
 AWAY_MS = 500
+# Turns ask a log that has failed; without them it is asked after this time.
+PROBE_MS = 2000
 RETURN_TRIES = 2
 # Keeps an append far below the most that the store takes in one call.
 MAX_RETURNS = 500
@@ -75,9 +77,11 @@
             log: Where grants are recorded.
             host: Names its grants; differs for each owner and start.
             partition_count: Partitions of the topic.
-            parts: A budget is taken in so many parts.
+            parts: One of so many parts of what is left of a budget is
+                taken.
             clock: Time.
         """
+        self._parts = parts
         self._purses = _Purses(clock)
         self._outage = _Outage(clock)
         self._partitions = [
@@ -111,6 +115,7 @@
                 of this program, or None.
         """
         purse = self._purses.find(program)
+        purse.kept = spending.kept_tokens(budget, self._parts)
         wish = _Wish(program, budget, tokens, purse, lends_since_ms)
         return await self._partition(program).take(wish, until_ms)
 
@@ -258,6 +263,11 @@
             return False
         return self._clock.now_ms() - self._asked_ms < AWAY_MS
 
+    @property
+    def is_due(self) -> bool:
+        """Whether nobody has asked the log for long after a failure."""
+        return self._clock.now_ms() - self._asked_ms >= PROBE_MS
+
     def note(self, is_reached: bool) -> None:
         """Takes the outcome of a call."""
         self._failures = 0 if is_reached else self._failures + 1
@@ -320,7 +330,7 @@
     async def probe(self) -> bool:
         """Returns whether the log answers, if it is time to ask."""
         async with self._lock:
-            return not self._outage.is_away and await self._read()
+            return self._outage.is_due and await self._read()
 
     async def take(self, wish: _Wish, until_ms: float) -> Verdict:
         """Takes a grant for a turn, if the budget holds it."""
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -29,9 +29,9 @@
 SETTLE_TRIES = 2
 # A stream that waits for tokens asks again after this time.
 EXTEND_RETRY_MS = 250
-# Tokens that were free for one such period are returned: after a turn's end
-# that is twice this time, and other hosts are owed them after a second.
-RETURN_MS = 400
+# With `spending.UNUSED_PERIODS`: tokens are back within a second of a turn's
+# end, which is when other hosts are owed them.
+RETURN_MS = 225
 
 
 def program_key(
--- a/mangotally/policy/spending.py
+++ b/mangotally/policy/spending.py
@@ -19,13 +19,17 @@
 
 ProgramKey = NewType("ProgramKey", str)
 
-# A home takes a budget in so many parts, if turns are small beside it; what
-# is left of a part is lost when the home dies before it gives it back.
-HOME_PARTS = 16
+# A home takes one of so many parts of what is left of a budget, if turns are
+# small beside it: programs go on on that while the log is away, but it is lost
+# if the home dies.
+HOME_PARTS = 4
 # A host that stands in for the home takes no more than it needs.
 EXACT_PARTS = 10**9
 LEDGER_MEMORY_MS = 300_000.0
 PURSE_MEMORY_MS = 120_000.0
+# Tokens are returned if they were free for so many periods; pauses between
+# turns are shorter.
+UNUSED_PERIODS = 3
 # While the log is away a turn begins on so much of its most: turns rarely
 # spend more than half.
 LEAST_PART = 0.5
@@ -116,7 +120,7 @@
         budget: The program's budget.
         needed: Tokens that the turn lacks.
         most: The most that the turn can spend.
-        parts: A budget is taken in so many parts.
+        parts: One of so many parts of what is left is taken.
 
     Returns:
         At least `needed`, or 0 if the budget does not hold the turn. A
@@ -126,7 +130,12 @@
     left = budget - granted
     if left < needed and (granted > 0 or budget >= most):
         return 0
-    return max(needed, min(left, math.ceil(budget / parts)))
+    return max(needed, math.ceil(left / parts))
+
+
+def kept_tokens(budget: int, parts: int) -> int:
+    """Returns how many tokens a host keeps ahead for an active program."""
+    return budget // parts
 
 
 class Purse:
@@ -134,6 +143,7 @@
 
     Attributes:
         used_ms: When a turn last asked for tokens.
+        kept: Free tokens that stay here while the program is active.
     """
 
     def __init__(self) -> None:
@@ -142,6 +152,10 @@
         self._reserved = 0
         self._least_free = 0
         self.used_ms = 0.0
+        self.kept = 0
+        self._period_least: list[int] = []
+        self._quiet_periods = 0
+        self._was_used = False
 
     @property
     def free(self) -> int:
@@ -164,7 +178,7 @@
 
     def reserve(self, tokens: int, now_ms: float) -> bool:
         """Sets aside the most that a turn can spend, if it is there."""
-        self.used_ms = now_ms
+        self._note_use(now_ms)
         if self.free < tokens:
             return False
         self._reserved += tokens
@@ -177,7 +191,7 @@
         Returns:
             How much was set aside, or 0.
         """
-        self.used_ms = now_ms
+        self._note_use(now_ms)
         part = min(tokens, self.free)
         if part < LEAST_PART * tokens:
             return 0
@@ -193,13 +207,23 @@
         return taken
 
     def take_unused(self) -> int:
-        """Gives away the tokens that were free since the last call.
+        """Ends a period, and gives away tokens that were free in the last ones.
+
+        An active program keeps what it may need while the log is away.
 
         Returns:
-            How many there were.
+            How many tokens there were.
         """
-        taken = max(0, self._least_free)
+        is_active = self._was_used or not self.is_idle
+        self._quiet_periods = 0 if is_active else self._quiet_periods + 1
+        self._was_used = False
+        least = [*self._period_least, self._least_free][-UNUSED_PERIODS:]
+        kept = self.kept if self._quiet_periods < UNUSED_PERIODS else 0
+        taken = max(0, min(least) - kept)
+        if len(least) < UNUSED_PERIODS:
+            taken = 0
         self._held -= taken
+        self._period_least = [each - taken for each in least]
         self._least_free = self.free
         return taken
 
@@ -214,5 +238,9 @@
         self._held -= spent
         self._note_free()
 
+    def _note_use(self, now_ms: float) -> None:
+        self.used_ms = now_ms
+        self._was_used = True
+
     def _note_free(self) -> None:
         self._least_free = min(self._least_free, self.free)
