Return tokens when a program's partition moves or its home stops

Callers would see a 402 for a budget that holds many turns: when all partitions are dealt anew, another host joins, or a host stops on SIGTERM, what the homes before held of each budget was lost, and the new home told callers at once that the budget was spent.

Cause: an allowance knew nothing of who is home.

Change: each round returns all that no turn has reserved of programs that this host is no longer home of, and so, as they end, what their turns leave; a host that stops does so at once and again before it closes. Tokens that stand-ins got by an append whose answer was lost are returned by the same round. A turn is told that the budget is spent only if no other host took tokens in the last 1.5 s and the home has been home for so long; until then it is refused for now (503). A host that stands in for the home says so only if the quarter that the home may keep would not do either.

test_spent_budget_is_said_only_on_fresh_knowledge now lets that time pass, and checks that nothing is said before it.

BudgetMachine: homes move and die; a second oracle checks that nobody is told that the budget is spent while it holds one more turn. Turns under way, and those that ended less than a second before or before their host died, count at their most, and a quarter of the budget for each death. It also checks that records never add up to more than the budget (and one loan).

Fails with the changes taken out: test_a_new_home_waits_for_what_the_one_before_returns: Verdict(purse=None, tokens=0, is_spent=True, granted=840) != Verdict(purse=None, tokens=0, is_spent=False, granted=0) test_free_tokens_go_back_at_once: unexpectedly None test_turns_under_way_give_back_what_they_leave: unexpectedly None

--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -33,6 +33,9 @@
 # Turns ask a log that has failed; without them it is asked after this time.
 PROBE_MS = 2000
 RETURN_TRIES = 2
+# A host that took tokens has returned what its turns left, or has noticed
+# that it is home no longer, this long after.
+RETURNED_MS = 1500
 # Keeps an append far below the most that the store takes in one call.
 MAX_RETURNS = 500
 
@@ -103,6 +106,7 @@
         tokens: int,
         until_ms: float,
         lends_since_ms: Callable[[], float | None] = _never,
+        home_since_ms: float | None = -math.inf,
     ) -> Verdict:
         """Sets aside the most that a turn can spend.
 
@@ -113,10 +117,14 @@
             until_ms: When to give up if the log does not answer.
             lends_since_ms: Tells since when no other host may lend tokens
                 of this program, or None.
+            home_since_ms: Since when this host is home of the program;
+                None if it stands in for the home.
         """
         purse = self._purses.find(program)
         purse.kept = spending.kept_tokens(budget, self._parts)
-        wish = _Wish(program, budget, tokens, purse, lends_since_ms)
+        wish = _Wish(
+            program, budget, tokens, purse, lends_since_ms, home_since_ms
+        )
         return await self._partition(program).take(wish, until_ms)
 
     async def give_back(
@@ -129,11 +137,17 @@
         """
         await self._partition(program).give_back(program, tokens)
 
-    async def return_unused(self) -> None:
+    async def return_unused(
+        self, holds: Callable[[spending.ProgramKey], bool]
+    ) -> None:
         """Returns tokens that no turn has needed since the last call.
 
         They go back in one append for each partition, however many programs
         they belong to.
+
+        Args:
+            holds: Tells whether this host may go on holding tokens of a
+                program; otherwise all that no turn has reserved go back.
         """
         is_waiting = any(each.has_unrecorded for each in self._partitions)
         if not is_waiting and not self._purses.in_use():
@@ -141,16 +155,22 @@
         # While the log is away programs need what is held here.
         if self._outage.has_failed and not await self._partitions[0].probe():
             return
-        self._collect_unused()
+        self._collect_unused(holds)
         for partition in self._partitions:
             if partition.has_unrecorded:
                 await partition.record_returns()
 
-    def _collect_unused(self) -> None:
+    def _collect_unused(
+        self, holds: Callable[[spending.ProgramKey], bool]
+    ) -> None:
         for program, purse in self._purses.in_use():
             partition = self._partition(program)
-            if partition.takes_return(program):
-                partition.add_return(program, purse.take_unused())
+            if not partition.takes_return(program):
+                continue
+            unused = purse.take_unused()
+            if not holds(program):
+                unused += purse.take_out(purse.free)
+            partition.add_return(program, unused)
 
     def _partition(self, program: spending.ProgramKey) -> _Partition:
         number = homes.partition_of_key(program, len(self._partitions))
@@ -206,6 +226,7 @@
         tokens: The most that the turn can spend.
         purse: Where the program's tokens are held here.
         lends_since_ms: Since when only this host may lend, or None.
+        home_since_ms: Since when this host is home, or None.
     """
 
     program: spending.ProgramKey
@@ -213,6 +234,7 @@
     tokens: int
     purse: spending.Purse
     lends_since_ms: Callable[[], float | None]
+    home_since_ms: float | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -342,9 +364,11 @@
             if verdict is not None and not (
                 verdict.is_spent and self._may_change(wish, until_ms)
             ):
-                return verdict
+                break
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
-        return verdict or Verdict(None)
+        if verdict is None or (verdict.is_spent and self._others_hold(wish)):
+            return Verdict(None)
+        return verdict
 
     def _decide(self, wish: _Wish) -> Verdict | None:
         """Returns the verdict if the log need not be asked for it."""
@@ -368,7 +392,24 @@
 
     def _may_change(self, wish: _Wish, until_ms: float) -> bool:
         """Returns whether turns under way may leave enough of their most."""
-        return not wish.purse.is_idle and self._clock.now_ms() < until_ms
+        is_shared = not wish.purse.is_idle or self._others_hold(wish)
+        return is_shared and self._clock.now_ms() < until_ms
+
+    def _others_hold(self, wish: _Wish) -> bool:
+        """Returns whether other hosts may hold tokens that no turn needs."""
+        since_ms = self._ledger.others_ms(wish.program)
+        if since_ms == -math.inf:
+            return False
+        if wish.home_since_ms is None and self._may_be_ahead(wish):
+            return True
+        if wish.home_since_ms is not None:
+            since_ms = max(since_ms, wish.home_since_ms)
+        return self._clock.now_ms() - since_ms < RETURNED_MS
+
+    def _may_be_ahead(self, wish: _Wish) -> bool:
+        """Returns whether what the home keeps ahead would be enough."""
+        ahead = spending.kept_tokens(wish.budget, spending.HOME_PARTS)
+        return self._granted(wish.program) - ahead + wish.tokens <= wish.budget
 
     def _lend(self, wish: _Wish) -> Verdict:
         """Begins a turn on what is held, or on a loan without a record.
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -7,7 +7,7 @@
 import logging
 import secrets
 import signal
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Any, Self
 
 from aiohttp import web
 
@@ -44,6 +44,8 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from mangotally.entry import entry_pb2
     from mangotally.settings import entry as settings_lib
 
@@ -54,6 +56,8 @@
 # Time kept at the end of the grace for closing.
 CLOSE_MS = 500
 POLL_MS = 50
+# Half of the time for closing; the store may be away.
+RETURN_TOKENS_MS = CLOSE_MS / 2
 # Knowledge of this age still leaves time to serve a request.
 READY_AGE_MS = 3500.0
 
@@ -99,7 +103,7 @@
             self._member.run,
             self._places.run,
             self._places.run_clock,
-            self._budget_home.run,
+            self._budgets.run,
             self._isolation.run,
             self._lateness.run,
         )
@@ -121,12 +125,14 @@
             - CLOSE_MS
         )
         await self._member.leave()
+        await _try_for(RETURN_TOKENS_MS, self._budgets.return_unused())
         quiet_ms = stop_ms + min(LEAVE_MS, (end_ms - stop_ms) / 2)
         while self._clock.now_ms() < end_ms:
             is_quiet = not self._handler.under_way
             if is_quiet and self._clock.now_ms() > quiet_ms:
                 break
             await asyncio.sleep(clock_lib.to_seconds(POLL_MS))
+        await _try_for(RETURN_TOKENS_MS, self._budgets.close())
         await self._stack.aclose()
         logger.info("stopped", extra={"under_way": self._handler.under_way})
 
@@ -215,13 +221,14 @@
             self._member, self._knowledge, limits, clock
         )
         self._monitor = monitor.Monitor(clock)
+        self._budgets = self._wire_budgets(links)
         parts = handler.Parts(
             knowledge=self._knowledge,
             refresh=self._configuration.read_now,
             rates=rates.Rates(
                 self._rate_home, self._member, links, limits, clock
             ),
-            budgets=self._wire_budgets(links),
+            budgets=self._budgets,
             history=history.History(self._store, self._host, partitions, clock),
             attempts=attempts.Attempts(
                 self._host,
@@ -291,3 +298,9 @@
     def _note_reload(self) -> None:
         # Addresses are read once; all else comes from the store.
         logger.info("reload", extra={"changed": "nothing"})
+
+
+async def _try_for(time_ms: float, work: Coroutine[Any, Any, None]) -> None:
+    """Waits for work; cancels it if it takes longer."""
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(work, clock_lib.to_seconds(time_ms))
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -171,7 +171,8 @@
         """Sets aside the most that a turn can spend."""
         program = spending.ProgramKey(request.program)
         key = program_home_key(program)
-        if self._homes.owned_since_ms(key) is None:
+        home_since_ms = self._homes.owned_since_ms(key)
+        if home_since_ms is None:
             return entry_pb2.ReserveReply()
 
         def lends_since_ms() -> float | None:
@@ -183,6 +184,7 @@
             request.tokens,
             self._clock.now_ms() + request.wait_ms,
             lends_since_ms,
+            home_since_ms,
         )
         reply = entry_pb2.ReserveReply(granted=verdict.granted)
         if verdict.purse is None:
@@ -205,11 +207,13 @@
             purse.settle(tokens, request.spent)
         return entry_pb2.SettleReply()
 
-    async def run(self) -> None:
-        """Returns what programs don't use, until cancelled."""
-        while True:
-            await asyncio.sleep(clock_lib.to_seconds(RETURN_MS))
-            await self._allowances.return_unused()
+    async def return_unused(self) -> None:
+        """Returns what programs don't use, and all if they moved away."""
+        await self._allowances.return_unused(self._is_home)
+
+    def _is_home(self, program: spending.ProgramKey) -> bool:
+        key = program_home_key(program)
+        return self._homes.owned_since_ms(key) is not None
 
 
 class Budgets:
@@ -243,6 +247,25 @@
         self._tickets = itertools.count()
         self._tasks = background.Detached()
 
+    async def run(self) -> None:
+        """Returns tokens that are not used, until cancelled."""
+        while True:
+            await asyncio.sleep(clock_lib.to_seconds(RETURN_MS))
+            await self.return_unused()
+
+    async def return_unused(self) -> None:
+        """Returns tokens that are not used."""
+        await self._home.return_unused()
+        await self._own.return_unused(_holds_nothing)
+
+    async def close(self) -> None:
+        """Lets what is under way end, and returns all that is left.
+
+        This host must have left the group of homes before.
+        """
+        await self._tasks.wait_idle()
+        await self.return_unused()
+
     async def reserve(
         self,
         program: spending.ProgramKey,
@@ -288,7 +311,9 @@
     ) -> Reservation | Denial:
         now_ms = self._clock.now_ms()
         until_ms = max(until_ms, now_ms + ALONE_MS)
-        verdict = await self._own.reserve(program, budget, tokens, until_ms)
+        verdict = await self._own.reserve(
+            program, budget, tokens, until_ms, home_since_ms=None
+        )
         purse = verdict.purse
         if purse is None:
             return Denial(verdict.is_spent, verdict.granted)
@@ -341,3 +366,8 @@
             )
             if reply is not None:
                 return
+
+
+def _holds_nothing(_program: spending.ProgramKey) -> bool:
+    """Tells that this host is no home."""
+    return False
--- a/tests/test_entry/test_allowances.py
+++ b/tests/test_entry/test_allowances.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
+import math
 import unittest
 
 from hypothesis import stateful, strategies
@@ -28,6 +30,14 @@
     return allowances.Allowances(log, ids.HostId(name), 1, parts, clock)
 
 
+def _is_home(_program: spending.ProgramKey) -> bool:
+    return True
+
+
+def _is_not_home(_program: spending.ProgramKey) -> bool:
+    return False
+
+
 class AllowancesTest(unittest.IsolatedAsyncioTestCase):
     """One program with a budget of 500 and turns of at most 280."""
 
@@ -72,6 +82,8 @@
     async def test_spent_budget_is_said_only_on_fresh_knowledge(self) -> None:
         verdict = await self._reserve(self.home, 500)
         assert verdict.purse is not None
+        self.assertFalse((await self._reserve(self.alone)).is_spent)
+        self.clock.advance(allowances.RETURNED_MS)
         spent = await self._reserve(self.alone)
         self.assertTrue(spent.is_spent)
         verdict.purse.settle(500, 0)
@@ -124,7 +136,7 @@
         """Lets the time pass after which unspent tokens are owed."""
         for _ in range(4):
             self.clock.advance(budgets.RETURN_MS)
-            await home.return_unused()
+            await home.return_unused(_is_home)
 
     def _start_home(self) -> allowances.Allowances:
         self.homes += 1
@@ -148,7 +160,7 @@
         await self._run_turn(home, 840, 100)
         for _ in range(spending.UNUSED_PERIODS - 1):
             self.clock.advance(budgets.RETURN_MS)
-            await home.return_unused()
+            await home.return_unused(_is_home)
         await self._run_turn(home, 840, 100)
         await self._run_turn(home, 840, 100)
         # What each turn lacked, and nothing was returned in between.
@@ -216,6 +228,69 @@
         self.assertEqual(sum(each[1] for each in recorded), 0)
 
 
+class MovedHomeTest(unittest.IsolatedAsyncioTestCase):
+    """A partition is dealt to another host while programs are under way.
+
+    The budget is 840 and a turn spends at most 280.
+    """
+
+    def setUp(self) -> None:
+        self.log = fake_log.FakeLog()
+        self.clock = clock_lib.ManualClock()
+        self.before = _allowances(self.log, "before", self.clock)
+        self.after = _allowances(self.log, "after", self.clock)
+
+    async def _reserve(
+        self, home: allowances.Allowances, tokens: int = 280
+    ) -> allowances.Verdict:
+        until_ms = self.clock.now_ms() + 1
+        return await home.reserve(PROGRAM, 840, tokens, until_ms)
+
+    async def _begin(self, home: allowances.Allowances) -> spending.Purse:
+        verdict = await self._reserve(home)
+        assert verdict.purse is not None, f"refused: {verdict}"
+        return verdict.purse
+
+    async def test_free_tokens_go_back_at_once(self) -> None:
+        (await self._begin(self.before)).settle(280, 0)
+        await self.before.return_unused(_is_not_home)
+        self.assertIsNotNone((await self._reserve(self.after, 840)).purse)
+
+    async def test_turns_under_way_give_back_what_they_leave(self) -> None:
+        purse = await self._begin(self.before)
+        await self.before.return_unused(_is_not_home)
+        self.assertIsNone((await self._reserve(self.after, 840)).purse)
+        purse.settle(280, 100)
+        await self.before.return_unused(_is_not_home)
+        self.clock.advance(allowances.SPENT_AGE_MS + 1)
+        self.assertIsNotNone((await self._reserve(self.after, 740)).purse)
+
+    async def test_a_new_home_waits_for_what_the_one_before_returns(
+        self,
+    ) -> None:
+        for _ in range(3):
+            await self._begin(self.before)
+        # A caller that is told that the budget is spent gives up for good.
+        self.assertEqual(
+            await self._reserve(self.after), allowances.Verdict(None)
+        )
+        self.clock.advance(allowances.RETURNED_MS)
+        self.assertTrue((await self._reserve(self.after)).is_spent)
+
+    async def test_a_new_home_that_alone_took_tokens_says_what_is_spent(
+        self,
+    ) -> None:
+        for found in (False, False, False, True):
+            verdict = await self.after.reserve(
+                PROGRAM,
+                840,
+                280,
+                self.clock.now_ms() + 1,
+                home_since_ms=self.clock.now_ms(),
+            )
+            self.assertEqual(verdict.is_spent, found)
+
+
 class LoanTest(unittest.IsolatedAsyncioTestCase):
     """Programs that begin while the log is away (trouble-3).
 
@@ -341,31 +416,67 @@
         verdict.purse.settle(100, 0)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Turn:
+    """A turn in the budget machine.
+
+    Attributes:
+        owner: Host that has set its tokens aside.
+        purse: Where.
+        tokens: The most that it can spend.
+        spent: What it has spent.
+        ended_ms: When it ended, if it has.
+    """
+
+    owner: allowances.Allowances
+    purse: spending.Purse
+    tokens: int
+    spent: int = 0
+    ended_ms: float = math.inf
+
+
 class BudgetMachine(stateful.RuleBasedStateMachine):
-    """Hosts that reserve, spend, crash and lose answers.
+    """Hosts that reserve, spend, move, crash and lose answers.
 
-    The oracle: what callers were sent never exceeds the budget by more than
-    the most of one turn, and turns that may still be sent count. One home
-    may die with a loan that is not recorded; two such deaths in the life of
-    a program are not covered (docs/design/rules.md).
+    The oracle of safety: what callers were sent never exceeds the budget by
+    more than the most of one turn, and turns that may still be sent count.
+    One home may die with a loan that is not recorded; two such deaths in the
+    life of a program are not covered (docs/design/rules.md).
+
+    The oracle of service: nobody is told that the budget is spent while it
+    holds one more turn. Turns under way, and those that had ended for less
+    than a second, or less before their host died, count at their most; so
+    does the part of the budget that a dead host had in advance.
     """
 
-    BUDGET = 250
+    BUDGET = 450
     MOST = 100
     HOSTS = 3
-    HOME = 2
+    # Turns that ended so long ago count as what they spent.
+    SETTLE_MS = 1000.0
 
     def __init__(self) -> None:
         super().__init__()
         self.log = fake_log.FakeLog()
         self.clock = clock_lib.ManualClock()
+        self.retry_ms, allowances.RETRY_MS = allowances.RETRY_MS, 0
         self.starts = 0
-        self.spent = 0
-        self.running: list[tuple[spending.Purse, int]] = []
+        self.crashes = 0
+        self.running: list[_Turn] = []
+        self.ended: list[_Turn] = []
+        self.died_ms: dict[allowances.Allowances, float] = {}
+        self.failed_ms = -math.inf
+        self.home = 2
         self.home_since_ms = self.clock.now_ms()
+        self.return_ms = self.clock.now_ms()
         self.lost_loans = 0
+        self.has_lent = False
         self.hosts = [self._start(number) for number in range(self.HOSTS)]
 
+    def teardown(self) -> None:
+        """Sets the constants back."""
+        allowances.RETRY_MS = self.retry_ms
+
     def _start(self, number: int) -> allowances.Allowances:
         self.starts += 1
         parts = spending.HOME_PARTS if number else spending.EXACT_PARTS
@@ -374,32 +485,52 @@
 
     @stateful.rule(
         number=strategies.integers(0, HOSTS - 1),
-        refuse=strategies.sampled_from([0, 0, 1, 2, 20]),
-        lose=strategies.integers(0, 2),
+        refuse=strategies.sampled_from([0] * 20 + [1, 2, 20]),
+        lose=strategies.sampled_from([0] * 20 + [1, 2]),
     )
     def begin(self, number: int, refuse: int, lose: int) -> None:
         """A turn asks for its most."""
         self.log.refuse, self.log.lose = refuse, lose
         verdict = asyncio.run(self._reserve(number))
         self.log.refuse = self.log.lose = 0
+        if refuse or lose:
+            self.failed_ms = self.clock.now_ms()
         if verdict.purse is not None:
-            self.running.append((verdict.purse, verdict.tokens))
+            turn = _Turn(self.hosts[number], verdict.purse, verdict.tokens)
+            self.running.append(turn)
+        self.has_lent |= any(each.open_loans for each in self.hosts)
+        if verdict.is_spent:
+            self._check_refusal()
 
     async def _reserve(self, number: int) -> allowances.Verdict:
-        is_home = number == self.HOME
+        is_home = number == self.home
         return await self.hosts[number].reserve(
             PROGRAM,
             self.BUDGET,
             self.MOST,
             self.clock.now_ms() + 1,
             lambda: self.home_since_ms if is_home else None,
+            self.home_since_ms if is_home else None,
         )
 
+    def _check_refusal(self) -> None:
+        # A failure delays returns by the time for which the log is left alone.
+        delay_ms = self.SETTLE_MS + allowances.PROBE_MS + budgets.RETURN_MS
+        if self.clock.now_ms() - self.failed_ms < delay_ms:
+            return
+        ahead = self.crashes * math.ceil(self.BUDGET / spending.HOME_PARTS)
+        counted = sum(each.tokens for each in self.running) + ahead
+        for turn in self.ended:
+            until_ms = self.died_ms.get(turn.owner, self.clock.now_ms())
+            is_settled = until_ms - turn.ended_ms >= self.SETTLE_MS
+            counted += turn.spent if is_settled else turn.tokens
+        assert self.BUDGET - counted < self.MOST, counted
+
     @stateful.rule()
     def read(self) -> None:
         """The home reads the log for another program."""
         asyncio.run(
-            self.hosts[self.HOME].reserve(
+            self.hosts[self.home].reserve(
                 spending.ProgramKey("org/other"),
                 10**6,
                 self.MOST,
@@ -409,17 +540,43 @@
 
     @stateful.precondition(lambda self: self.running)
     @stateful.rule(
-        spent=strategies.integers(0, MOST), back=strategies.booleans()
+        number=strategies.integers(0, 9), spent=strategies.integers(0, MOST)
     )
-    def end(self, spent: int, back: bool) -> None:
-        """A turn ends; what is left may go back to the log."""
-        purse, most = self.running.pop(0)
-        spent = min(spent, most)
-        self.spent += spent
-        purse.settle(most, spent)
-        if back:
-            unused = purse.take_out(most - spent)
-            asyncio.run(self.hosts[0].give_back(PROGRAM, unused))
+    def end(self, number: int, spent: int) -> None:
+        """A turn ends."""
+        turn = self.running.pop(number % len(self.running))
+        spent = min(spent, turn.tokens)
+        turn.purse.settle(turn.tokens, spent)
+        now_ms = self.clock.now_ms()
+        self.ended.append(
+            dataclasses.replace(turn, spent=spent, ended_ms=now_ms)
+        )
+        if turn.owner is self.hosts[0]:
+            # As a host does that stands in for the home.
+            unused = turn.purse.take_out(turn.tokens - spent)
+            asyncio.run(turn.owner.give_back(PROGRAM, unused))
+
+    @stateful.rule(
+        spent=strategies.integers(0, 5),
+        changes=strategies.lists(
+            strategies.sampled_from(["none", "none", "move", "crash"]),
+            min_size=4,
+            max_size=8,
+        ),
+    )
+    def serve(self, spent: int, changes: list[str]) -> None:
+        """Homes serve turns that spend little, and are lost in between."""
+        for change in changes:
+            before = len(self.running)
+            self.begin(self.home, 0, 0)
+            if len(self.running) > before:
+                self.end(before, spent)
+            if change == "move":
+                self.move(self.HOSTS - self.home)
+            else:
+                self.wait(1000)
+            if change == "crash":
+                self.crash(self.home)
 
     @stateful.rule(number=strategies.integers(0, HOSTS - 1))
     def crash(self, number: int) -> None:
@@ -428,21 +585,53 @@
             if self.lost_loans:
                 return
             self.lost_loans += 1
+        self.crashes += 1
+        self.died_ms[self.hosts[number]] = self.clock.now_ms()
         self.hosts[number] = self._start(number)
-        if number == self.HOME:
+        if number == self.home:
             self.home_since_ms = self.clock.now_ms()
 
-    @stateful.rule(by_ms=strategies.integers(1, 1000))
+    @stateful.rule(number=strategies.integers(1, HOSTS - 1))
+    def move(self, number: int) -> None:
+        """The program's partition is dealt to another host."""
+        self.home = number
+        self.home_since_ms = self.clock.now_ms()
+
+    @stateful.rule(by_ms=strategies.sampled_from([1, 50, 200, 1000, 3000]))
     def wait(self, by_ms: int) -> None:
-        """Time passes."""
-        self.clock.advance(by_ms)
+        """Time passes, and hosts return what they don't use."""
+        end_ms = self.clock.now_ms() + by_ms
+        while self.return_ms <= end_ms:
+            self.clock.advance(max(0, self.return_ms - self.clock.now_ms()))
+            asyncio.run(self._return_unused())
+            self.return_ms += budgets.RETURN_MS
+        self.clock.advance(end_ms - self.clock.now_ms())
+
+    async def _return_unused(self) -> None:
+        for number, host in enumerate(self.hosts):
+            is_home = number == self.home
+            await host.return_unused(_is_home if is_home else _is_not_home)
 
     @stateful.invariant()
     def holds(self) -> None:
         """The budget holds, whatever the running turns still spend."""
-        most = self.spent + sum(most for _, most in self.running)
+        most = sum(each.spent for each in self.ended)
+        most += sum(each.tokens for each in self.running)
         assert most <= self.BUDGET + self.MOST, most
 
+    @stateful.invariant()
+    def records_hold(self) -> None:
+        """At no time do the records add up to more than the budget.
+
+        A loan is recorded even if other hosts have taken the rest since.
+        """
+        total = 0
+        most = self.BUDGET + (self.MOST if self.has_lent else 0)
+        for each in self.log.records.get(("grants", 0), []):
+            program, tokens, _ = json.loads(each)
+            total += tokens if program == PROGRAM else 0
+            assert 0 <= total <= most, total
+
 
 BudgetMachineTest = BudgetMachine.TestCase
 BudgetMachineTest.settings = settings.CI_SETTINGS
