Tell the end of a turn to the host that reserved for it

Callers would see a 402 for a budget that holds more turns: the end of a turn went to the host that was home by then. After a move the host that had set the tokens aside kept them for ever, and a home that became a plain host never heard of its own turns. A home that was silent for 0.6 s never heard either.

Change: a reservation remembers its granter, this host or another. A granter that does not answer is told five times in 3 s; it takes the first only.

Fails before: test_the_host_that_reserved_hears_of_a_turns_end: tokens leaked test_a_turn_that_this_host_granted_ends_here: tokens leaked test_a_turns_end_is_told_again_if_the_home_is_silent: tokens leaked

Not mended: a turn that ends after its granter has died leaves what it did not spend out of the budget.

--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import itertools
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from mangotally.entry import entry_pb2
@@ -14,8 +15,6 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from mangotally import ids
     from mangotally.entry import allowances, peers
     from mangotally.entry import homes as homes_lib
@@ -26,7 +25,9 @@
 # Least time for the log after a home did not answer.
 ALONE_MS = 200
 SETTLE_TIMEOUT_MS = 300
-SETTLE_TRIES = 2
+# Together longer than a busy home is silent.
+SETTLE_TRIES = 5
+SETTLE_RETRY_MS = 300
 # A stream that waits for tokens asks again after this time.
 EXTEND_RETRY_MS = 250
 # With `spending.UNUSED_PERIODS`: tokens are back within a second of a turn's
@@ -216,6 +217,25 @@
         return self._homes.owned_since_ms(key) is not None
 
 
+@dataclasses.dataclass(frozen=True)
+class _Granter:
+    """The host that sets a turn's tokens aside.
+
+    It hears of the turn's end, whichever host is home by then.
+
+    Attributes:
+        reserve: Asks it; returns None if it does not answer.
+        settle: Tells it; returns None if it does not answer.
+    """
+
+    reserve: Callable[
+        [entry_pb2.ReserveRequest], Awaitable[entry_pb2.ReserveReply | None]
+    ]
+    settle: Callable[
+        [entry_pb2.SettleRequest], Awaitable[entry_pb2.SettleReply | None]
+    ]
+
+
 class Budgets:
     """Reserves tokens of programs for turns at this host."""
 
@@ -292,14 +312,15 @@
             wait_ms=max(0.0, until_ms - self._clock.now_ms()),
             lend=lend,
         )
-        reply = await self._ask(program, request)
-        if reply is None or reply.outcome == reply.NOT_HOME:
+        granter = self._granter(program)
+        reply = await self._ask(granter, request) if granter else None
+        if granter is None or reply is None or reply.outcome == reply.NOT_HOME:
             return await self._reserve_alone(program, budget, tokens, until_ms)
         if reply.outcome != reply.RESERVED:
             return Denial(reply.outcome == reply.SPENT, reply.granted)
         ticket = request.ticket
         return Reservation(
-            reply.tokens, lambda spent: self._settle(program, ticket, spent)
+            reply.tokens, lambda spent: self._settle(granter, ticket, spent)
         )
 
     async def _reserve_alone(
@@ -327,45 +348,43 @@
 
         return Reservation(verdict.tokens, settle)
 
-    async def _ask(
-        self,
-        program: spending.ProgramKey,
-        request: entry_pb2.ReserveRequest,
-    ) -> entry_pb2.ReserveReply | None:
+    def _granter(self, program: spending.ProgramKey) -> _Granter | None:
+        """Returns the home of a program, if it is worth asking."""
         key = program_home_key(program)
         if self._homes.owned_since_ms(key) is not None:
-            return await self._home.reserve(request)
+            return _Granter(self._home.reserve, self._home.settle)
         address = self._links.home_address(self._homes, key)
         if address is None:
             return None
-        reply = await self._links.reserve(address, request, HOME_TIMEOUT_MS)
+        return _Granter(
+            lambda request: self._links.reserve(
+                address, request, HOME_TIMEOUT_MS
+            ),
+            lambda request: self._links.settle(
+                address, request, SETTLE_TIMEOUT_MS
+            ),
+        )
+
+    async def _ask(
+        self, granter: _Granter, request: entry_pb2.ReserveRequest
+    ) -> entry_pb2.ReserveReply | None:
+        reply = await granter.reserve(request)
         if reply is None:
             # The home may have set tokens aside all the same.
-            self._settle(program, request.ticket, 0)
+            self._settle(granter, request.ticket, 0)
         return reply
 
-    def _settle(
-        self, program: spending.ProgramKey, ticket: str, spent: int
-    ) -> None:
+    def _settle(self, granter: _Granter, ticket: str, spent: int) -> None:
         request = entry_pb2.SettleRequest(ticket=ticket, spent=spent)
-        self._tasks.start(self._send_settle(program, request))
+        self._tasks.start(self._send_settle(granter, request))
 
     async def _send_settle(
-        self,
-        program: spending.ProgramKey,
-        request: entry_pb2.SettleRequest,
+        self, granter: _Granter, request: entry_pb2.SettleRequest
     ) -> None:
-        key = program_home_key(program)
-        home = self._homes.home_of(key)
-        if home is None or self._homes.is_own(home):
-            await self._home.settle(request)
-            return
         for _ in range(SETTLE_TRIES):
-            reply = await self._links.settle(
-                home.address, request, SETTLE_TIMEOUT_MS
-            )
-            if reply is not None:
+            if await granter.settle(request) is not None:
                 return
+            await asyncio.sleep(clock_lib.to_seconds(SETTLE_RETRY_MS))
 
 
 def _holds_nothing(_program: spending.ProgramKey) -> bool:
--- a/tests/test_entry/test_budgets.py
+++ b/tests/test_entry/test_budgets.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from typing import TYPE_CHECKING, Any, cast
 
-from mangotally.entry import budgets
+from mangotally import ids
+from mangotally.entry import allowances, budgets, entry_pb2
+from mangotally.entry import homes as homes_lib
+from mangotally.policy import spending
 from mangotally.util import clock as clock_lib
+from tests.test_entry import fake_log
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+PROGRAM = spending.ProgramKey("org/p")
 
 UNKNOWN = budgets.Denial(is_spent=False, granted=0)
 SPENT = budgets.Denial(is_spent=True, granted=0)
@@ -58,3 +69,152 @@
         await self.turn.extend(1000.0)
         self.turn.settle(70)
         self.assertEqual(self.spent, [60, 10])
+
+
+class _Homes:
+    """One host is home of everything.
+
+    Attributes:
+        home: Its address.
+    """
+
+    def __init__(self, own: str, home: str) -> None:
+        self.home = home
+        self._own = own
+
+    def home_of(self, _key: str) -> homes_lib.HostAddress | None:
+        return homes_lib.HostAddress(
+            ids.HostId(self.home), self.home, ids.PlaceId("z")
+        )
+
+    def is_own(self, host: homes_lib.HostAddress) -> bool:
+        return host.address == self._own
+
+    def owned_since_ms(self, _key: str) -> float | None:
+        return -1e9 if self.home == self._own else None
+
+    def others(self) -> list[homes_lib.HostAddress]:
+        return []
+
+
+class _Links:
+    """Calls homes in this process.
+
+    Attributes:
+        homes: The homes, by address.
+        before_reserve: Runs before a home gets a reserve call.
+        lost_settles: So many settle calls get no answer.
+        is_answer_lost: Whether answers of reserve calls are lost.
+    """
+
+    def __init__(self) -> None:
+        self.homes: dict[str, budgets.BudgetHome] = {}
+        self.before_reserve: Callable[[], Awaitable[None]] | None = None
+        self.lost_settles = 0
+        self.is_answer_lost = False
+
+    def home_address(self, homes: _Homes, _key: str) -> str | None:
+        return homes.home
+
+    async def reserve(
+        self,
+        address: str,
+        request: entry_pb2.ReserveRequest,
+        _timeout_ms: float,
+    ) -> entry_pb2.ReserveReply | None:
+        if self.before_reserve is not None:
+            await self.before_reserve()
+        reply = await self.homes[address].reserve(request)
+        return None if self.is_answer_lost else reply
+
+    async def settle(
+        self, address: str, request: entry_pb2.SettleRequest, _timeout_ms: float
+    ) -> entry_pb2.SettleReply | None:
+        if self.lost_settles:
+            self.lost_settles -= 1
+            return None
+        return await self.homes[address].settle(request)
+
+
+class ReservationTest(unittest.IsolatedAsyncioTestCase):
+    """Tokens of a program whose home is another host; its budget is 500."""
+
+    def setUp(self) -> None:
+        self.log = fake_log.FakeLog()
+        self.clock = clock_lib.ManualClock()
+        self.links = _Links()
+        self.at_home: dict[str, allowances.Allowances] = {}
+        for address in ("a", "b"):
+            own = self.at_home[address] = self._allowances(address)
+            self.links.homes[address] = budgets.BudgetHome(
+                _Homes(address, address), own, self.clock
+            )
+        self.seen = _Homes("c", "a")
+        at_c = self._allowances("c")
+        self.budgets = budgets.Budgets(
+            ids.HostId("c"),
+            budgets.BudgetHome(self.seen, at_c, self.clock),
+            self._allowances("c/alone"),
+            self.seen,
+            cast("Any", self.links),
+            self.clock,
+        )
+
+    def _allowances(self, name: str) -> allowances.Allowances:
+        return allowances.Allowances(
+            self.log, ids.HostId(name), 1, spending.HOME_PARTS, self.clock
+        )
+
+    async def _reserve(
+        self, tokens: int = 280
+    ) -> budgets.Reservation | budgets.Denial:
+        until_ms = self.clock.now_ms() + 1
+        return await self.budgets.reserve(
+            PROGRAM, 500, tokens, until_ms, lend=False
+        )
+
+    async def _assert_all_free(self, address: str) -> None:
+        """Checks that a home holds no tokens for a turn."""
+        for _ in range(50):
+            await asyncio.sleep(0.001)
+        verdict = await self.at_home[address].reserve(
+            PROGRAM, 500, 500, self.clock.now_ms() + 1
+        )
+        self.assertIsNotNone(verdict.purse, "tokens leaked")
+
+    async def test_the_host_that_reserved_hears_of_a_turns_end(self) -> None:
+        found = await self._reserve()
+        assert isinstance(found, budgets.Reservation)
+        self.seen.home = "b"
+        found.settle(0)
+        await self._assert_all_free("a")
+
+    async def test_a_turn_that_this_host_granted_ends_here(self) -> None:
+        self.seen.home = "c"
+        found = await self._reserve()
+        assert isinstance(found, budgets.Reservation)
+        self.seen.home = "a"
+        found.settle(0)
+        for _ in range(5):
+            await self.budgets.return_unused()
+            await asyncio.sleep(0)
+        await self._assert_all_free("a")
+
+    async def test_a_turns_end_is_told_again_if_the_home_is_silent(
+        self,
+    ) -> None:
+        self.addCleanup(
+            setattr, budgets, "SETTLE_RETRY_MS", budgets.SETTLE_RETRY_MS
+        )
+        budgets.SETTLE_RETRY_MS = 1
+        found = await self._reserve()
+        assert isinstance(found, budgets.Reservation)
+        self.links.lost_settles = 3
+        found.settle(0)
+        await self._assert_all_free("a")
+
+    async def test_a_home_that_answered_too_late_holds_nothing(self) -> None:
+        self.links.is_answer_lost = True
+        await self._reserve(600)
+        await self._reserve()
+        await self._assert_all_free("a")
