--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -30,7 +30,12 @@
 AWAY_FAILURES = 2
 # Time without calls while it does; then one call asks again.
 AWAY_MS = 500
+# Turns ask a log that has failed; without them it is asked after this time.
+PROBE_MS = 2000
 RETURN_TRIES = 2
+# A host that took tokens has returned what its turns left, or has noticed
+# that it is home no longer, this long after.
+RETURNED_MS = 1500
 # Keeps an append far below the most that the store takes in one call.
 MAX_RETURNS = 500
 
@@ -75,9 +80,11 @@
             log: Where grants are recorded.
             host: Names its grants; differs for each owner and start.
             partition_count: Partitions of the topic.
-            parts: A budget is taken in so many parts.
+            parts: One of so many parts of what is left of a budget is
+                taken.
             clock: Time.
         """
+        self._parts = parts
         self._purses = _Purses(clock)
         self._outage = _Outage(clock)
         self._partitions = [
@@ -99,6 +106,7 @@
         tokens: int,
         until_ms: float,
         lends_since_ms: Callable[[], float | None] = _never,
+        home_since_ms: float | None = -math.inf,
     ) -> Verdict:
         """Sets aside the most that a turn can spend.
 
@@ -109,9 +117,14 @@
             until_ms: When to give up if the log does not answer.
             lends_since_ms: Tells since when no other host may lend tokens
                 of this program, or None.
+            home_since_ms: Since when this host is home of the program;
+                None if it stands in for the home.
         """
         purse = self._purses.find(program)
-        wish = _Wish(program, budget, tokens, purse, lends_since_ms)
+        purse.kept = spending.kept_tokens(budget, self._parts)
+        wish = _Wish(
+            program, budget, tokens, purse, lends_since_ms, home_since_ms
+        )
         return await self._partition(program).take(wish, until_ms)
 
     async def give_back(
@@ -124,11 +137,17 @@
         """
         await self._partition(program).give_back(program, tokens)
 
-    async def return_unused(self) -> None:
+    async def return_unused(
+        self, holds: Callable[[spending.ProgramKey], bool]
+    ) -> None:
         """Returns tokens that no turn has needed since the last call.
 
         They go back in one append for each partition, however many programs
         they belong to.
+
+        Args:
+            holds: Tells whether this host may go on holding tokens of a
+                program; otherwise all that no turn has reserved go back.
         """
         is_waiting = any(each.has_unrecorded for each in self._partitions)
         if not is_waiting and not self._purses.in_use():
@@ -136,16 +155,22 @@
         # While the log is away programs need what is held here.
         if self._outage.has_failed and not await self._partitions[0].probe():
             return
-        self._collect_unused()
+        self._collect_unused(holds)
         for partition in self._partitions:
             if partition.has_unrecorded:
                 await partition.record_returns()
 
-    def _collect_unused(self) -> None:
+    def _collect_unused(
+        self, holds: Callable[[spending.ProgramKey], bool]
+    ) -> None:
         for program, purse in self._purses.in_use():
             partition = self._partition(program)
-            if partition.takes_return(program):
-                partition.add_return(program, purse.take_unused())
+            if not partition.takes_return(program):
+                continue
+            unused = purse.take_unused()
+            if not holds(program):
+                unused += purse.take_out(purse.free)
+            partition.add_return(program, unused)
 
     def _partition(self, program: spending.ProgramKey) -> _Partition:
         number = homes.partition_of_key(program, len(self._partitions))
@@ -201,6 +226,7 @@
         tokens: The most that the turn can spend.
         purse: Where the program's tokens are held here.
         lends_since_ms: Since when only this host may lend, or None.
+        home_since_ms: Since when this host is home, or None.
     """
 
     program: spending.ProgramKey
@@ -208,6 +234,7 @@
     tokens: int
     purse: spending.Purse
     lends_since_ms: Callable[[], float | None]
+    home_since_ms: float | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -258,6 +285,11 @@
             return False
         return self._clock.now_ms() - self._asked_ms < AWAY_MS
 
+    @property
+    def is_due(self) -> bool:
+        """Whether nobody has asked the log for long after a failure."""
+        return self._clock.now_ms() - self._asked_ms >= PROBE_MS
+
     def note(self, is_reached: bool) -> None:
         """Takes the outcome of a call."""
         self._failures = 0 if is_reached else self._failures + 1
@@ -320,7 +352,7 @@
     async def probe(self) -> bool:
         """Returns whether the log answers, if it is time to ask."""
         async with self._lock:
-            return not self._outage.is_away and await self._read()
+            return self._outage.is_due and await self._read()
 
     async def take(self, wish: _Wish, until_ms: float) -> Verdict:
         """Takes a grant for a turn, if the budget holds it."""
@@ -332,9 +364,11 @@
             if verdict is not None and not (
                 verdict.is_spent and self._may_change(wish, until_ms)
             ):
-                return verdict
+                break
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
-        return verdict or Verdict(None)
+        if verdict is None or (verdict.is_spent and self._others_hold(wish)):
+            return Verdict(None)
+        return verdict
 
     def _decide(self, wish: _Wish) -> Verdict | None:
         """Returns the verdict if the log need not be asked for it."""
@@ -358,7 +392,24 @@
 
     def _may_change(self, wish: _Wish, until_ms: float) -> bool:
         """Returns whether turns under way may leave enough of their most."""
-        return not wish.purse.is_idle and self._clock.now_ms() < until_ms
+        is_shared = not wish.purse.is_idle or self._others_hold(wish)
+        return is_shared and self._clock.now_ms() < until_ms
+
+    def _others_hold(self, wish: _Wish) -> bool:
+        """Returns whether other hosts may hold tokens that no turn needs."""
+        since_ms = self._ledger.others_ms(wish.program)
+        if since_ms == -math.inf:
+            return False
+        if wish.home_since_ms is None and self._may_be_ahead(wish):
+            return True
+        if wish.home_since_ms is not None:
+            since_ms = max(since_ms, wish.home_since_ms)
+        return self._clock.now_ms() - since_ms < RETURNED_MS
+
+    def _may_be_ahead(self, wish: _Wish) -> bool:
+        """Returns whether what the home keeps ahead would be enough."""
+        ahead = spending.kept_tokens(wish.budget, spending.HOME_PARTS)
+        return self._granted(wish.program) - ahead + wish.tokens <= wish.budget
 
     def _lend(self, wish: _Wish) -> Verdict:
         """Begins a turn on what is held, or on a loan without a record.
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import itertools
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from mangotally.entry import entry_pb2
@@ -14,8 +15,6 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from mangotally import ids
     from mangotally.entry import allowances, peers
     from mangotally.entry import homes as homes_lib
@@ -26,12 +25,14 @@
 # Least time for the log after a home did not answer.
 ALONE_MS = 200
 SETTLE_TIMEOUT_MS = 300
-SETTLE_TRIES = 2
+# Together longer than a busy home is silent.
+SETTLE_TRIES = 5
+SETTLE_RETRY_MS = 300
 # A stream that waits for tokens asks again after this time.
 EXTEND_RETRY_MS = 250
-# Tokens that were free for one such period are returned: after a turn's end
-# that is twice this time, and other hosts are owed them after a second.
-RETURN_MS = 400
+# With `spending.UNUSED_PERIODS`: tokens are back within a second of a turn's
+# end, which is when other hosts are owed them.
+RETURN_MS = 225
 
 
 def program_key(
@@ -171,7 +172,8 @@
         """Sets aside the most that a turn can spend."""
         program = spending.ProgramKey(request.program)
         key = program_home_key(program)
-        if self._homes.owned_since_ms(key) is None:
+        home_since_ms = self._homes.owned_since_ms(key)
+        if home_since_ms is None:
             return entry_pb2.ReserveReply()
 
         def lends_since_ms() -> float | None:
@@ -183,6 +185,7 @@
             request.tokens,
             self._clock.now_ms() + request.wait_ms,
             lends_since_ms,
+            home_since_ms,
         )
         reply = entry_pb2.ReserveReply(granted=verdict.granted)
         if verdict.purse is None:
@@ -205,11 +208,32 @@
             purse.settle(tokens, request.spent)
         return entry_pb2.SettleReply()
 
-    async def run(self) -> None:
-        """Returns what programs don't use, until cancelled."""
-        while True:
-            await asyncio.sleep(clock_lib.to_seconds(RETURN_MS))
-            await self._allowances.return_unused()
+    async def return_unused(self) -> None:
+        """Returns what programs don't use, and all if they moved away."""
+        await self._allowances.return_unused(self._is_home)
+
+    def _is_home(self, program: spending.ProgramKey) -> bool:
+        key = program_home_key(program)
+        return self._homes.owned_since_ms(key) is not None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Granter:
+    """The host that sets a turn's tokens aside.
+
+    It hears of the turn's end, whichever host is home by then.
+
+    Attributes:
+        reserve: Asks it; returns None if it does not answer.
+        settle: Tells it; returns None if it does not answer.
+    """
+
+    reserve: Callable[
+        [entry_pb2.ReserveRequest], Awaitable[entry_pb2.ReserveReply | None]
+    ]
+    settle: Callable[
+        [entry_pb2.SettleRequest], Awaitable[entry_pb2.SettleReply | None]
+    ]
 
 
 class Budgets:
@@ -243,6 +267,25 @@
         self._tickets = itertools.count()
         self._tasks = background.Detached()
 
+    async def run(self) -> None:
+        """Returns tokens that are not used, until cancelled."""
+        while True:
+            await asyncio.sleep(clock_lib.to_seconds(RETURN_MS))
+            await self.return_unused()
+
+    async def return_unused(self) -> None:
+        """Returns tokens that are not used."""
+        await self._home.return_unused()
+        await self._own.return_unused(_holds_nothing)
+
+    async def close(self) -> None:
+        """Lets what is under way end, and returns all that is left.
+
+        This host must have left the group of homes before.
+        """
+        await self._tasks.wait_idle()
+        await self.return_unused()
+
     async def reserve(
         self,
         program: spending.ProgramKey,
@@ -269,14 +312,15 @@
             wait_ms=max(0.0, until_ms - self._clock.now_ms()),
             lend=lend,
         )
-        reply = await self._ask(program, request)
-        if reply is None or reply.outcome == reply.NOT_HOME:
+        granter = self._granter(program)
+        reply = await self._ask(granter, request) if granter else None
+        if granter is None or reply is None or reply.outcome == reply.NOT_HOME:
             return await self._reserve_alone(program, budget, tokens, until_ms)
         if reply.outcome != reply.RESERVED:
             return Denial(reply.outcome == reply.SPENT, reply.granted)
         ticket = request.ticket
         return Reservation(
-            reply.tokens, lambda spent: self._settle(program, ticket, spent)
+            reply.tokens, lambda spent: self._settle(granter, ticket, spent)
         )
 
     async def _reserve_alone(
@@ -288,7 +332,9 @@
     ) -> Reservation | Denial:
         now_ms = self._clock.now_ms()
         until_ms = max(until_ms, now_ms + ALONE_MS)
-        verdict = await self._own.reserve(program, budget, tokens, until_ms)
+        verdict = await self._own.reserve(
+            program, budget, tokens, until_ms, home_since_ms=None
+        )
         purse = verdict.purse
         if purse is None:
             return Denial(verdict.is_spent, verdict.granted)
@@ -302,42 +348,45 @@
 
         return Reservation(verdict.tokens, settle)
 
-    async def _ask(
-        self,
-        program: spending.ProgramKey,
-        request: entry_pb2.ReserveRequest,
-    ) -> entry_pb2.ReserveReply | None:
+    def _granter(self, program: spending.ProgramKey) -> _Granter | None:
+        """Returns the home of a program, if it is worth asking."""
         key = program_home_key(program)
         if self._homes.owned_since_ms(key) is not None:
-            return await self._home.reserve(request)
+            return _Granter(self._home.reserve, self._home.settle)
         address = self._links.home_address(self._homes, key)
         if address is None:
             return None
-        reply = await self._links.reserve(address, request, HOME_TIMEOUT_MS)
+        return _Granter(
+            lambda request: self._links.reserve(
+                address, request, HOME_TIMEOUT_MS
+            ),
+            lambda request: self._links.settle(
+                address, request, SETTLE_TIMEOUT_MS
+            ),
+        )
+
+    async def _ask(
+        self, granter: _Granter, request: entry_pb2.ReserveRequest
+    ) -> entry_pb2.ReserveReply | None:
+        reply = await granter.reserve(request)
         if reply is None:
             # The home may have set tokens aside all the same.
-            self._settle(program, request.ticket, 0)
+            self._settle(granter, request.ticket, 0)
         return reply
 
-    def _settle(
-        self, program: spending.ProgramKey, ticket: str, spent: int
-    ) -> None:
+    def _settle(self, granter: _Granter, ticket: str, spent: int) -> None:
         request = entry_pb2.SettleRequest(ticket=ticket, spent=spent)
-        self._tasks.start(self._send_settle(program, request))
+        self._tasks.start(self._send_settle(granter, request))
 
     async def _send_settle(
-        self,
-        program: spending.ProgramKey,
-        request: entry_pb2.SettleRequest,
+        self, granter: _Granter, request: entry_pb2.SettleRequest
     ) -> None:
-        key = program_home_key(program)
-        home = self._homes.home_of(key)
-        if home is None or self._homes.is_own(home):
-            await self._home.settle(request)
-            return
         for _ in range(SETTLE_TRIES):
-            reply = await self._links.settle(
-                home.address, request, SETTLE_TIMEOUT_MS
-            )
-            if reply is not None:
+            if await granter.settle(request) is not None:
                 return
+            await asyncio.sleep(clock_lib.to_seconds(SETTLE_RETRY_MS))
+
+
+def _holds_nothing(_program: spending.ProgramKey) -> bool:
+    """Tells that this host is no home."""
+    return False
