--- a/tests/test_entry/test_budgets.py
+++ b/tests/test_entry/test_budgets.py
@@ -78,6 +78,8 @@
         home: Its address.
     """
 
+    max_homes = 1
+
     def __init__(self, own: str, home: str) -> None:
         self.home = home
         self._own = own
@@ -96,6 +98,13 @@
     def others(self) -> list[homes_lib.HostAddress]:
         return []
 
+    @property
+    def is_home(self) -> bool:
+        return self.home == self._own
+
+    def refresh(self) -> None:
+        pass
+
 
 class _Links:
     """Calls homes in this process.
