Free tokens of calls that were given up before they were carried out

Callers would see a 402 for a budget that holds more turns: a reserve call that timed out sends its settlement at once, and a busy home gets that before it has set the tokens aside; it then held them for ever. So it did if the caller left during the call: the cancelled call sent no settlement at all.

Change: a home remembers settlements without a reservation, and frees what is set aside for them later. A cancelled call is settled like one that timed out. That gRPC cancels the home's handler at the deadline leaks nothing: test_a_cancelled_handler_holds_nothing cancels it at each step, and passed before too (a grant whose answer it missed is found by the round of returns).

Fails before: test_a_settlement_before_its_reservation_frees_it: AssertionError: 1 == 1 (RESERVED) test_a_caller_that_leaves_costs_no_tokens (steps 4 to 7): tokens leaked

--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -20,6 +20,8 @@
     from mangotally.entry import homes as homes_lib
 
 MAX_RESERVATIONS = 50_000
+# Far more than the calls that can be under way.
+MAX_SETTLED_EARLY = 10_000
 # A home may need a call of the log, which may be slow.
 HOME_TIMEOUT_MS = 300
 # Least time for the log after a home did not answer.
@@ -165,6 +167,9 @@
         self._reserved: collections.OrderedDict[
             str, tuple[spending.Purse, int]
         ] = collections.OrderedDict()
+        self._settled_early: collections.OrderedDict[str, bool] = (
+            collections.OrderedDict()
+        )
 
     async def reserve(
         self, request: entry_pb2.ReserveRequest
@@ -191,6 +196,10 @@
         if verdict.purse is None:
             reply.outcome = reply.SPENT if verdict.is_spent else reply.UNKNOWN
             return reply
+        if self._settled_early.pop(request.ticket, False):
+            verdict.purse.settle(verdict.tokens, 0)
+            reply.outcome = reply.UNKNOWN
+            return reply
         reply.outcome = reply.RESERVED
         reply.tokens = verdict.tokens
         self._reserved[request.ticket] = (verdict.purse, verdict.tokens)
@@ -201,11 +210,16 @@
     async def settle(
         self, request: entry_pb2.SettleRequest
     ) -> entry_pb2.SettleReply:
-        """Ends a turn."""
+        """Ends a turn, also one that asks for its tokens at this moment."""
         found = self._reserved.pop(request.ticket, None)
         if found is not None:
             purse, tokens = found
             purse.settle(tokens, request.spent)
+        elif not request.spent:
+            # The caller waits no longer, and runs nothing on the tokens.
+            self._settled_early[request.ticket] = True
+            if len(self._settled_early) > MAX_SETTLED_EARLY:
+                self._settled_early.popitem(last=False)
         return entry_pb2.SettleReply()
 
     async def return_unused(self) -> None:
@@ -368,10 +382,13 @@
     async def _ask(
         self, granter: _Granter, request: entry_pb2.ReserveRequest
     ) -> entry_pb2.ReserveReply | None:
-        reply = await granter.reserve(request)
-        if reply is None:
-            # The home may have set tokens aside all the same.
-            self._settle(granter, request.ticket, 0)
+        reply = None
+        try:
+            reply = await granter.reserve(request)
+        finally:
+            if reply is None:
+                # The home may have set tokens aside all the same.
+                self._settle(granter, request.ticket, 0)
         return reply
 
     def _settle(self, granter: _Granter, ticket: str, spent: int) -> None:
--- a/tests/test_entry/test_budgets.py
+++ b/tests/test_entry/test_budgets.py
@@ -218,3 +218,71 @@
         await self._reserve(600)
         await self._reserve()
         await self._assert_all_free("a")
+
+    async def test_a_settlement_before_its_reservation_frees_it(self) -> None:
+        home = self.links.homes["a"]
+        await home.settle(entry_pb2.SettleRequest(ticket="t", spent=0))
+        reply = await home.reserve(
+            entry_pb2.ReserveRequest(
+                program=PROGRAM, budget=500, tokens=280, ticket="t", wait_ms=1
+            )
+        )
+        self.assertNotEqual(reply.outcome, reply.RESERVED)
+        await self._assert_all_free("a")
+
+    async def test_a_caller_that_leaves_costs_no_tokens(self) -> None:
+        for steps in range(8):
+            with self.subTest(steps=steps):
+                await self._cancel_caller(steps)
+
+    async def _cancel_caller(self, steps: int) -> None:
+        self.setUp()
+        reached = asyncio.Event()
+
+        async def answer_late() -> None:
+            request = entry_pb2.ReserveRequest(
+                program=PROGRAM,
+                budget=500,
+                tokens=280,
+                ticket="c/0",
+                wait_ms=1,
+            )
+            await self.links.homes["a"].reserve(request)
+            reached.set()
+            await asyncio.sleep(60)
+
+        self.links.before_reserve = answer_late
+        task = asyncio.ensure_future(self._reserve())
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        if steps == 7:
+            await reached.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await self._assert_all_free("a")
+
+    async def test_a_cancelled_handler_holds_nothing(self) -> None:
+        for steps in range(9):
+            with self.subTest(steps=steps):
+                await self._cancel_handler(steps)
+
+    async def _cancel_handler(self, steps: int) -> None:
+        self.setUp()
+        home = self.links.homes["a"]
+        task = asyncio.ensure_future(
+            home.reserve(
+                entry_pb2.ReserveRequest(
+                    program=PROGRAM,
+                    budget=500,
+                    tokens=280,
+                    ticket="t",
+                    wait_ms=1,
+                )
+            )
+        )
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await home.settle(entry_pb2.SettleRequest(ticket="t", spent=0))
+        await self._assert_all_free("a")
