Wait for a home as long as it was told that it may take

What callers saw: turns of programs whose budget was held by other turns took 300 ms longer and then asked the log beside the home; the home counted as silent, and other requests had their rate and place decided without it. Cause: a reservation may wait at the home for turns under way, up to the objective of the turn (250 ms) and one look more, but its host gave up after 300 ms. The test failed before: 300 not greater than 360.0 (test_a_home_that_waits_for_turns_is_not_given_up).

--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -24,6 +24,9 @@
 MAX_SETTLED_EARLY = 10_000
 # A home may need a call of the log, which may be slow.
 HOME_TIMEOUT_MS = 300
+# Beyond the time that a home may wait for turns under way: its last look, a
+# call of the log and the way between the hosts.
+HOME_MARGIN_MS = 200
 # Least time for the log after a home did not answer.
 ALONE_MS = 200
 SETTLE_TIMEOUT_MS = 300
@@ -372,7 +375,7 @@
             return None
         return _Granter(
             lambda request: self._links.reserve(
-                address, request, HOME_TIMEOUT_MS
+                address, request, _patience_ms(request)
             ),
             lambda request: self._links.settle(
                 address, request, SETTLE_TIMEOUT_MS
@@ -407,3 +410,8 @@
 def _holds_nothing(_program: spending.ProgramKey) -> bool:
     """Tells that this host is no home."""
     return False
+
+
+def _patience_ms(request: entry_pb2.ReserveRequest) -> float:
+    """Returns how long a home's answer to a reservation is waited for."""
+    return max(HOME_TIMEOUT_MS, request.wait_ms + HOME_MARGIN_MS)
