Bound an answer of the store at 4 MiB

Cause: the body was read whole, whatever its size, until the call's time-out: with an answer without end a host's memory was bounded by time alone.

Change: above 4 MiB the answer is Unavailable('oversize-answer') and its connection is closed. Reads ask for 1 MiB.

Failed first (tests.test_platform.test_store.EndlessAnswerTest): test_body_without_end: AssertionError: Unavailable(reason='timeout') != Unavailable(reason='oversize-answer') (at the time-out of 2 s).

--- a/mangotally/platform/http.py
+++ b/mangotally/platform/http.py
@@ -9,10 +9,13 @@
 
 from mangotally.platform import store
 from mangotally.util import clock as clock_lib
+from mangotally.util import responses
 
 CONNECT_TIMEOUT_MS = 400
 IDLE_CONNECTION_MS = 20_000
 MAX_CONNECTIONS = 16
+# Reads ask for 1 MiB at most; a record that is larger comes by itself.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
 class DirectTransport:
@@ -63,7 +66,10 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                return store.Reply(response.status, await response.read())
+                body = await responses.read_limited(response, MAX_ANSWER_BYTES)
+                if body is None:
+                    return store.Unavailable("oversize-answer")
+                return store.Reply(response.status, body)
         except TimeoutError:
             return store.Unavailable("timeout")
         except (aiohttp.ClientError, OSError) as error:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
 from mangotally.entry import log as log_lib
 from mangotally.platform import failover, http, standin_store, store
 from mangotally.util import clock as clock_lib
+from tests import raw_server
+
+if TYPE_CHECKING:
+    import asyncio
 
 TOPIC = log_lib.Topic("t")
 
@@ -34,6 +39,29 @@
         return store.Reply(429, b"")
 
 
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """An answer without end is no answer of the store."""
+
+    async def test_body_without_end(self) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            head = b"HTTP/1.1 200 OK\r\n\r\n"
+            await server.send_endlessly(writer, head, b"x")
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        address = server.url.removeprefix("http://")
+        direct = await self.enterAsyncContext(http.DirectTransport(address))
+        call = store.Call("GET", "/", timeout_ms=2000)
+        found = await direct.call(call)
+        self.assertEqual(found, store.Unavailable("oversize-answer"))
+        await server.wait_until_closed()
+        self.assertLess(server.sent_bytes, 16 * 1024 * 1024)
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Appends, reads, keys and groups."""
 
