Take a change of protocol for no answer

Cause: a 101 without an Upgrade header, with the id and signature of the request, passed as a whole answer without a body and would have been sent to the caller.

Change: a status below 200 is Broken('no-final-answer').

Failed first (tests.test_entry.test_sending.InterimAnswerTest): test_change_of_protocol: AssertionError: Whole(status=101, ...) test_change_of_protocol_with_its_name passed before (OversizeAnswerError).

Also a test, which passed from the start, that a request that meets a reset on a connection used before may have run and is not sent again by the library: IdleConnectionTest.test_a_request_that_meets_a_reset_may_have_run.

--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -237,6 +237,8 @@
     def _check(
         self, response: aiohttp.ClientResponse, request: Outgoing
     ) -> Broken | None:
+        if response.status < _OK:
+            return Broken("no-final-answer")
         echoed = response.headers.get(self._names.request_id)
         is_ok = response.status < 300
         if echoed != request.id and (is_ok or echoed is not None):
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -31,6 +31,7 @@
 )
 ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
 EXTRA = ANSWER.replace(b"r1", b"r0").replace(b"ok", b"no")
+PROTOCOL_CHANGE = HEAD.replace(b"200 OK", b"101 Switching Protocols")
 INTERIM = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
 BODY = (HEAD + b"\r\n", b"x")
 SMALL_CHUNKS = (CHUNKED, b"1\r\nx\r\n")
@@ -108,6 +109,17 @@
         self.assertLess(sent_bytes, BUFFERED_BYTES)
 
 
+class InterimAnswerTest(SendingTest):
+    """An answer that announces another one is none."""
+
+    async def test_change_of_protocol(self) -> None:
+        await self.check_endless(PROTOCOL_CHANGE + b"\r\n", b"x")
+
+    async def test_change_of_protocol_with_its_name(self) -> None:
+        name = b"Connection: upgrade\r\nUpgrade: x\r\n\r\n"
+        await self.check_endless(PROTOCOL_CHANGE + name, b"x")
+
+
 class EndlessBodyTest(SendingTest):
     """A body without end is no answer; its connection is closed."""
 
@@ -328,6 +340,7 @@
         self.head = HEAD
         self.work_s = 0.0
         self.used: list[int] = []
+        self.is_dropped = False
 
     async def test_is_used_again(self) -> None:
         await self._send()
@@ -372,6 +385,14 @@
             await self._send()
         self.assertEqual(self.used, [2, 2, 2])
 
+    async def test_a_request_that_meets_a_reset_may_have_run(self) -> None:
+        await self._send()
+        self.is_dropped = True
+        outcome = await self.send(self.server)
+        assert isinstance(outcome, sending.Broken), outcome
+        self.assertEqual(self.server.connections, 1)
+        self.assertEqual(len(self.server.requests), 2)
+
     async def test_one_that_the_target_closed_is_not_idle(self) -> None:
         await self._send()
         self.server.close_connections()
@@ -395,5 +416,8 @@
         while True:
             await server.read_request(reader)
             self.used.append(number)
+            if self.is_dropped:
+                writer.transport.abort()
+                return
             await asyncio.sleep(self.work_s * number)
             writer.write(self.head + b"Content-Length: 2\r\n\r\nok")
