Parse what was held back when a reader has caught up

The library hands no bytes to the connection to have it parse what it held back; the new handler passed that over, so that a large answer (from 32 KiB on) whose last bytes had arrived waited until the deadline.

Change: a call without bytes goes to the library.

Failed first (tests.test_entry.test_sending.LargeBodyTest): test_with_a_length: AssertionError: Broken(reason='timeout', is_timeout=True) Now it passes; chunks and an answer to the end of its connection passed before.

Also: bytes_after_answer names the address.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -119,7 +119,10 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Takes what has arrived."""
+        """Takes what has arrived; nothing means to parse what is held back."""
+        if not data:
+            super().data_received(data)
+            return
         while data and not self._has_head and self._exception is None:
             size = _head_part_size(data)
             self._take(data[:size])
@@ -185,9 +188,14 @@
 
     def _drop(self, what: str) -> None:
         """Closes the connection: what came belongs to no request."""
-        logger.info("bytes_after_answer", extra={"what": what})
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None or self.transport.is_closing():
+            return
+        host, port = self.transport.get_extra_info("peername")[:2]
+        logger.info(
+            "bytes_after_answer",
+            extra={"what": what, "address": f"{host}:{port}"},
+        )
+        self.transport.abort()
 
     def _release(self) -> None:
         """Counts the answer no longer."""
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -32,6 +32,7 @@
 ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
 EXTRA = ANSWER.replace(b"r1", b"r0").replace(b"ok", b"no")
 PROTOCOL_CHANGE = HEAD.replace(b"200 OK", b"101 Switching Protocols")
+SIZE = 900_000
 INTERIM = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
 BODY = (HEAD + b"\r\n", b"x")
 SMALL_CHUNKS = (CHUNKED, b"1\r\nx\r\n")
@@ -147,6 +148,38 @@
         self.assertLess(sent_bytes, bound)
 
 
+class LargeBodyTest(SendingTest):
+    """A large answer within its bound is read whole."""
+
+    async def test_with_a_length(self) -> None:
+        await self._check(b"Content-Length: %d\r\n\r\n%s" % (SIZE, b"x" * SIZE))
+
+    async def test_in_chunks(self) -> None:
+        chunk = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
+        chunks = chunk * (SIZE // 1000) + b"0\r\n\r\n"
+        await self._check(b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+
+    async def test_to_the_end_of_the_connection(self) -> None:
+        await self._check(b"\r\n" + b"x" * SIZE, is_closed=True)
+
+    async def _check(self, rest: bytes, is_closed: bool = False) -> None:
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(HEAD + rest)
+            await writer.drain()
+            if not is_closed:
+                await reader.read()
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        outcome = await self.send(server)
+        assert isinstance(outcome, sending.Whole), outcome
+        self.assertEqual(outcome.body, b"x" * SIZE)
+
+
 class GarbledBodyTest(SendingTest):
     """A body that can't be read on ends its request at once."""
 
