--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,7 +17,7 @@
 from tests.soak import store as store_lib
 from tests.soak.shapes import Kind
 
-MAX_LENGTH_MS = 4000.0
+MAX_LENGTH_MS = 6000.0
 MIN_LENGTH_MS = 200.0
 # Faults of a series begin within this time of its first.
 SERIES_MS = 1500.0
@@ -27,6 +27,7 @@
 MAX_DOWN_MS = 2000.0
 DRAIN_MS = 2000.0
 MANY_SHARE = 0.5
+RESET_GAP_MS = 150.0
 
 
 class FaultKind(enum.Enum):
@@ -70,6 +71,16 @@
     }
 )
 
+# Kinds that meet a request at a bad moment by chance only come more often.
+_WEIGHTS = {
+    FaultKind.RESET: 2,
+    FaultKind.STORE_HANG: 2,
+    FaultKind.STORE_REFUSE: 2,
+    FaultKind.TARGET_FAULTS: 4,
+    FaultKind.WITHDRAW_KEY: 4,
+}
+_KINDS = [each for each in FaultKind for _ in range(_WEIGHTS.get(each, 1))]
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -98,7 +109,7 @@
             at_ms = begin_ms + chance.uniform(0.0, SERIES_MS)
             left_ms = max(0.0, length_ms - at_ms)
             usual_ms = chance.uniform(MIN_LENGTH_MS, MAX_LENGTH_MS)
-            kind = chance.choice(list(FaultKind))
+            kind = chance.choice(_KINDS)
             fault = Fault(
                 at_ms, kind, min(usual_ms, left_ms), chance.getrandbits(32)
             )
@@ -275,7 +286,13 @@
         share = chance.choice((0.3, 1.0))
         for link in links:
             _harm(link, fault.kind, share, chance)
-        await _last(fault)
+        if fault.kind is FaultKind.RESET:
+            for _ in range(int(fault.length_ms / RESET_GAP_MS)):
+                await asyncio.sleep(clock_lib.to_seconds(RESET_GAP_MS))
+                for link in links:
+                    link.reset(share, chance)
+        else:
+            await _last(fault)
         for link in links:
             link.heal()
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -178,7 +178,7 @@
         headers: dict[str, str],
         run: oracle_lib.Run,
     ) -> web.StreamResponse:
-        await self._work()
+        await self._work(SLOW_FACTOR if self._suffers(SLOW_SHARE) else 1.0)
         response = web.StreamResponse(status=run.status, headers=headers)
         how = self._chance.randrange(3)
         if how == 0:
