--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,8 @@
 DRAIN_MS = 2000.0
 MANY_SHARE = 0.5
 RESET_GAP_MS = 150.0
+# Outages in which a key is withdrawn.
+UNSEEN_SHARE = 0.5
 
 
 class FaultKind(enum.Enum):
@@ -299,21 +301,34 @@
     async def _harm_store(self, fault: Fault, chance: random.Random) -> None:
         self._note_fault(fault, "")
         store = self._world.store
+        usual = standin_store.Faults()
         match fault.kind:
             case FaultKind.STORE_REFUSE:
                 store.faults.refuse = True
+                await self._last_unseen(fault, chance)
+                store.faults.refuse = usual.refuse
             case FaultKind.STORE_HANG:
                 store.faults.hang = True
+                await self._last_unseen(fault, chance)
+                store.faults.hang = usual.hang
             case FaultKind.STORE_SLOW:
                 store.faults.delay_ms = chance.uniform(5.0, 2 * MAX_DELAY_MS)
+                await _last(fault)
+                store.faults.delay_ms = usual.delay_ms
             case FaultKind.STORE_LOSE:
                 store.faults.lose_answers = chance.choice((0.1, 0.5))
+                await _last(fault)
+                store.faults.lose_answers = usual.lose_answers
             case FaultKind.STORE_LATE:
                 store.late_writes = chance.choice((0.1, 0.5))
+                await _last(fault)
+                store.late_writes = 0.0
+
+    async def _last_unseen(self, fault: Fault, chance: random.Random) -> None:
+        """Lets an outage last; at times a key goes that no host can see."""
+        if chance.random() < UNSEEN_SHARE:
+            await self._withdraw_key(fault, chance)
         await _last(fault)
-        late, store.faults = store.late_writes, standin_store.Faults()
-        if fault.kind is not FaultKind.STORE_LATE:
-            store.late_writes = late
 
     async def _rebalance(self, fault: Fault, chance: random.Random) -> None:
         for _ in range(chance.choice((1, 1, 3))):
