--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -5,16 +5,12 @@
 import asyncio
 import time
 import unittest
-from typing import TYPE_CHECKING
 
 from mangotally.entry import log as log_lib
 from mangotally.platform import failover, http, standin_store, store
 from mangotally.util import clock as clock_lib
 from tests import raw_server
 
-if TYPE_CHECKING:
-    import asyncio
-
 TOPIC = log_lib.Topic("t")
 
 
