Return tokens at the stop even if a home does not hear of a turn's end

A host that stops waited for its settlements and returned tokens after that, all within 0.25 s; a settlement that is told again to a silent home takes longer, and the return was left out. Each step now has its own time. Found in review; there is no test of it.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -56,7 +56,7 @@
 # Time kept at the end of the grace for closing.
 CLOSE_MS = 500
 POLL_MS = 50
-# Half of the time for closing; the store may be away.
+# For each of two steps; homes or the store may be away.
 RETURN_TOKENS_MS = CLOSE_MS / 2
 # Knowledge of this age still leaves time to serve a request.
 READY_AGE_MS = 3500.0
@@ -132,7 +132,8 @@
             if is_quiet and self._clock.now_ms() > quiet_ms:
                 break
             await asyncio.sleep(clock_lib.to_seconds(POLL_MS))
-        await _try_for(RETURN_TOKENS_MS, self._budgets.close())
+        await _try_for(RETURN_TOKENS_MS, self._budgets.wait_idle())
+        await _try_for(RETURN_TOKENS_MS, self._budgets.return_unused())
         await self._stack.aclose()
         logger.info("stopped", extra={"under_way": self._handler.under_way})
 
--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -295,13 +295,9 @@
         await self._home.return_unused()
         await self._own.return_unused(_holds_nothing)
 
-    async def close(self) -> None:
-        """Lets what is under way end, and returns all that is left.
-
-        This host must have left the group of homes before.
-        """
+    async def wait_idle(self) -> None:
+        """Waits until all homes have heard of the ends of their turns."""
         await self._tasks.wait_idle()
-        await self.return_unused()
 
     async def reserve(
         self,
