--- a/mangotally/entry/budgets.py
+++ b/mangotally/entry/budgets.py
@@ -24,9 +24,9 @@
 MAX_SETTLED_EARLY = 10_000
 # A home may need a call of the log, which may be slow.
 HOME_TIMEOUT_MS = 300
-# Beyond the time that a home may wait for turns under way: its last look, a
-# call of the log and the way between the hosts.
-HOME_MARGIN_MS = 200
+# How long a home lets a turn of another host wait for turns under way: its
+# answer must come before that host takes it for silent.
+HOME_WAIT_MS = 150
 # Least time for the log after a home did not answer.
 ALONE_MS = 200
 SETTLE_TIMEOUT_MS = 300
@@ -295,13 +295,9 @@
         await self._home.return_unused()
         await self._own.return_unused(_holds_nothing)
 
-    async def close(self) -> None:
-        """Lets what is under way end, and returns all that is left.
-
-        This host must have left the group of homes before.
-        """
+    async def wait_idle(self) -> None:
+        """Waits until all homes have heard of the ends of their turns."""
         await self._tasks.wait_idle()
-        await self.return_unused()
 
     async def reserve(
         self,
@@ -375,7 +371,7 @@
             return None
         return _Granter(
             lambda request: self._links.reserve(
-                address, request, _patience_ms(request)
+                address, _for_other_host(request), HOME_TIMEOUT_MS
             ),
             lambda request: self._links.settle(
                 address, request, SETTLE_TIMEOUT_MS
@@ -412,6 +408,11 @@
     return False
 
 
-def _patience_ms(request: entry_pb2.ReserveRequest) -> float:
-    """Returns how long a home's answer to a reservation is waited for."""
-    return max(HOME_TIMEOUT_MS, request.wait_ms + HOME_MARGIN_MS)
+def _for_other_host(
+    request: entry_pb2.ReserveRequest,
+) -> entry_pb2.ReserveRequest:
+    """Returns a request whose answer comes in time."""
+    found = entry_pb2.ReserveRequest()
+    found.CopyFrom(request)
+    found.wait_ms = min(request.wait_ms, HOME_WAIT_MS)
+    return found
