--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 import dataclasses
 import logging
 import os
+import signal
 from pathlib import Path
 
 from tests.soak import regressions, soak
@@ -40,12 +41,21 @@
         ]
     findings = 0
     for seed, size in runs:
-        report = asyncio.run(soak.run(seed, size))
+        report = asyncio.run(_run(seed, size))
         print(report, flush=True)
         findings += len(report.findings)
     return 1 if findings else 0
 
 
+async def _run(seed: int, size: soak.Options) -> soak.Report:
+    """Runs a seed; ended early, the soak still ends its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await soak.run(seed, size)
+
+
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     usual = soak.Options()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -192,7 +192,6 @@
 
     async def _start(self) -> None:
         enter = self._stack.enter_async_context
-        self._stack.push_async_callback(self._stop_tasks)
         await enter(self._store)
         self._stack.callback(self._kill_hosts)
         for target in self._targets:
@@ -223,6 +222,7 @@
                 configuration,
             )
         )
+        self._stack.push_async_callback(self._stop_tasks)
         self._start_task(self._balancer.run())
 
     async def _start_hosts(self) -> None:
