--- a/mangotally/entry/__main__.py
+++ b/mangotally/entry/__main__.py
@@ -13,7 +13,7 @@
 # Settings are read after this; by default the signal would end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from mangotally.entry import command
+from mangotally.entry import command  # noqa: E402
 
 
 def main() -> None:
