Record returned tokens at a known end only

What callers could see: a program handed out more tokens than its budget and the most of one turn (BUDGET). Cause: a host that had stood in for a home returned tokens with an append without a condition, 'tried once'. But the transport sends a call again through another host when its answer is lost, so that both may be carried out. Now they are recorded as all other grants and returns are: at the end that was read, so that a copy is refused, and again until they are found. The test failed before: -200 != -100 (test_a_return_that_is_sent_twice_counts_once). Elsewhere: turns are appended without a condition, where a second copy does no harm; join and leave of the group may be carried out late, listed as open.

--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -132,10 +132,11 @@
     ) -> None:
         """Returns tokens that were taken from the log.
 
-        That is tried once: tokens that may have been returned already are
-        rather lost than returned twice.
+        What can't be recorded now is recorded with what is not used.
         """
-        await self._partition(program).give_back(program, tokens)
+        partition = self._partition(program)
+        partition.add_return(program, tokens)
+        await partition.record_returns()
 
     async def return_unused(
         self, holds: Callable[[spending.ProgramKey], bool]
@@ -468,14 +469,6 @@
                 if self.has_unrecorded and await self._append([]):
                     return
 
-    async def give_back(
-        self, program: spending.ProgramKey, tokens: int
-    ) -> None:
-        """Records that tokens were not needed."""
-        entry = self._entry(spending.Grant(program, -tokens))
-        await self._log.append(TOPIC, self._number, [entry.record])
-        self._is_read = False
-
     def _is_spent(self, wish: _Wish) -> bool:
         """Returns whether what was read a moment ago leaves nothing."""
         if self._next_grant(wish):
--- a/tests/test_platform/test_relay.py
+++ b/tests/test_platform/test_relay.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import struct
 import time
 import unittest
+from urllib import parse as urls
 
 from mangotally import ids
-from mangotally.entry import entry_pb2, homes
+from mangotally.entry import allowances, entry_pb2, homes
 from mangotally.entry import log as log_lib
 from mangotally.platform import failover, relay, store
+from mangotally.policy import spending
 from mangotally.util import clock as clock_lib
 
 SILENT_S = 0.3
@@ -58,6 +62,56 @@
         return await relay.call_for_other(self._ways[address], request)
 
 
+class _Recording:
+    """A store that carries out every append, without `At` too.
+
+    The answer of the direct way is lost, so that the call is sent again.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+
+    async def call(self, call: store.Call) -> log_lib.Unavailable:
+        self._do(call)
+        return log_lib.Unavailable("timeout")
+
+    async def relay(self, call: store.Call) -> store.Reply:
+        return self._do(call)
+
+    def _do(self, call: store.Call) -> store.Reply:
+        query = urls.parse_qs(urls.urlsplit(call.target).query)
+        if call.method == "GET":
+            end = len(self.records)
+            return store.Reply(200, struct.pack(">QQ", end, 0))
+        end = len(self.records)
+        if int(query.get("At", [end])[0]) != end:
+            return store.Reply(412, json.dumps({"EndOffset": end}).encode())
+        self.records.append(call.body[4:])
+        body = {"Offset": end, "EndOffset": end + 1}
+        return store.Reply(200, json.dumps(body).encode())
+
+
+class ReturnTest(unittest.IsolatedAsyncioTestCase):
+    """Tokens that a host returns whose home did not answer."""
+
+    async def test_a_return_that_is_sent_twice_counts_once(self) -> None:
+        clock = clock_lib.ManualClock()
+        recording = _Recording()
+        transport = failover.FailoverTransport(recording, recording, clock)
+        own = allowances.Allowances(
+            store.Store(transport),
+            ids.HostId("h/alone"),
+            1,
+            spending.EXACT_PARTS,
+            clock,
+        )
+        await own.give_back(spending.ProgramKey("org/p"), 100)
+        for _ in range(3):
+            await own.return_unused(lambda _program: False)
+        returned = sum(json.loads(each)[1] for each in recording.records)
+        self.assertEqual(returned, -100)
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """Half of the other hosts are cut off the store as well."""
 
