Do not take a sound way to the store for lost

Cause: a relayed read that waits up to 1,000 ms for news got 700 ms; its time-out then counted against the host that carried it, which told all others that it is cut off and sent its own calls through them. And one answer of 429 made a way lost, though the limit is shared by all hosts. Now a relayed call gets the time that it lets the store wait besides; a failure of a call for another host only has the way probed; a way is lost by 429 only at the second in a row. The tests failed before: 'True is not false' twice (test_a_call_for_another_host_that_fails_loses_no_way, test_one_call_over_the_limit_loses_no_way), and Unavailable('no host reaches the store') (test_a_read_that_waits_is_waited_for).

--- a/mangotally/platform/failover.py
+++ b/mangotally/platform/failover.py
@@ -19,7 +19,11 @@
 PROBE = store.Call("GET", "/log-owners?group=none", timeout_ms=RETRY_DIRECT_MS)
 # The answer of a host that knows that it does not reach the store.
 CUT_OFF = store.Unavailable("cut-off")
-_BUSY = frozenset({429, 503})
+_OVER_LIMIT = 429
+_BUSY = frozenset({_OVER_LIMIT, 503})
+# The limit of calls is shared by all hosts, so that one call over it says
+# little; a host that the store turns away gets no other answer.
+BUSY_IN_A_ROW = 2
 
 
 class Relay(Protocol):
@@ -51,6 +55,7 @@
         self._lost_ms: float | None = None
         self._retry_ms = 0.0
         self._probe: asyncio.Task[None] | None = None
+        self._busy = 0
 
     @property
     def is_lost(self) -> bool:
@@ -62,7 +67,10 @@
         if self._lost_ms is None:
             reply = await self._direct.call(call)
             if _is_good(reply):
+                self._busy = 0
                 return reply
+            if self._is_only_busy(reply):
+                return _or_unavailable(await self._relay.relay(call))
             self._lose(reply)
         self._probe_if_due()
         relayed = await self._relay.relay(call)
@@ -85,9 +93,17 @@
             return CUT_OFF
         reply = await self._direct.call(call)
         if not _is_good(reply):
-            self._lose(reply)
+            # The other host may have allowed too little time for it.
+            self._probe_if_due()
         return reply
 
+    def _is_only_busy(self, reply: store.Reply | store.Unavailable) -> bool:
+        """Returns whether a call was over the limit, like few before it."""
+        if not isinstance(reply, store.Reply) or reply.status != _OVER_LIMIT:
+            return False
+        self._busy += 1
+        return self._busy < BUSY_IN_A_ROW
+
     def _probe_if_due(self) -> None:
         """Tries the direct way beside the calls, which must not wait for it."""
         now_ms = self._clock.now_ms()
@@ -103,8 +119,11 @@
 
     async def _try_direct(self) -> None:
         try:
-            if _is_good(await self._direct.call(PROBE)):
+            reply = await self._direct.call(PROBE)
+            if _is_good(reply):
                 self._regain()
+            elif not self._is_only_busy(reply):
+                self._lose(reply)
         finally:
             self._probe = None
 
@@ -122,6 +141,7 @@
             return
         lost_for_ms = self._clock.now_ms() - self._lost_ms
         self._lost_ms = None
+        self._busy = 0
         logger.info("store_regained", extra={"lost_for_ms": lost_for_ms})
 
 
@@ -129,6 +149,12 @@
     return isinstance(reply, store.Reply) and reply.status not in _BUSY
 
 
+def _or_unavailable(
+    reply: store.Reply | store.Unavailable,
+) -> store.Reply | store.Unavailable:
+    return reply if _is_good(reply) else _as_unavailable(reply)
+
+
 def _as_unavailable(
     reply: store.Reply | store.Unavailable,
 ) -> store.Unavailable:
--- a/mangotally/platform/relay.py
+++ b/mangotally/platform/relay.py
@@ -41,17 +41,18 @@
 
     async def relay(self, call: store.Call) -> store.Reply | Unavailable:
         """Returns the store's answer to a call made by another host."""
+        timeout_ms = CALL_MS + call.wait_ms
         request = entry_pb2.StoreCall(
             method=call.method,
             target=call.target,
             body=call.body,
             is_json=call.is_json,
-            timeout_ms=CALL_MS,
+            timeout_ms=timeout_ms,
         )
         failed = 0
         for address in self._ranked()[:MAX_ASKED]:
             reply = await self._links.call_store(
-                address, request, CALL_MS + MARGIN_MS
+                address, request, timeout_ms + MARGIN_MS
             )
             if reply is not None and reply.status:
                 self._last = address
--- a/mangotally/platform/store.py
+++ b/mangotally/platform/store.py
@@ -41,6 +41,7 @@
         body: Body, may be empty.
         is_json: Whether the body is JSON rather than records.
         timeout_ms: How long an answer is waited for.
+        wait_ms: How much of that the store may take to wait for news.
     """
 
     method: str
@@ -48,6 +49,7 @@
     body: bytes = b""
     is_json: bool = False
     timeout_ms: float = CALL_TIMEOUT_MS
+    wait_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,10 +159,7 @@
         }  # fmt: skip
         if wait_ms:
             query["WaitMs"] = wait_ms
-        timeout_ms = CALL_TIMEOUT_MS + wait_ms
-        reply = await self._call(
-            "GET", "/log-read", query, timeout_ms=timeout_ms
-        )
+        reply = await self._call("GET", "/log-read", query, wait_ms=wait_ms)
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == _OK and len(reply.body) >= _ENDS.size:
@@ -259,10 +258,16 @@
         path: str,
         query: dict[str, object],
         body: bytes = b"",
-        timeout_ms: float = CALL_TIMEOUT_MS,
+        wait_ms: float = 0.0,
     ) -> Reply | Unavailable:
         target = f"{path}?{urls.urlencode(query)}"
-        call = Call(method, target, body, timeout_ms=timeout_ms)
+        call = Call(
+            method,
+            target,
+            body,
+            timeout_ms=CALL_TIMEOUT_MS + wait_ms,
+            wait_ms=wait_ms,
+        )
         return await self._transport.call(call)
 
 
--- a/tests/test_platform/test_relay.py
+++ b/tests/test_platform/test_relay.py
@@ -29,10 +29,24 @@
 
 
 class _Good:
-    """A way to the store that works."""
+    """A way to the store that works.
 
-    async def call(self, _call: store.Call) -> store.Reply:
-        return store.Reply(200, b"{}")
+    Attributes:
+        statuses: Statuses of the next answers; then 200.
+    """
+
+    def __init__(self, statuses: tuple[int, ...] = ()) -> None:
+        self.statuses = list(statuses)
+
+    async def call(self, call: store.Call) -> store.Reply | log_lib.Unavailable:
+        wait_s = 1.0 if "WaitMs=1000" in call.target else 0.0
+        try:
+            async with asyncio.timeout(call.timeout_ms / 1000):
+                await asyncio.sleep(wait_s)
+        except TimeoutError:
+            return log_lib.Unavailable("timeout")
+        status = self.statuses.pop(0) if self.statuses else 200
+        return store.Reply(status, bytes(16))
 
 
 class _Links:
@@ -46,6 +60,9 @@
             for address, way in ways.items()
         }
 
+    def way(self, address: str) -> failover.FailoverTransport:
+        return self._ways[address]
+
     def others(self) -> list[homes.HostAddress]:
         return [
             homes.HostAddress(ids.HostId(each), each, ids.PlaceId("z"))
@@ -131,14 +148,49 @@
         self,
     ) -> None:
         for address in ("cut-1", "cut-2"):
-            request = entry_pb2.StoreCall(method="GET", target=CALL.target)
-            await self.links.call_store(address, request, 0.0)
+            await self.links.way(address).call(CALL)
         begin_s = time.monotonic()
         for _ in range(20):
             found = await self.relay.relay(CALL)
             self.assertIsInstance(found, store.Reply)
         self.assertLess(time.monotonic() - begin_s, SILENT_S)
 
+    async def test_a_read_that_waits_is_waited_for(self) -> None:
+        self.links = _Links({"good": _Good()})
+        self.relay = relay.StoreRelay(self.links)  # type: ignore[arg-type]
+        self.relay.use(self.links)  # type: ignore[arg-type]
+        waiting = store.Call(
+            "GET", "/log-read?WaitMs=1000", timeout_ms=2000, wait_ms=1000
+        )
+        found = await self.relay.relay(waiting)
+        self.assertIsInstance(found, store.Reply)
+        self.assertFalse(self.links.way("good").is_lost)
+
+    async def test_a_call_for_another_host_that_fails_loses_no_way(
+        self,
+    ) -> None:
+        links = _Links({"good": _Good()})
+        request = entry_pb2.StoreCall(
+            method="GET", target="/log-read?WaitMs=1000", timeout_ms=50.0
+        )
+        reply = await links.call_store("good", request, 0.0)
+        self.assertFalse(reply.status)
+        await asyncio.sleep(0.01)
+        self.assertFalse(links.way("good").is_lost)
+
+    async def test_one_call_over_the_limit_loses_no_way(self) -> None:
+        links = _Links({"busy": _Good((429, 200, 429, 200))})
+        found = [await links.way("busy").call(CALL) for _ in range(4)]
+        self.assertFalse(links.way("busy").is_lost)
+        self.assertIsInstance(found[0], log_lib.Unavailable)
+        self.assertIsInstance(found[1], store.Reply)
+
+    async def test_a_host_that_is_turned_away_loses_its_way(self) -> None:
+        links = _Links({"refused": _Good((429,) * 20)})
+        for _ in range(failover.BUSY_IN_A_ROW):
+            await links.way("refused").call(CALL)
+        self.assertTrue(links.way("refused").is_lost)
+
     async def test_goes_back_to_the_host_that_carried_a_call(self) -> None:
         while not isinstance(await self.relay.relay(CALL), store.Reply):
             pass
