Find turns that no longer fit into the index in memory

What callers would see: 404 for a turn that is kept (LOST). Cause: the index drops its oldest entries beyond 200,000, and the cursor has passed their records, so that they count as turns that never were. Entries have grown with the places of the turns before them: 200,000 would take some 100 MB, of hosts with 88 to 170 MB. Now 16 MiB bound it, and a partition of which something was dropped is read again from its start for a turn that is not found. Costs a read of the whole partition for each such turn. The index is a module of its own.

--- a/mangotally/entry/history.py
+++ b/mangotally/entry/history.py
@@ -8,7 +8,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from mangotally.entry import appending, turns
+from mangotally.entry import appending, turn_index, turns
 from mangotally.entry import log as log_lib
 from mangotally.policy import homes
 from mangotally.util import clock as clock_lib
@@ -22,9 +22,7 @@
 logger = logging.getLogger(__name__)
 
 CONTENT = log_lib.Topic("turns")
-INDEX = log_lib.Topic("turns.index")
 CACHE_BYTES = 24 * 1024 * 1024
-MAX_INDEX_ENTRIES = 200_000
 MAX_CHAIN_TURNS = 1000
 # A read that looks for a turn's content from a place before it.
 SEARCH_READ_KB = 64
@@ -80,21 +78,13 @@
         """
         self._log = log
         self._clock = clock
-        self._count = partition_count
         part = homes.partition_of_key(host, partition_count)
         self._content = appending.Writer(log, CONTENT, part)
         self._index_writers = [
-            appending.Writer(log, INDEX, number)
+            appending.Writer(log, turn_index.TOPIC, number)
             for number in range(partition_count)
         ]
-        self._index = [
-            log_lib.Cursor(log, INDEX, number)
-            for number in range(partition_count)
-        ]
-        self._index_locks = [asyncio.Lock() for _ in range(partition_count)]
-        # As records, of which many take little memory.
-        self._entries: collections.OrderedDict[model.TurnId, bytes]
-        self._entries = collections.OrderedDict()
+        self._index = turn_index.TurnIndex(log, partition_count)
         self._cache = _Cache()
 
     async def keep(self, turn: turns.Turn, until_ms: float) -> bool:
@@ -113,7 +103,7 @@
             turns.Location(writer.part, writer.end, size_kb),
             self._chain_of(turn.parent),
         )
-        number = homes.partition_of_key(turn.id, self._count)
+        number = self._index.partition_of(turn.id)
         index_record = turns.index_record(turn.id, entry)
         offset, indexed = await asyncio.gather(
             self._write(writer, records, until_ms),
@@ -167,26 +157,18 @@
     async def _read(
         self, name: model.TurnId
     ) -> turns.Turn | NoSuchTurn | Unknown:
-        entry = self._entry(name)
+        entry = self._index.known(name)
         if entry is None:
-            number = homes.partition_of_key(name, self._count)
-            async with self._index_locks[number]:
-                if name not in self._entries:
-                    failure = await self._read_index(number)
-                    if failure is not None:
-                        return failure
-            entry = self._entry(name)
+            found = await self._index.look_up(name)
+            if isinstance(found, log_lib.Unavailable):
+                return Unknown(f"index: {found.reason}")
+            entry = found
         if entry is None:
             return NoSuchTurn()
-        found, *_ = await asyncio.gather(
+        turn, _ = await asyncio.gather(
             self._read_content(name, entry), self._read_before(entry)
         )
-        return found
-
-    async def _read_index(self, number: int) -> Unknown | None:
-        """Reads one partition of the index to its end."""
-        failure = await self._index[number].read(self._take_index_record)
-        return None if failure is None else Unknown(f"index: {failure.reason}")
+        return turn
 
     async def _read_content(
         self, name: model.TurnId, entry: turns.Entry
@@ -255,37 +237,19 @@
                 return None
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
-    def _take_index_record(self, record: bytes) -> None:
-        try:
-            name, _ = turns.read_index_record(record)
-        except ValueError:
-            logger.error("index_record_unreadable")
-            return
-        if name not in self._entries:
-            self._enter(name, record)
-
-    def _entry(self, name: model.TurnId) -> turns.Entry | None:
-        record = self._entries.get(name)
-        return turns.read_index_record(record)[1] if record else None
-
     def _chain_of(
         self, name: model.TurnId | None
     ) -> tuple[turns.Location, ...]:
-        entry = self._entry(name) if name is not None else None
+        entry = self._index.known(name) if name is not None else None
         return entry.chain if entry is not None else ()
 
-    def _enter(self, name: model.TurnId, record: bytes) -> None:
-        self._entries[name] = record
-        if len(self._entries) > MAX_INDEX_ENTRIES:
-            self._entries.popitem(last=False)
-
     def _locate(
         self, turn: turns.Turn, entry: turns.Entry, offset: log_lib.Offset
     ) -> None:
         """Remembers a turn, and where it is."""
         location = dataclasses.replace(entry.location, offset=offset)
         exact = dataclasses.replace(entry, location=location, is_exact=True)
-        self._enter(turn.id, turns.index_record(turn.id, exact))
+        self._index.put(turn.id, exact)
         self._cache.put(turn, location)
 
 
--- a/tests/test_entry/test_history.py
+++ b/tests/test_entry/test_history.py
@@ -6,7 +6,7 @@
 import unittest
 
 from mangotally import ids
-from mangotally.entry import history, model, turns
+from mangotally.entry import history, model, turn_index, turns
 from mangotally.policy import homes
 from mangotally.util import clock as clock_lib
 from tests.test_entry import fake_log
@@ -78,6 +78,21 @@
         # The index, then all contents at once.
         self.assertLessEqual(self.log.rounds, 4)
 
+    async def test_a_turn_that_is_no_longer_in_the_index_is_found(self) -> None:
+        before = turn_index.MAX_BYTES
+        self.addCleanup(setattr, turn_index, "MAX_BYTES", before)
+        turn_index.MAX_BYTES = 1000
+        for number in range(20):
+            await self._keep(self.one, _turn(f"t{number}", None, b"1"))
+            await self._chain(self.two, f"t{number}")
+        new = self._host("new")
+        for number in (19, 0, 5):
+            found = await self._chain(new, f"t{number}")
+            self.assertEqual(found, history.Chain(b"1", 1), number)
+        self.assertIsInstance(
+            await self._chain(new, "none"), history.NoSuchTurn
+        )
+
     async def test_a_deleted_turn_is_not_mixed_up_with_the_next(self) -> None:
         await self._keep(self.one, _turn("a", None, b"1"))
         await self._keep(self.one, _turn("b", "a", b"2"))
