--- a/mangotally/policy/fairness.py
+++ b/mangotally/policy/fairness.py
@@ -5,14 +5,17 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from typing import TYPE_CHECKING
 
-from mangotally.policy import pools
+from mangotally.policy import ordinary, pools
 
 if TYPE_CHECKING:
     from mangotally import ids
 
 MAX_PASSED = 16
+# (1 + this) * `Headroom.ordinary` is above 1: use held back does not shrink.
+LEARNT_BACKLOG = 0.25
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -49,11 +52,36 @@
         fill: Share of a target's slots above which it is kept.
         floor: Share of the pool's slots that any organisation may use.
         average_ms: Time over which an organisation's calls are averaged.
+        surge_fill: Share of a target's slots above which it takes no more
+            calls of an organisation in a surge.
+        backlog: Waiting calls per running call from which an organisation
+            is in a surge, if it has its ordinary use.
+        ordinary: Share of its ordinary use that it keeps in a surge.
+        ordinary_ms: Time over which the ordinary use is averaged.
     """
 
     fill: float = 0.75
     floor: float = 0.15
     average_ms: float = 30_000.0
+    surge_fill: float = 0.3
+    backlog: float = 0.5
+    ordinary: float = 0.9
+    ordinary_ms: float = 1_200_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reserve:
+    """Whom a target takes no more calls of.
+
+    Attributes:
+        slots: Slots of the pool.
+        from_over: Of organisations above their share.
+        from_surging: Of organisations in a surge.
+    """
+
+    slots: int
+    from_over: bool
+    from_surging: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +128,9 @@
         self.accounts: dict[ids.OrganisationId, Account] = {}
         self.now = 0.0
         self._headroom = headroom
+        self._use = ordinary.OrdinaryUse(
+            headroom.ordinary_ms if headroom else math.inf
+        )
         self._active_share = 0.0
 
     def enter(self, organisation: ids.OrganisationId, share: float) -> None:
@@ -132,6 +163,7 @@
         account.tag += (tokens - used) / account.share
         account.waiting -= 1
         account.change_inside(1, self._average_ms, now_ms)
+        self._note_use(organisation, account, now_ms)
 
     def settle(
         self, organisation: ids.OrganisationId, change: float, now_ms: float
@@ -139,6 +171,7 @@
         """Corrects the charge of a call that ended."""
         account = self.accounts[organisation]
         account.change_inside(-1, self._average_ms, now_ms)
+        self._note_use(organisation, account, now_ms)
         if change > 0:
             account.tag += change / account.share
         else:
@@ -149,11 +182,54 @@
         """Returns the virtual time of an organisation with calls."""
         return self.accounts[organisation].tag
 
-    def spares(self, load: int, slots: int) -> bool:
-        """Returns whether a target keeps its free slots."""
-        if self._headroom is None:
+    def reserve(self, load: int, own: int, slots: int) -> Reserve | None:
+        """Returns whom a target takes no calls of, None if of everybody.
+
+        Args:
+            load: Calls at the target.
+            own: Slots of the target.
+            slots: Slots of the pool.
+        """
+        headroom = self._headroom
+        if headroom is None:
+            return None
+        from_over = load >= headroom.fill * own
+        from_surging = load >= headroom.surge_fill * own
+        if not (from_over or from_surging):
+            return None
+        return Reserve(slots, from_over, from_surging)
+
+    def is_kept_from(
+        self, organisation: ids.OrganisationId, reserve: Reserve
+    ) -> bool:
+        """Returns whether a target takes no calls of an organisation."""
+        if reserve.from_over and self.is_over(organisation, reserve.slots):
+            return True
+        return reserve.from_surging and self.is_surging(
+            organisation, reserve.slots
+        )
+
+    def is_surging(self, organisation: ids.OrganisationId, slots: int) -> bool:
+        """Returns whether an organisation sends far more than ordinarily.
+
+        Its calls queue up while it runs what it ordinarily runs.
+
+        Args:
+            organisation: An organisation with calls.
+            slots: Slots of the pool.
+        """
+        headroom = self._headroom
+        if headroom is None:
+            return False
+        account = self.accounts[organisation]
+        if account.waiting < headroom.backlog * account.inside:
+            return False
+        if account.inside < headroom.floor * slots:
             return False
-        return load >= self._headroom.fill * slots
+        expected = self._use.expected(organisation)
+        if expected is None:
+            return False
+        return account.inside >= headroom.ordinary * expected
 
     def is_over(self, organisation: ids.OrganisationId, slots: int) -> bool:
         """Returns whether an organisation runs more than its share.
@@ -170,6 +246,15 @@
             return False
         return running * self._active_share >= account.share * slots
 
+    def _note_use(
+        self, organisation: ids.OrganisationId, account: Account, now_ms: float
+    ) -> None:
+        """Counts some waiting calls, so that lasting demand is learnt."""
+        if self._headroom is None:
+            return
+        learnt = min(account.waiting, LEARNT_BACKLOG * account.inside)
+        self._use.note(organisation, account.inside + learnt, now_ms)
+
     @property
     def _average_ms(self) -> float:
         return self._headroom.average_ms if self._headroom else 1.0
@@ -211,18 +296,19 @@
         entry.lanes.append(self)
         self.size += 1
 
-    def peek(self, slots: int | None = None) -> Entry | None:
+    def peek(self, reserve: Reserve | None = None) -> Entry | None:
         """Returns the first call of the organisation with the least tag.
 
         Args:
-            slots: Slots of the pool, to pass over organisations above
-                their share of them; None to pass over none.
+            reserve: Organisations to pass over; None to pass over none.
         """
         entry = self._peek()
-        if slots is None:
+        if reserve is None:
             return entry
         passed = []
-        while entry and self._shares.is_over(entry.call.organisation, slots):
+        while entry and self._shares.is_kept_from(
+            entry.call.organisation, reserve
+        ):
             passed.append(heapq.heappop(self._order))
             entry = None if len(passed) == MAX_PASSED else self._peek()
         for item in passed:
--- a/mangotally/policy/placement.py
+++ b/mangotally/policy/placement.py
@@ -18,6 +18,7 @@
 LOAD_MEMORY = 64
 HEAP_SLACK = 64
 PREFILL_SLOWDOWN = 0.4
+Rank = tuple[bool, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,7 +136,7 @@
         self._weights = weights
         self._prefill_ms = speeds.prefill_ms(1)
         self._shares = shares
-        self._heap: list[tuple[float, ids.TargetId, int]] = []
+        self._heap: list[tuple[Rank, ids.TargetId, int]] = []
         self._absent: dict[ids.TargetId, Target] = {}
 
     def replace(self, infos: Sequence[pools.TargetInfo]) -> list[Target]:
@@ -230,11 +231,17 @@
         run_ms = fresh_ms + answer_tokens * token_ms
         return run_ms * (1.0 + over / slots) if over > 0 else run_ms
 
-    def _rank(self, target: Target) -> float:
-        """Returns the order in which targets take new programs."""
-        paused = target.resident - target.inside
-        load = target.inside + target.others
-        return load + self._weights.paused * paused if paused > 0 else load
+    def _rank(self, target: Target) -> Rank:
+        """Returns the order in which targets take new programs.
+
+        Full targets come last. A program whose call waits for its target
+        does not pause there: the call may wait for long.
+        """
+        paused = target.resident - target.inside - target.lane.size
+        load = float(target.load)
+        if paused > 0:
+            load += self._weights.paused * paused
+        return target.load >= target.info.slots, load
 
     def _rebuild(self) -> None:
         self._heap = [
--- a/mangotally/policy/scheduler.py
+++ b/mangotally/policy/scheduler.py
@@ -254,26 +254,26 @@
             if target is None or not target.has_room:
                 del self._ready[name]
                 continue
-            slots = self._spared(target)
-            own = target.lane.peek(slots)
+            reserve = self._reserve(target)
+            own = target.lane.peek(reserve)
             if own is None:
                 del self._ready[name]
                 continue
-            return target, self._first(own, self._shared.peek(slots))
+            return target, self._first(own, self._shared.peek(reserve))
         if not self._shared.size and not self._movable.size:
             return None
         least = self._fleet.least()
         if least is None or not least.has_room:
             return None
-        slots = self._spared(least)
-        entry = self._shared.peek(slots) or self._movable.peek(slots)
+        reserve = self._reserve(least)
+        entry = self._shared.peek(reserve) or self._movable.peek(reserve)
         return None if entry is None else (least, entry)
 
-    def _spared(self, target: placement.Target) -> int | None:
-        """Returns the pool's slots if the target keeps its free ones."""
-        if self._shares.spares(target.load, target.info.slots):
-            return self._fleet.slots
-        return None
+    def _reserve(self, target: placement.Target) -> fairness.Reserve | None:
+        """Returns whom a target takes no more calls of now."""
+        return self._shares.reserve(
+            target.load, target.info.slots, self._fleet.slots
+        )
 
     def _first(
         self, own: fairness.Entry, other: fairness.Entry | None
--- a/tests/test_policy/test_scheduler.py
+++ b/tests/test_policy/test_scheduler.py
@@ -366,6 +366,25 @@
         self.assertEqual([action.call for action in found], [call.call])
         return found[0].target
 
+    def test_full_target_hides_no_free_one(self) -> None:
+        """A call goes to a free target, however many programs pause there."""
+        full, free = NAMES[:2]
+        pool = scheduler.FairScheduler()
+        pool.set_targets([make_info(full), make_info(free)], 0.0)
+        for number in range(8):
+            program = ids.ProgramId(f"paused{number}")
+            call = make_call(number, program, excluded=(full,))
+            pool.submit(call, 0.0)
+            pool.advance(0.0)
+            pool.finish(done(call.call), 0.0)
+        for number in range(8, 8 + SLOTS):
+            program = ids.ProgramId(f"running{number}")
+            pool.submit(make_call(number, program, excluded=(free,)), 0.0)
+        pool.advance(0.0)
+        pool.submit(make_call(100, ids.ProgramId("new"), "b"), 0.0)
+        sent = [a for a in pool.advance(0.0) if isinstance(a, pools.Dispatch)]
+        self.assertEqual([item.target for item in sent], [free])
+
     def test_program_returns_to_its_prefix(self) -> None:
         """A long prefix is worth a busier target."""
         first = make_call(1, PROGRAMS[1], prompt_tokens=20_000)
