--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 
 import aiohttp
@@ -427,6 +428,21 @@
         self.assertEqual((await fleet.call(LOOKUP))[0], 200)
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """A host that is told to stop."""
+
+    @awaiting
+    async def test_stops_within_its_grace_though_the_store_is_silent(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        fleet.store.faults.hang = True
+        await asyncio.sleep(1.0)
+        begin_s = time.monotonic()
+        await fleet.hosts[0].__aexit__(None, None, None)
+        stopped_s = time.monotonic() - begin_s
+        self.assertLess(stopped_s, fleet.bounds.grace_s)
+
+
 class RateTest(unittest.IsolatedAsyncioTestCase):
     """Rates hold over all hosts."""
 
