--- a/tests/test_entry/test_allowances.py
+++ b/tests/test_entry/test_allowances.py
@@ -11,7 +11,7 @@
 from hypothesis import stateful, strategies
 
 from mangotally import ids
-from mangotally.entry import allowances, budgets
+from mangotally.entry import allowances, budgets, grant_records
 from mangotally.policy import spending
 from mangotally.util import clock as clock_lib
 from tests import stateful as settings
@@ -338,7 +338,7 @@
         verdict = await self._reserve()
         assert verdict.purse is not None
         verdict.purse.settle(100, 100)
-        self.clock.advance(allowances.AWAY_MS)
+        self.clock.advance(grant_records.AWAY_MS)
         self.log.refuse = 0
         self.log.lose = 1
         await self._reserve()
@@ -404,7 +404,7 @@
         for number in range(20):
             await self._reserve(f"org/{number}")
         calls = 10_000 - self.log.refuse
-        self.assertLessEqual(calls, allowances.AWAY_FAILURES)
+        self.assertLessEqual(calls, grant_records.AWAY_FAILURES)
 
     async def test_turns_under_way_may_leave_enough(self) -> None:
         verdicts = [await self._reserve() for _ in range(5)]
@@ -518,7 +518,7 @@
 
     def _check_refusal(self) -> None:
         # A failure delays returns by the time for which the log is left alone.
-        delay_ms = self.SETTLE_MS + allowances.PROBE_MS + budgets.RETURN_MS
+        delay_ms = self.SETTLE_MS + grant_records.PROBE_MS + budgets.RETURN_MS
         if self.clock.now_ms() - self.failed_ms < delay_ms:
             return
         ahead = self.crashes * math.ceil(self.BUDGET / spending.HOME_PARTS)
--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from mangotally.entry import allowances
+from mangotally.entry import grant_records
 from mangotally.platform import groups
 from tests import entry_fleet
 from tests.entry_fleet import awaiting
@@ -334,8 +334,10 @@
         # A slow machine must outlast neither the membership of the home nor
         # what it knows of the store.
         self.addCleanup(setattr, groups, "LIFETIME_MS", groups.LIFETIME_MS)
-        self.addCleanup(setattr, allowances, "AWAY_MS", allowances.AWAY_MS)
-        groups.LIFETIME_MS = allowances.AWAY_MS = 60_000
+        self.addCleanup(
+            setattr, grant_records, "AWAY_MS", grant_records.AWAY_MS
+        )
+        groups.LIFETIME_MS = grant_records.AWAY_MS = 60_000
         found = entry_fleet.EntryFleet(hosts=1)
         found.bounds = found.bounds.model_copy(
             update={"withdrawn_key_ms": 60_000}
@@ -360,7 +362,7 @@
         self.assertEqual(status, 503)
         self.assertIn("Retry-After", headers)
         fleet.store.faults.refuse = False
-        allowances.AWAY_MS = 0
+        grant_records.AWAY_MS = 0
         status, _, _ = await fleet.turn(QUERY, Program_Id="p")
         self.assertEqual(status, 200)
 
