--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -22,7 +22,7 @@
     homes,
     isolation,
     knowledge,
-    lateness,
+    load,
     monitor,
     peers,
     places,
@@ -76,7 +76,7 @@
         self._clock = clock_lib.BootClock()
         # A process that starts again must not be taken for the one before.
         self._host = ids.HostId(f"{settings.host}.{secrets.token_hex(4)}")
-        self._lateness = lateness.Lateness(self._clock)
+        self._load = load.Load(self._clock)
 
     async def __aenter__(self) -> Self:
         """Starts to serve."""
@@ -90,9 +90,7 @@
         links = await enter(peers.Peers(self._clock))
         self._wire_store(links)
         await self._wire_path(links)
-        await enter(
-            peers.Server(settings.listen.hosts, self, self._lateness.count)
-        )
+        await enter(peers.Server(settings.listen.hosts, self, self._load.count))
         listen = settings.listen
         await enter(server.HttpServer(listen.metrics, self._serve_metrics))
         await enter(server.HttpServer(listen.readiness, self._serve_ready))
@@ -105,7 +103,7 @@
             self._places.run_clock,
             self._budgets.run,
             self._isolation.run,
-            self._lateness.run,
+            self._load.run,
         )
         tasks.start()
         self._stack.push_async_callback(tasks.stop)
@@ -295,7 +293,7 @@
     async def _serve_metrics(self, _request: web.BaseRequest) -> web.Response:
         self._monitor.gauges["requests_under_way"] = self._handler.under_way
         self._monitor.gauges["proof_age_ms"] = self._knowledge.age_ms
-        self._monitor.gauges["most_late_ms"] = self._lateness.take_most_ms()
+        self._monitor.gauges["most_late_ms"] = self._load.take_most_ms()
         return web.Response(
             body=self._monitor.render(), content_type="text/plain"
         )
--- a/mangotally/entry/lateness.py
+++ b/mangotally/entry/load.py
@@ -1,4 +1,4 @@
-"""Notices when this process runs late, and how busy it is."""
+"""How busy this process is, and whether it runs late."""
 
 from __future__ import annotations
 
@@ -14,23 +14,27 @@
 PERIOD_MS = 200
 # A delay that callers notice.
 LATE_MS = 100.0
-LOAD_MS = 2000
+LOG_MS = 2000
 
 
-class Lateness:
+class Load:
     """Compares when a timer should have run with when it did.
 
     A request's own times begin when its headers have been read; a process
-    that is busy, slow or stopped shows here instead.
+    that is busy, slow or stopped shows here instead. Calls that wait in the
+    library of the links or on the network do not.
+
+    Attributes:
+        served: Calls of other hosts since the last line of log, by name.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         """Makes a watcher that has seen no delay."""
         self._clock = clock
         self._most_ms = 0.0
-        self._load_ms = clock.now_ms()
-        self._load_cpu_s = time.process_time()
-        self._load_most_ms = 0.0
+        self._logged_ms = clock.now_ms()
+        self._logged_cpu_s = time.process_time()
+        self._most_since_log_ms = 0.0
         self.served: collections.Counter[str] = collections.Counter()
 
     def count(self, name: str) -> None:
@@ -51,24 +55,24 @@
 
     def _note(self, delay_ms: float) -> None:
         self._most_ms = max(self._most_ms, delay_ms)
-        self._load_most_ms = max(self._load_most_ms, delay_ms)
+        self._most_since_log_ms = max(self._most_since_log_ms, delay_ms)
         if delay_ms >= LATE_MS:
             logger.warning("process_late", extra={"delay_ms": delay_ms})
-        if self._clock.now_ms() - self._load_ms >= LOAD_MS:
+        if self._clock.now_ms() - self._logged_ms >= LOG_MS:
             self._log_load()
 
     def _log_load(self) -> None:
         now_ms, cpu_s = self._clock.now_ms(), time.process_time()
-        passed_ms = now_ms - self._load_ms
-        used_ms = (cpu_s - self._load_cpu_s) * clock_lib.MS_PER_S
+        passed_ms = now_ms - self._logged_ms
+        used_ms = (cpu_s - self._logged_cpu_s) * clock_lib.MS_PER_S
         logger.info(
             "load",
             extra={
                 "processor": round(used_ms / passed_ms, 3),
-                "most_late_ms": round(self._load_most_ms),
+                "most_late_ms": round(self._most_since_log_ms),
                 **{f"served_{k}": v for k, v in sorted(self.served.items())},
             },
         )
-        self._load_ms, self._load_cpu_s = now_ms, cpu_s
-        self._load_most_ms = 0.0
+        self._logged_ms, self._logged_cpu_s = now_ms, cpu_s
+        self._most_since_log_ms = 0.0
         self.served.clear()
--- a/tests/test_entry/test_lateness.py
+++ b/tests/test_entry/test_load.py
@@ -5,18 +5,18 @@
 import asyncio
 import unittest
 
-from mangotally.entry import lateness
+from mangotally.entry import load
 from mangotally.util import clock as clock_lib
 
 
-class LatenessTest(unittest.IsolatedAsyncioTestCase):
+class LoadTest(unittest.IsolatedAsyncioTestCase):
     """A timer that runs late by the clock of the process."""
 
     async def asyncSetUp(self) -> None:
         self.clock = clock_lib.ManualClock()
-        self.addCleanup(setattr, lateness, "PERIOD_MS", lateness.PERIOD_MS)
-        lateness.PERIOD_MS = 10
-        self.found = lateness.Lateness(self.clock)
+        self.addCleanup(setattr, load, "PERIOD_MS", load.PERIOD_MS)
+        load.PERIOD_MS = 10
+        self.found = load.Load(self.clock)
         task = asyncio.create_task(self.found.run())
         self.addCleanup(task.cancel)
         await asyncio.sleep(0)
@@ -26,7 +26,7 @@
         await asyncio.sleep(0.015)
 
     async def test_a_pause_is_logged_and_shown_once(self) -> None:
-        with self.assertLogs(lateness.logger, "WARNING") as logs:
+        with self.assertLogs(load.logger, "WARNING") as logs:
             await self._pass(510.0)
         self.assertEqual(len(logs.records), 1)
         self.assertEqual(self.found.take_most_ms(), 500.0)
@@ -35,14 +35,14 @@
     async def test_load_is_logged_with_the_calls_served(self) -> None:
         self.found.count("place")
         self.found.count("place")
-        with self.assertLogs(lateness.logger, "INFO") as logs:
-            await self._pass(lateness.LOAD_MS + 10.0)
-        load = next(each for each in logs.records if each.msg == "load")
-        self.assertEqual(load.__dict__["served_place"], 2)
-        self.assertGreaterEqual(load.__dict__["processor"], 0.0)
+        with self.assertLogs(load.logger, "INFO") as logs:
+            await self._pass(load.LOG_MS + 10.0)
+        line = next(each for each in logs.records if each.msg == "load")
+        self.assertEqual(line.__dict__["served_place"], 2)
+        self.assertGreaterEqual(line.__dict__["processor"], 0.0)
         self.assertFalse(self.found.served)
 
     async def test_a_timely_process_is_silent(self) -> None:
-        with self.assertNoLogs(lateness.logger, "WARNING"):
+        with self.assertNoLogs(load.logger, "WARNING"):
             await self._pass(12.0)
         self.assertEqual(self.found.take_most_ms(), 2.0)
