--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -39,4 +39,10 @@
         soak.Options(seconds=8, hosts=3, callers=6),
         "LOST-402, SPENT: at most 10 and 0 of 160 spent, as above",
     ),
+    Regression(
+        29,
+        soak.Options(seconds=12),
+        "LOST-402: a grant was recorded too late for its turn; its host lost "
+        "the store before it could return it (0.9 s), and was killed. Open",
+    ),
 )
