Look a turn up in one place, and record grants in one step; no change of behaviour

From the reading of the whole change: the index looks into its memory itself in place of each caller before it, the reader of parts asks once whether it has found its turn, and record and append of grants were one function in two.

--- a/mangotally/entry/allowances.py
+++ b/mangotally/entry/allowances.py
@@ -345,9 +345,7 @@
         tokens = self._next_grant(wish)
         if not tokens:
             return self._spent(wish)
-        if not await self.records.record(
-            (spending.Grant(wish.program, tokens),)
-        ):
+        if not await self.records.record(spending.Grant(wish.program, tokens)):
             return None
         if wish.purse.reserve(wish.tokens, self._clock.now_ms()):
             return Verdict(wish.purse, wish.tokens)
--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+
 logger = logging.getLogger(__name__)
 
 # Status line, header lines and interim answers together.
--- a/mangotally/entry/grant_records.py
+++ b/mangotally/entry/grant_records.py
@@ -183,13 +183,6 @@
         )
         return self.ledger.granted(program) + waiting
 
-    async def record(self, grants: tuple[spending.Grant, ...] = ()) -> bool:
-        """Records grants, and before them all that waits to be recorded.
-
-        Without any of these, what may still be carried out becomes void.
-        """
-        return await self._append([self._entry(each) for each in grants])
-
     async def read_if_stale(self) -> bool:
         """Reads what others may have written; returns whether it could."""
         if not self.is_read:
@@ -208,14 +201,16 @@
         self.ledger.forget(self._clock.now_ms())
         return True
 
-    async def _append(self, grants: list[Entry]) -> bool:
-        """Records grants, and before them all that waits to be recorded."""
+    async def record(self, *grants: spending.Grant) -> bool:
+        """Records grants, and before them all that waits to be recorded.
+
+        Without any of these, what may still be carried out becomes void.
+        """
+        asked = [self._entry(each) for each in grants]
         at = self._cursor.next
         waiting = [*self._loans.values(), *self._returns.values()]
-        entries = [*waiting, *grants] or [self._none()]
-        self._pending |= {
-            each.name: _Pending(each.grant, at) for each in grants
-        }
+        entries = [*waiting, *asked] or [self._none()]
+        self._pending |= {each.name: _Pending(each.grant, at) for each in asked}
         # Until there is an answer, the call may or may not be carried out.
         self.is_read = False
         records = [each.record for each in entries]
--- a/mangotally/entry/history.py
+++ b/mangotally/entry/history.py
@@ -161,12 +161,9 @@
     async def _read(
         self, name: model.TurnId
     ) -> turns.Turn | NoSuchTurn | Unknown:
-        entry = self._index.known(name)
-        if entry is None:
-            found = await self._index.look_up(name)
-            if isinstance(found, log_lib.Unavailable):
-                return Unknown(f"index: {found.reason}")
-            entry = found
+        entry = await self._index.look_up(name)
+        if isinstance(entry, log_lib.Unavailable):
+            return Unknown(f"index: {entry.reason}")
         if entry is None:
             return NoSuchTurn()
         turn, _ = await asyncio.gather(
@@ -306,12 +303,12 @@
         """Adds the parts of a batch; returns whether the turn is whole."""
         for number, record in enumerate(batch.records):
             part = turns.read_part(record)
-            if found and part.turn != found[0].turn:
-                continue
-            if not found and (part.number or not is_wanted(part)):
-                continue
             if not found:
+                if part.number or not is_wanted(part):
+                    continue
                 self.offset = log_lib.Offset(batch.first + number)
+            elif part.turn != found[0].turn:
+                continue
             found.append(part)
             if len(found) == part.count:
                 return True
--- a/mangotally/entry/turn_index.py
+++ b/mangotally/entry/turn_index.py
@@ -65,6 +65,9 @@
         self, name: model.TurnId
     ) -> turns.Entry | log_lib.Unavailable | None:
         """Returns the entry of a turn, or None if the log has none."""
+        known = self.known(name)
+        if known is not None:
+            return known
         number = self.partition_of(name)
         async with self._locks[number]:
             failure = await self._read_to(name, number)
