Let a reader take its turn after 128 chunks of an answer

Cause: the HTTP library spends some 5 us on each chunk, however short. It pauses a connection only after 1,024 unread chunks, and read(16384) goes on until it has 16 KB, for which it resumes the connection and parses again, 16,384 times. The profile of the test: 524,163 chunks in 102 reads, 35 ms each, without a turn for other tasks.

Change: a body pauses its connection after 128 unread chunks, and readers take what is there (readany) and then let others run.

Ruled out: the machine's load alone; on the idle machine the old code took up to 0.57 s as well. The unit test's debug mode takes a stack trace for each callback, a third of the profile; the test now measures without it, with the bound as it was.

SmallChunksTest counts turns of another task in place of time and fails before the change.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -35,6 +35,9 @@
 # A request must arrive before the target closes the idle connection.
 KEEP_ALIVE_MARGIN_MS = 200.0
 EVENT_STREAM = "text/event-stream"
+# Chunks of one answer that are parsed before its reader has its turn. The
+# library works on each chunk on its own, however short.
+MAX_UNREAD_CHUNKS = 128
 # Size of the pieces in which a head is passed to the library's parser.
 _HEAD_CHUNK_BYTES = 2048
 _TIMEOUT = re.compile(r"\btimeout=(\d{1,9})(?!\d)", re.ASCII | re.IGNORECASE)
@@ -140,7 +143,7 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receives a parsed head from the library's parser."""
-        message, _ = data
+        message, body = data
         if self._has_head:
             self._abort_unexpected("answer")
             return
@@ -155,6 +158,7 @@
             )
             self._limit_bytes = MAX_HEAD_BYTES + limit_bytes
             self._idle_ms = _idle_ms(message.headers.get("Keep-Alive", ""))
+            _limit_unread_chunks(body)
         super().feed_data(data, size)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -283,6 +287,13 @@
     return min(stated_ms - KEEP_ALIVE_MARGIN_MS, IDLE_CONNECTION_MS)
 
 
+def _limit_unread_chunks(body: aiohttp.StreamReader) -> None:
+    """Makes a body pause its connection after a number of unread chunks."""
+    if body is not aiohttp.EMPTY_PAYLOAD:
+        body._high_water_chunks = MAX_UNREAD_CHUNKS
+        body._low_water_chunks = MAX_UNREAD_CHUNKS // 2
+
+
 def _head_chunk_size(data: bytes) -> int:
     """Returns how many bytes to parse next while a head is awaited.
 
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -128,7 +128,7 @@
             while True:
                 remaining_ms = self._deadline_ms - self._clock.now_ms()
                 async with asyncio.timeout(clock_lib.to_seconds(remaining_ms)):
-                    chunk = await self._response.content.read(READ_BYTES)
+                    chunk = await self._response.content.readany()
                 if not chunk:
                     break
                 yield chunk
@@ -266,11 +266,10 @@
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     body = bytearray()
-    while chunk := await response.content.read(READ_BYTES):
+    while chunk := await response.content.readany():
         body += chunk
-        if len(chunk) == READ_BYTES:
-            # Lets other tasks run while a large answer is read.
-            await asyncio.sleep(0)
+        # Lets other tasks run while a large answer is read.
+        await asyncio.sleep(0)
     return bytes(body)
 
 
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -9,7 +9,7 @@
 
 import multidict
 
-from mangotally.entry import model, sending
+from mangotally.entry import connections, model, sending
 from mangotally.platform import headers
 from mangotally.util import clock as clock_lib
 from tests import entry_fleet, raw_server
@@ -276,6 +276,8 @@
 
         Unlike elapsed time, it does not depend on other load of the machine.
         """
+        # The debug mode of unit tests takes a stack trace for each callback.
+        asyncio.get_running_loop().set_debug(False)
         requests_sent = asyncio.Event()
 
         async def act(
@@ -316,6 +318,36 @@
         return longest_s
 
 
+class SmallChunksTest(SendingTest):
+    """A body of very short chunks does not keep other tasks waiting."""
+
+    async def test_other_tasks_run_meanwhile(self) -> None:
+        chunks = 20_000
+        turns = 0
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(CHUNKED + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n")
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                await asyncio.sleep(0)
+                turns += 1
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        counting = asyncio.create_task(count_turns())
+        outcome = await self.send(server)
+        counting.cancel()
+        assert isinstance(outcome, sending.Whole), outcome
+        self.assertEqual(outcome.body, b"x" * chunks)
+        self.assertGreater(turns, chunks / (2 * connections.MAX_UNREAD_CHUNKS))
+
+
 class BytesAfterAnswerTest(SendingTest):
     """Bytes after a complete answer belong to no request."""
 
