Give the crash test time-outs that a busy machine keeps

Cause, reproduced: the test shared the short time-outs of the tests of hanging engines, 300 ms of real time to the first token. A process that is held up for longer sees a time-out before it sees the closed connection. A time-out is no proof of a crash, so the request is not quarantined, and the answer is 502.

Change: a class of its own with time-outs of 10 s; the checks are the same.

--- a/tests/test_application/test_faults.py
+++ b/tests/test_application/test_faults.py
@@ -29,12 +29,25 @@
 _WORDS = " ".join(f"w{n}" for n in range(20))
 
 
+# A call that times out is no proof of a crash, so these are far longer than a
+# busy machine takes to report a closed connection.
+_PATIENT_TARGETS = _TARGETS.model_copy(
+    update={
+        "connect_ms": 10_000,
+        "first_token_ms": 10_000,
+        "between_tokens_ms": 10_000,
+    }
+)
+
+
 class _Platform(platform.Platform):
-    """A platform whose hosts use short target timeouts."""
+    """A platform whose hosts use given target timeouts."""
+
+    targets = _TARGETS
 
     def host_settings(self, number: int) -> host_settings.HostSettings:
         found = super().host_settings(number)
-        return found.model_copy(update={"targets": _TARGETS})
+        return found.model_copy(update={"targets": self.targets})
 
 
 class _Fleet(fleet_lib.Fleet):
@@ -46,15 +59,18 @@
         return super().key(organisation)
 
 
-class FaultsTest(unittest.IsolatedAsyncioTestCase):
-    """Engines and services with each kind of fault."""
+class FaultsFixture(unittest.IsolatedAsyncioTestCase):
+    """Two hosts with engines and services that can be made to fail."""
+
+    targets = _TARGETS
 
     async def asyncSetUp(self) -> None:
         self.fleet = _Fleet(hosts=2)
         deployment = self.fleet.local.platform.deployment
-        self.fleet.local.platform = _Platform(deployment)
+        self.platform = _Platform(deployment)
+        self.platform.targets = self.targets
+        self.fleet.local.platform = self.platform
         await self.enterAsyncContext(self.fleet)
-        self.platform = self.fleet.local.platform
 
     def _engines(self) -> list[engine.EngineStandIn]:
         return self.fleet.engines()
@@ -71,6 +87,22 @@
             self.assertEqual(status, 200, answer)
             self.assertIn("w19", str(answer))
 
+    async def _request_as_operator(
+        self, method: str, path: str, body: Any = None
+    ) -> Any:
+        settings = self.fleet.local.hosts[0].settings
+        url = f"http://{settings.address}:{settings.effective_operator_port}{path}"
+        key = self.platform.operator_key
+        async with self.fleet.session.request(
+            method, url, json=body, headers={"Authorization": f"Bearer {key}"}
+        ) as response:
+            self.assertEqual(response.status, 200, await response.text())
+            return await response.json()
+
+
+class FaultsTest(FaultsFixture):
+    """Engines and services with each kind of fault."""
+
     async def test_some_engines_fail(self) -> None:
         """Responses are complete while one of five engines is faulty."""
         for fault in (
@@ -90,42 +122,6 @@
                 await self._check_responses()
                 faulty_engine.faults = type(faulty_engine.faults)()
 
-    async def test_crash_under_load(self) -> None:
-        """A request that crashes engines crashes only two of the fleet."""
-        for item in self._engines():
-            item.faults.crash_on = "poison"
-        status, answer = await self._turn("poison")
-        self.assertEqual((status, answer["ran"]), (422, "may-have-run"))
-        for entry in (0, 1):
-            program = await self.fleet.open_program()
-            status, answer = await self.fleet.turn(program, 1, "poison", entry)
-            self.assertEqual((status, answer["ran"]), (422, "not-run"))
-        crashed = [item for item in self._engines() if item.crashes]
-        self.assertEqual(len(crashed), 2)
-        await self._check_responses(4)
-        for item in crashed:
-            await item.start()
-        listed = await self._request_as_operator("GET", "/admin/quarantine")
-        self.assertEqual(len(listed), 1)
-        digest = listed[0]["digest"]
-        await self._request_as_operator("DELETE", f"/admin/quarantine/{digest}")
-        for item in self._engines():
-            item.faults.crash_on = ""
-        status, answer = await self._turn("poison")
-        self.assertEqual(status, 200, answer)
-
-    async def _request_as_operator(
-        self, method: str, path: str, body: Any = None
-    ) -> Any:
-        settings = self.fleet.local.hosts[0].settings
-        url = f"http://{settings.address}:{settings.effective_operator_port}{path}"
-        key = self.platform.operator_key
-        async with self.fleet.session.request(
-            method, url, json=body, headers={"Authorization": f"Bearer {key}"}
-        ) as response:
-            self.assertEqual(response.status, 200, await response.text())
-            return await response.json()
-
     async def test_orders(self) -> None:
         """All engines load the listed version within the store's rate limit."""
         self.platform.weights.faults.rate_per_s = _TARGETS.weights_per_s
@@ -235,3 +231,33 @@
     async def _wait_until_released(self) -> None:
         while any(item.cache or item.running for item in self._engines()):
             await asyncio.wait([asyncio.create_task(asyncio.sleep(0.05))])
+
+
+class CrashTest(FaultsFixture):
+    """Engines that a request crashes."""
+
+    targets = _PATIENT_TARGETS
+
+    async def test_crash_under_load(self) -> None:
+        """A request that crashes engines crashes only two of the fleet."""
+        for item in self._engines():
+            item.faults.crash_on = "poison"
+        status, answer = await self._turn("poison")
+        self.assertEqual((status, answer["ran"]), (422, "may-have-run"))
+        for entry in (0, 1):
+            program = await self.fleet.open_program()
+            status, answer = await self.fleet.turn(program, 1, "poison", entry)
+            self.assertEqual((status, answer["ran"]), (422, "not-run"))
+        crashed = [item for item in self._engines() if item.crashes]
+        self.assertEqual(len(crashed), 2)
+        await self._check_responses(4)
+        for item in crashed:
+            await item.start()
+        listed = await self._request_as_operator("GET", "/admin/quarantine")
+        self.assertEqual(len(listed), 1)
+        digest = listed[0]["digest"]
+        await self._request_as_operator("DELETE", f"/admin/quarantine/{digest}")
+        for item in self._engines():
+            item.faults.crash_on = ""
+        status, answer = await self._turn("poison")
+        self.assertEqual(status, 200, answer)
