Let refused calls of a program return one after another

A program with sub-agents sends some 20 calls at once; an organisation with a limit of 40 calls in 5 s lets 9 through, and all others were told the same time, 0.7 to 0.8 s. They returned together, and those refused twice ended their program.

Change: refused calls of active programs get times one token apart. Calls of active programs may be delayed for up to half of the time that their caller waits, as long as those delayed fit in 0.4 of the tolerance, in case the bucket changes its home. Calls that start a program are refused as before.

--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -235,7 +235,10 @@
             return None
         kind = access.route.id if received.is_turn else ""
         admitted = await self._dependencies.rates.admit(
-            access.organisation, received.program or "", kind
+            access.organisation,
+            received.program or "",
+            kind,
+            state.deadline_ms - self._dependencies.clock.now_ms(),
         )
         if isinstance(admitted, rates.HomeUnavailable):
             return answers.Refusal(
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -32,7 +32,12 @@
 HOME_TOLERANCE = 0.45
 DEPUTY_TOLERANCE = 0.35
 LOCAL_TOLERANCE = 0.1
-MAX_RETRY_AFTER_MS = 1500
+# Fraction of the tolerance that delayed calls may take up if their home
+# changes: the new home does not know of them.
+DELAYED_TOLERANCE = 0.4
+# A call may be delayed for this fraction of the time that its caller waits; the
+# rest is needed to run it.
+MAX_DELAY_FRACTION = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -159,8 +164,11 @@
         )
         if limiter is None:
             return entry_pb2.TakeReply()
+        max_delay_ms = admission.MAX_DELAY_MS
+        if request.HasField("max_delay_ms"):
+            max_delay_ms = request.max_delay_ms
         decision = limiter.admit(
-            request.program, request.kind, self._clock.now_ms()
+            request.program, request.kind, self._clock.now_ms(), max_delay_ms
         )
         reply = entry_pb2.TakeReply(
             is_new=decision.is_new,
@@ -209,7 +217,9 @@
             calls = (
                 self._bounds.allowed(organisation) + tolerance * HOME_TOLERANCE
             )
-        return admission.Limit(calls, self._bounds.window_ms)
+        return admission.Limit(
+            calls, self._bounds.window_ms, tolerance * DELAYED_TOLERANCE
+        )
 
 
 class Rates:
@@ -241,7 +251,11 @@
         self._admitted_ms = collections.defaultdict(collections.deque)
 
     async def admit(
-        self, organisation: model.Organisation, program: str, kind: str
+        self,
+        organisation: model.Organisation,
+        program: str,
+        kind: str,
+        time_left_ms: float,
     ) -> Admitted | OverRate | HomeUnavailable:
         """Takes a token for a call, or returns when to retry it.
 
@@ -249,42 +263,40 @@
             organisation: Organisation that makes the call.
             program: Program that the call belongs to, or empty.
             kind: Kind of the call.
+            time_left_ms: How long the caller still waits for an answer.
         """
         if organisation.rate_per_s <= 0:
             return Admitted(None, "unlimited")
+        request = entry_pb2.TakeRequest(
+            organisation=organisation.id,
+            program=program,
+            kind=kind,
+            max_delay_ms=MAX_DELAY_FRACTION * time_left_ms,
+        )
         for as_deputy in (False, True):
-            reply = await self._ask(organisation, program, kind, as_deputy)
+            request.as_deputy = as_deputy
+            reply = await self._ask(request)
             if reply is None or reply.outcome == reply.NOT_HOME:
                 continue
             source = "deputy" if as_deputy else "home"
             if reply.outcome == reply.OVER_RATE:
-                wait_ms = min(reply.wait_ms, MAX_RETRY_AFTER_MS)
                 detail = (
                     f"{source} limit={reply.limit_calls:.0f} "
                     f"programs={reply.programs} new={reply.is_new}"
                 )
-                return OverRate(wait_ms, detail)
+                return OverRate(reply.wait_ms, detail)
             if reply.wait_ms > 0:
                 await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
             return Admitted(reply.is_new, source)
         return self._admit_locally(organisation)
 
     async def _ask(
-        self,
-        organisation: model.Organisation,
-        program: str,
-        kind: str,
-        as_deputy: bool,
+        self, request: entry_pb2.TakeRequest
     ) -> entry_pb2.TakeReply | None:
-        key = home_key(organisation.id)
-        if as_deputy:
-            key = deputy_key(organisation.id)
-        request = entry_pb2.TakeRequest(
-            organisation=organisation.id,
-            program=program,
-            kind=kind,
-            as_deputy=as_deputy,
-        )
+        organisation = ids.OrganisationId(request.organisation)
+        key = home_key(organisation)
+        if request.as_deputy:
+            key = deputy_key(organisation)
         if self._homes.owned_since_ms(key) is not None:
             return self._local.take(request)
         address = self._peers.home_address(self._homes, key)
--- a/mangotally/policy/admission.py
+++ b/mangotally/policy/admission.py
@@ -16,6 +16,7 @@
 from mangotally.util import clock
 
 # Requests that wait at most this long for a token are delayed, not refused.
+# Requests of active programs may wait longer, see `Limit.delayed_calls`.
 MAX_DELAY_MS = 700.0
 # Period over which the expected requests of programs must fit the rate.
 LOOKAHEAD_MS = 2500.0
@@ -34,6 +35,8 @@
 # Burst as a fraction of the calls of about one second.
 BURST_FRACTION = 0.5
 MIN_RETRY_AFTER_MS = 100.0
+# Later returns would exceed the time that callers spend on a request.
+MAX_RETRY_AFTER_MS = 1500.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,10 +46,15 @@
     Attributes:
         calls: Calls per window.
         window_ms: Length of the window.
+        delayed_calls: Calls of active programs that may be delayed at the
+            same time, even if that takes longer than `MAX_DELAY_MS`. If the
+            bucket moves to another host, they run in addition to those that
+            it admits.
     """
 
     calls: float
     window_ms: float
+    delayed_calls: float = 0.0
 
     @property
     def burst(self) -> float:
@@ -115,6 +123,8 @@
         self._programs: collections.OrderedDict[str, _Program]
         self._programs = collections.OrderedDict()
         self._average_calls_by_kind: dict[str, float] = {}
+        # When refused requests of active programs were told to return.
+        self._returns_ms: collections.deque[float] = collections.deque()
 
     @property
     def limit(self) -> Limit:
@@ -133,7 +143,11 @@
         self._tokens = min(self._tokens, limit.burst)
 
     def admit(
-        self, program: str, kind: str, now_ms: float
+        self,
+        program: str,
+        kind: str,
+        now_ms: float,
+        max_delay_ms: float = MAX_DELAY_MS,
     ) -> Admitted | OverLimit:
         """Admits or refuses a request.
 
@@ -142,14 +156,16 @@
             kind: Kind of the request. Programs whose first request is of the
                 same kind need about the same number of requests.
             now_ms: Current time.
+            max_delay_ms: Longest delay after which the request is still of
+                use to its caller.
         """
         self._refill(now_ms)
         self._remove_idle_programs(now_ms)
         state = self._programs.get(program)
         is_new = bool(program) and state is None
         delay_ms = self._delay_ms()
-        if delay_ms > MAX_DELAY_MS:
-            wait_ms = max(MIN_RETRY_AFTER_MS, delay_ms)
+        if delay_ms > self._max_delay_ms(is_new or not program, max_delay_ms):
+            wait_ms = self._assign_return(delay_ms, is_new, now_ms)
             return OverLimit(wait_ms, is_new)
         if is_new and self._has_observed_programs(now_ms):
             excess = (
@@ -158,7 +174,8 @@
                 - self._available_calls()
             )
             if excess > 0:
-                return OverLimit(self._refill_ms(excess), is_new)
+                wait_ms = min(self._refill_ms(excess), MAX_RETRY_AFTER_MS)
+                return OverLimit(wait_ms, is_new)
         self._tokens -= 1.0
         if program:
             self._record_call(program, kind, now_ms)
@@ -167,11 +184,40 @@
     def _has_observed_programs(self, now_ms: float) -> bool:
         return now_ms - self._created_ms > IDLE_MS
 
+    def _max_delay_ms(self, is_new: bool, useful_ms: float) -> float:
+        """Returns the longest delay before a request is refused.
+
+        A program ends if a request of it is refused repeatedly. One program
+        can exceed a low rate for a second, with its tools and sub-agents.
+        """
+        if is_new:
+            return MAX_DELAY_MS
+        longest_ms = self._refill_ms(self._limit.delayed_calls)
+        return max(MAX_DELAY_MS, min(longest_ms, useful_ms))
+
+    def _assign_return(
+        self, delay_ms: float, is_new: bool, now_ms: float
+    ) -> float:
+        """Returns the time after which a refused request should be repeated.
+
+        Requests of active programs return one after another, as tokens
+        become available.
+        """
+        while self._returns_ms and self._returns_ms[0] <= now_ms:
+            self._returns_ms.popleft()
+        wait_ms = delay_ms + self._refill_ms(len(self._returns_ms))
+        wait_ms = min(max(MIN_RETRY_AFTER_MS, wait_ms), MAX_RETRY_AFTER_MS)
+        if not is_new:
+            self._returns_ms.append(now_ms + wait_ms)
+        return wait_ms
+
     def _delay_ms(self) -> float:
         missing = 1.0 - self._tokens
         return 0.0 if missing <= 0 else self._refill_ms(missing)
 
     def _refill_ms(self, calls: float) -> float:
+        if calls <= 0:
+            return 0.0
         rate = self._limit.rate_per_ms
         return calls / rate if rate > 0 else math.inf
 
--- a/tests/test_entry/test_rates.py
+++ b/tests/test_entry/test_rates.py
@@ -78,7 +78,7 @@
         """Returns the number of calls that a host admits before refusing."""
         count = 0
         while isinstance(
-            await host.admit(ORGANISATION, "", "call"), rates.Admitted
+            await host.admit(ORGANISATION, "", "call", 1000.0), rates.Admitted
         ):
             count += 1
         return count
--- a/tests/test_policy/test_admission.py
+++ b/tests/test_policy/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import unittest
 
 import hypothesis
@@ -108,3 +109,68 @@
         allowed = LIMIT.rate_per_ms * 20_000 / self.CALLS
         self.assertGreaterEqual(finished, 0.9 * started)
         self.assertGreaterEqual(finished, 0.75 * allowed)
+
+
+class FanOutTest(unittest.TestCase):
+    """Simulates a program whose tools exceed a low rate for a time.
+
+    Each turn is followed by many calls at once, of the tools of the program
+    and its sub-agents. A refused call is repeated once; a program ends with
+    a call that is refused twice.
+    """
+
+    LIMIT = admission.Limit(40.0, WINDOW_MS, delayed_calls=9.0)
+    TURNS = 9
+    TOOLS = 20
+    TURN_MS = 250.0
+    TOOL_MS = 150.0
+    TIME_LEFT_MS = 3000.0
+    MAX_REFUSALS = 2
+
+    def _run_calls(
+        self,
+        controller: admission.AdmissionController,
+        count: int,
+        at_ms: float,
+    ) -> list[float]:
+        """Returns when each of several concurrent calls runs."""
+        calls = [(at_ms, 0)] * count
+        runs_ms = []
+        while calls:
+            now_ms, refusals = heapq.heappop(calls)
+            decision = controller.admit(
+                "p", "k", now_ms, 0.5 * self.TIME_LEFT_MS
+            )
+            if isinstance(decision, admission.Admitted):
+                runs_ms.append(now_ms + decision.delay_ms)
+                continue
+            self.assertLess(refusals + 1, self.MAX_REFUSALS, now_ms)
+            retry_ms = now_ms + decision.retry_after_ms
+            heapq.heappush(calls, (retry_ms, refusals + 1))
+        return runs_ms
+
+    def test_a_program_with_tools_survives_a_low_rate(self) -> None:
+        controller = admission.AdmissionController(self.LIMIT, 0.0)
+        now_ms = FULL_MS
+        runs_ms: list[float] = []
+        for _ in range(self.TURNS):
+            turn_ms = self._run_calls(controller, 1, now_ms)
+            tools_begin_ms = turn_ms[0] + self.TURN_MS
+            tools_ms = self._run_calls(controller, self.TOOLS, tools_begin_ms)
+            runs_ms += turn_ms + tools_ms
+            now_ms = max(tools_ms) + self.TOOL_MS
+        self.assertLessEqual(_most_in_a_window(runs_ms), self.LIMIT.calls + 1)
+
+    def test_a_new_program_is_refused_early(self) -> None:
+        controller = admission.AdmissionController(self.LIMIT, 0.0)
+        useful_ms = 0.5 * self.TIME_LEFT_MS
+        delays = []
+        while isinstance(
+            decision := controller.admit("p", "k", FULL_MS, useful_ms),
+            admission.Admitted,
+        ):
+            delays.append(decision.delay_ms)
+        self.assertGreater(max(delays), admission.MAX_DELAY_MS)
+        self.assertLessEqual(max(delays), useful_ms)
+        new = controller.admit("q", "k", FULL_MS, useful_ms)
+        self.assertIsInstance(new, admission.OverLimit)
