--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import json
-from typing import Annotated, Any
+from typing import Any
 
-import pydantic
 from returns import result
 
 from mangotally import ids
 from mangotally.entry import model
+from mangotally.platform import fields
 from mangotally.util import clock as clock_lib
 
-Count = Annotated[int, pydantic.Field(ge=0)]
-Amount = Annotated[float, pydantic.Field(ge=0)]
 MAX_BODY_BYTES = 4_194_304
 
 _KINDS = {
@@ -27,99 +25,26 @@
 }
 
 
-class _Record(pydantic.BaseModel):
-    """A JSON object of the platform; the fields have the platform's names."""
-
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-
-class _Backend(_Record):
-    Service: str
-    Weight: Amount
-
-
-class _Route(_Record):
-    Name: str
-    Host: str
-    PathPrefix: str
-    RouteKind: str
-    TimeoutMs: Amount
-    TargetLatencyMs: Amount
-    Priority: int = 0
-    Service: str | None = None
-    Backends: list[_Backend] = []
-    MaxAttempts: Count = 1
-    Retained: bool = False
-    RetentionS: Amount = 0.0
-    Public: bool = False
-    Resumable: bool = False
-
-
-class _Engine(_Record):
-    Slots: Count
-    KvCapacity: Count
-    TokensPerEvent: Count
-
-
-class _Service(_Record):
-    Name: str
-    Engine: _Engine | None = None
-
-
-class _Limits(_Record):
-    MaxBodyBytes: Count = MAX_BODY_BYTES
-
-
-class _Tenant(_Record):
-    Name: str
-    ApiKeys: list[str] = []
-    Priority: int | None = None
-    RatePerS: Amount | None = None
-    Burst: Amount | None = None
-
-
-class _Configuration(_Record):
-    Version: Count
-    Routes: list[_Route] = []
-    Services: list[_Service] = []
-    Limits: _Limits = _Limits()
-    Tenants: list[_Tenant] = []
-
-
-class _Server(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
-
-    Service: str
-    Address: str
-    Zone: str
-    Slots: Count
-    State: str
-    # Start time of the process, not of the record, in Unix milliseconds; some
-    # old entries lack it.
-    born: int = 0
-
-
 def decode_configuration(
     data: bytes,
 ) -> result.Result[model.Configuration, str]:
     """Decodes the configuration in a record's value, or returns the error."""
     try:
-        found = _Configuration.model_validate_json(data)
-        routes = [_route(each) for each in found.Routes]
-    except (pydantic.ValidationError, KeyError) as error:
-        return result.Failure(_error_text(error))
-    return result.Success(
-        model.Configuration(
-            found.Version,
-            routes,
-            {
-                ids.ServiceId(each.Name): _service(each)
-                for each in found.Services
-            },
-            [_organisation(each) for each in found.Tenants],
-            found.Limits.MaxBodyBytes,
+        found = fields.Fields(_parse(data))
+        return result.Success(
+            model.Configuration(
+                found.count("Version"),
+                [_route(each) for each in found.rows("Routes")],
+                {
+                    ids.ServiceId(each.text("Name")): _service(each)
+                    for each in found.rows("Services")
+                },
+                [_organisation(each) for each in found.rows("Tenants")],
+                _max_body_bytes(found),
+            )
         )
-    )
+    except (KeyError, ValueError) as error:
+        return result.Failure(_error_text(error))
 
 
 def decode_target(key: str, data: bytes) -> result.Result[model.Target, str]:
@@ -130,22 +55,22 @@
         data: Value of the record.
     """
     try:
-        found = _Server.model_validate(_parse(data))
-        state = _STATES[found.State]
-        address = _check_address(found.Address)
-    except (pydantic.ValidationError, KeyError, ValueError) as error:
-        return result.Failure(_error_text(error))
-    return result.Success(
-        model.Target(
-            ids.TargetId(key),
-            found.born,
-            ids.ServiceId(found.Service),
-            address,
-            ids.FailureDomainId(found.Zone),
-            max(1, found.Slots),
-            state,
+        found = fields.Fields(_parse(data))
+        return result.Success(
+            model.Target(
+                ids.TargetId(key),
+                # Start time of the process, not of the record, in Unix
+                # milliseconds; some old entries lack it.
+                found.integer("born") if found.has("born") else 0,
+                ids.ServiceId(found.text("Service")),
+                _check_address(found.text("Address")),
+                ids.FailureDomainId(found.text("Zone")),
+                max(1, found.count("Slots")),
+                _STATES[found.text("State")],
+            )
         )
-    )
+    except (KeyError, ValueError) as error:
+        return result.Failure(_error_text(error))
 
 
 def _parse(data: bytes) -> Any:
@@ -153,8 +78,6 @@
         parsed = json.loads(data)
     except RecursionError as error:
         raise ValueError("the value is nested too deeply") from error
-    if not isinstance(parsed, dict):
-        raise ValueError("the value is not a JSON object")
     return parsed
 
 
@@ -165,53 +88,70 @@
     return address
 
 
-def _route(found: _Route) -> model.Route:
+def _route(found: fields.Fields) -> model.Route:
     backends = tuple(
-        model.Backend(ids.ServiceId(each.Service), each.Weight)
-        for each in found.Backends
+        model.Backend(
+            ids.ServiceId(each.text("Service")), each.amount("Weight")
+        )
+        for each in found.rows("Backends")
     )
-    if not backends and found.Service is not None:
-        backends = (model.Backend(ids.ServiceId(found.Service), 1.0),)
+    if not backends and found.has("Service"):
+        service = ids.ServiceId(found.text("Service"))
+        backends = (model.Backend(service, 1.0),)
+    retention_s = found.amount("RetentionS") if found.has("RetentionS") else 0.0
+    max_attempts = found.count("MaxAttempts") if found.has("MaxAttempts") else 1
     return model.Route(
-        id=model.RouteId(found.Name),
-        host=found.Host,
-        path_prefix=found.PathPrefix,
-        kind=_KINDS[found.RouteKind],
-        timeout_ms=found.TimeoutMs,
-        objective_ms=found.TargetLatencyMs,
-        priority=found.Priority,
+        id=model.RouteId(found.text("Name")),
+        host=found.text("Host"),
+        path_prefix=found.text("PathPrefix"),
+        kind=_KINDS[found.text("RouteKind")],
+        timeout_ms=found.amount("TimeoutMs"),
+        objective_ms=found.amount("TargetLatencyMs"),
+        priority=found.integer("Priority") if found.has("Priority") else 0,
         backends=backends,
-        max_attempts=max(1, found.MaxAttempts),
-        is_public=found.Public,
-        is_retained=found.Retained,
-        retention_ms=found.RetentionS * clock_lib.MS_PER_S,
-        is_resumable=found.Resumable,
+        max_attempts=max(1, max_attempts),
+        is_public=found.flag("Public"),
+        is_retained=found.flag("Retained"),
+        retention_ms=retention_s * clock_lib.MS_PER_S,
+        is_resumable=found.flag("Resumable"),
     )
 
 
-def _service(found: _Service) -> model.Service:
-    engine = found.Engine
+def _service(found: fields.Fields) -> model.Service:
     return model.Service(
-        ids.ServiceId(found.Name),
-        model.Engine(engine.Slots, engine.KvCapacity, engine.TokensPerEvent)
-        if engine
-        else None,
+        ids.ServiceId(found.text("Name")),
+        _engine(found.row("Engine")) if found.has("Engine") else None,
+    )
+
+
+def _engine(found: fields.Fields) -> model.Engine:
+    return model.Engine(
+        found.count("Slots"),
+        found.count("KvCapacity"),
+        found.count("TokensPerEvent"),
     )
 
 
-def _organisation(found: _Tenant) -> model.Organisation:
+def _organisation(found: fields.Fields) -> model.Organisation:
     return model.Organisation(
-        ids.OrganisationId(found.Name),
-        frozenset(found.ApiKeys),
-        found.Priority,
-        found.RatePerS or 0.0,
-        found.Burst or 0.0,
+        ids.OrganisationId(found.text("Name")),
+        frozenset(found.texts("ApiKeys")),
+        found.integer("Priority") if found.has("Priority") else None,
+        found.amount("RatePerS") if found.has("RatePerS") else 0.0,
+        found.amount("Burst") if found.has("Burst") else 0.0,
     )
 
 
+def _max_body_bytes(found: fields.Fields) -> int:
+    if not found.has("Limits"):
+        return MAX_BODY_BYTES
+    limits = found.row("Limits")
+    if not limits.has("MaxBodyBytes"):
+        return MAX_BODY_BYTES
+    return limits.count("MaxBodyBytes")
+
+
 def _error_text(error: Exception) -> str:
-    if isinstance(error, pydantic.ValidationError):
-        first = error.errors(include_input=False, include_url=False)[0]
-        location = ".".join(str(part) for part in first["loc"])
-        return f"{location}: {first['msg']}"
+    if isinstance(error, fields.FieldError):
+        return str(error)
     return f"{type(error).__name__}: {error}"
--- a/mangotally/settings/checks.py
+++ b/mangotally/settings/checks.py
@@ -5,15 +5,12 @@
 import dataclasses
 import enum
 import pathlib
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from returns import result
 
 from mangotally.settings import entry, host, lists, loader, yaml_files
 
-if TYPE_CHECKING:
-    import pydantic
-
 
 class FileKind(enum.Enum):
     """The kind of content of a file."""
@@ -24,7 +21,7 @@
     USES = "uses"
 
 
-MODELS: dict[FileKind, type[pydantic.BaseModel]] = {
+MODELS: dict[FileKind, type[Any]] = {
     FileKind.SETTINGS: host.HostSettings,
     FileKind.ENTRY: entry.EntrySettings,
     FileKind.PLANS: lists.PlanList,
--- a/mangotally/settings/entry.py
+++ b/mangotally/settings/entry.py
@@ -1,21 +1,36 @@
-"""Settings of an entry host."""
+"""Settings of an entry host.
+
+The types do not need the validation library, which takes a third of the start
+of a host to import. `loader` validates them with it; `prepared` builds them
+from a file that is valid as it stands.
+"""
 
 from __future__ import annotations
 
-from typing import Annotated
+import dataclasses
+import re
+from typing import Any, ClassVar
+
+_ADDRESS = re.compile(r"[^:\s]+:\d{1,5}")
+
 
-import pydantic
+def _check_address(name: str, value: str) -> None:
+    _check(_ADDRESS.fullmatch(value) is not None, name, "must be HOST:PORT")
 
-Milliseconds = Annotated[float, pydantic.Field(gt=0)]
-Seconds = Annotated[float, pydantic.Field(gt=0)]
-Address = Annotated[str, pydantic.Field(pattern=r"^[^:\s]+:\d{1,5}$")]
 
+def _check(is_valid: bool, name: str, reason: str) -> None:
+    if not is_valid:
+        raise ValueError(f"{name} {reason}")
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Settings:
+    # Unknown fields are refused.
+    __pydantic_config__: ClassVar[Any] = {"extra": "forbid"}
 
-class Listen(_Model):
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listen(_Settings):
     """Addresses that the host listens on.
 
     Attributes:
@@ -25,13 +40,19 @@
         metrics: For metrics and the state dump.
     """
 
-    callers: Address
-    readiness: Address
-    hosts: Address
-    metrics: Address
+    callers: str
+    readiness: str
+    hosts: str
+    metrics: str
+
+    def __post_init__(self) -> None:
+        """Checks the addresses."""
+        for field in dataclasses.fields(self):
+            _check_address(field.name, getattr(self, field.name))
 
 
-class Processor(_Model):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Processor(_Settings):
     """The processor capacity that the host may use.
 
     Attributes:
@@ -39,8 +60,13 @@
         speed: Speed of that core, relative to the platform's unit core.
     """
 
-    share: Annotated[float, pydantic.Field(gt=0)] = 1.0
-    speed: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    share: float = 1.0
+    speed: float = 1.0
+
+    def __post_init__(self) -> None:
+        """Checks the ranges."""
+        _check(self.share > 0, "share", "must be above 0")
+        _check(self.speed > 0, "speed", "must be above 0")
 
     @property
     def capacity(self) -> float:
@@ -48,7 +74,8 @@
         return self.share * self.speed
 
 
-class Store(_Model):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Store(_Settings):
     """The platform's store.
 
     Attributes:
@@ -56,11 +83,17 @@
         partitions: Number of partitions of each topic.
     """
 
-    address: Address
-    partitions: Annotated[int, pydantic.Field(ge=1)] = 12
+    address: str
+    partitions: int = 12
+
+    def __post_init__(self) -> None:
+        """Checks the address and the range."""
+        _check_address("address", self.address)
+        _check(self.partitions >= 1, "partitions", "must be at least 1")
 
 
-class Bounds(_Model):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds(_Settings):
     """Guarantees to the operators.
 
     Attributes:
@@ -74,14 +107,22 @@
         rate_slack: Tolerated number of calls on top of that.
     """
 
-    withdrawn_key_ms: Milliseconds = 5000
-    grace_s: Seconds = 8
-    rate_window_s: Seconds = 5
-    rate_overshoot: Annotated[float, pydantic.Field(ge=0)] = 0.1
-    rate_slack: Annotated[float, pydantic.Field(ge=0)] = 0
+    withdrawn_key_ms: float = 5000.0
+    grace_s: float = 8.0
+    rate_window_s: float = 5.0
+    rate_overshoot: float = 0.1
+    rate_slack: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Checks the ranges."""
+        for name in ("withdrawn_key_ms", "grace_s", "rate_window_s"):
+            _check(getattr(self, name) > 0, name, "must be above 0")
+        for name in ("rate_overshoot", "rate_slack"):
+            _check(getattr(self, name) >= 0, name, "must be at least 0")
 
-class EntrySettings(_Model):
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntrySettings(_Settings):
     """Settings of one entry host.
 
     Attributes:
@@ -93,9 +134,14 @@
         bounds: Guarantees to the operators.
     """
 
-    host: Annotated[str, pydantic.Field(min_length=1)]
-    failure_domain: Annotated[str, pydantic.Field(min_length=1)]
+    host: str
+    failure_domain: str
     listen: Listen
     store: Store
     processor: Processor = Processor()
     bounds: Bounds = Bounds()
+
+    def __post_init__(self) -> None:
+        """Checks the names."""
+        _check(bool(self.host), "host", "must not be empty")
+        _check(bool(self.failure_domain), "failure_domain", "must not be empty")
--- a/mangotally/settings/loader.py
+++ b/mangotally/settings/loader.py
@@ -14,7 +14,7 @@
     import pathlib
 
 MAX_ERRORS = 20
-M = TypeVar("M", bound=pydantic.BaseModel)
+M = TypeVar("M")
 
 
 def load(
@@ -25,7 +25,7 @@
     """Loads and validates a YAML file.
 
     Args:
-        kind: The model that the content must match.
+        kind: The model or dataclass that the content must match.
         path: The file.
         overrides: Values that replace those of the file, by dotted path.
 
@@ -48,7 +48,8 @@
         if not _set_value(document.content, name.split("."), value):
             return result.Failure(f"--set {name}: the parent is not a mapping")
     try:
-        return result.Success(kind.model_validate(document.content))
+        adapter = pydantic.TypeAdapter(kind)
+        return result.Success(adapter.validate_python(document.content))
     except pydantic.ValidationError as error:
         return result.Failure(_format_errors(path, document, error))
 
--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import time
 import unittest
@@ -343,8 +344,8 @@
         self.addCleanup(setattr, grant_log, "BACKOFF_MS", grant_log.BACKOFF_MS)
         groups.SESSION_TIMEOUT_MS = grant_log.BACKOFF_MS = 60_000
         entered = entry_fleet.EntryFleet(hosts=1)
-        entered.bounds = entered.bounds.model_copy(
-            update={"withdrawn_key_ms": 60_000}
+        entered.bounds = dataclasses.replace(
+            entered.bounds, withdrawn_key_ms=60_000
         )
         async with entered as fleet:
             await self._start_program_without_store(fleet)
