Under overload, let new programs give way to active ones

All were let in until four requests waited for each slot; then turns of active programs waited for up to 1.5 s and were refused three times (`no-place`, too-late), after the work of their earlier turns.

Change: a request that starts a program is refused, with the time at which there will be room, if it would wait longer than 3 % of the time left for its program (50 ms at least).

Overdue active programs before new ones: no difference.

--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -36,9 +36,12 @@
 # Initial moving average of run times, and the weight of a new observation.
 INITIAL_RUN_MS = 150.0
 RUN_TIME_SMOOTHING = 0.05
-# Requests that may wait per slot of the service; above that, requests that
-# start a program are refused.
-MAX_QUEUE_PER_SLOT = 4.0
+# Under overload, a request that starts a program is refused if it would wait
+# longer than this fraction of the time left for the program, or than the fixed
+# time for short programs. The program needs many more turns: if it started, it
+# and those already active would be late, and much of their work wasted.
+NEW_PROGRAM_WAIT_FRACTION = 0.03
+MIN_NEW_PROGRAM_WAIT_MS = 50.0
 # Pause of a target after its second consecutive fault; doubled by each further
 # one up to the maximum.
 BACKOFF_MS = 1000.0
@@ -409,8 +412,10 @@
         ]
         for position, entry in enumerate(remaining):
             wait_ms = (position + 1) * self._average_run_ms / max(1, slots)
-            reason = self._refusal(
-                entry.request, position, slots, now_ms + wait_ms
+            reason = (
+                self._refusal(entry.request, wait_ms, now_ms)
+                if slots
+                else "no-target"
             )
             if reason is None:
                 continue
@@ -422,14 +427,16 @@
             self._results.append(Refused(ticket, retry_after_ms, reason))
 
     def _refusal(
-        self, request: QueuedRequest, position: int, slots: int, start_ms: float
+        self, request: QueuedRequest, wait_ms: float, now_ms: float
     ) -> str | None:
         """Returns the reason to refuse a request, or None to keep it queued."""
-        if not slots:
-            return "no-target"
-        if start_ms + self._average_run_ms > request.deadline_ms:
+        if now_ms + wait_ms + self._average_run_ms > request.deadline_ms:
             return "too-late"
-        if request.is_new and position > slots * MAX_QUEUE_PER_SLOT:
+        max_wait_ms = max(
+            MIN_NEW_PROGRAM_WAIT_MS,
+            NEW_PROGRAM_WAIT_FRACTION * (request.due_ms - now_ms),
+        )
+        if request.is_new and wait_ms > max_wait_ms:
             return "queue-full"
         return None
 
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 import random
 import unittest
 
@@ -305,3 +306,131 @@
         usual_share = len(self.SLOW_TARGETS) / self.TARGETS
         at_slow = sum(self.run_at[target] for target in self.SLOW_TARGETS)
         self.assertLess(at_slow, 0.5 * usual_share * count)
+
+
+@dataclasses.dataclass
+class _Program:
+    """A simulated program.
+
+    Attributes:
+        start_ms: When it started.
+        turns: Work of each of its turns, in ms at an idle target.
+        due_ms: When it should be finished.
+        done: Number of turns that have ended.
+        refusals: Consecutive refusals of its current turn.
+    """
+
+    start_ms: float
+    turns: list[float]
+    due_ms: float
+    done: int = 0
+    refusals: int = 0
+
+
+class ProgramsUnderOverloadTest(unittest.TestCase):
+    """Simulates programs of several turns at several times the capacity.
+
+    A turn that is refused is repeated after the stated time; a program ends
+    with the third refusal of a turn.
+    """
+
+    TARGETS = 4
+    SLOTS = 8
+    MEAN_RUN_MS = 200.0
+    PAUSE_MS = 200.0
+    DEADLINE_MS = 4000.0
+    MAX_REFUSALS = 3
+    BURST_MS = (2000.0, 6000.0)
+    END_MS = 8000.0
+
+    def setUp(self) -> None:
+        self.random = random.Random(1)
+        self.dispatcher = _dispatcher(*[self.SLOTS] * self.TARGETS)
+        self.events: list[tuple[float, int, str | dispatch.Placed]] = []
+        self.numbers = itertools.count()
+        self.programs: dict[str, _Program] = {}
+        self.in_time = self.wasted_turns = 0
+
+    def _push(self, at_ms: float, value: str | dispatch.Placed) -> None:
+        heapq.heappush(self.events, (at_ms, next(self.numbers), value))
+
+    def _add_programs(self, overload: float) -> None:
+        turns_per_ms = self.TARGETS * self.SLOTS / self.MEAN_RUN_MS
+        now_ms = 0.0
+        while now_ms < self.END_MS:
+            count = self.random.choice((3, 3, 3, 9))
+            begin_ms, end_ms = self.BURST_MS
+            load = overload if begin_ms <= now_ms < end_ms else 0.75
+            now_ms += self.random.expovariate(load * turns_per_ms / 4.5)
+            turns = [
+                self.MEAN_RUN_MS * self.random.uniform(0.2, 1.8)
+                for _ in range(count)
+            ]
+            idle_ms = sum(turns) + self.PAUSE_MS * (count - 1)
+            name = f"p{len(self.programs)}"
+            self.programs[name] = _Program(
+                now_ms, turns, now_ms + 1.3 * idle_ms + 250.0
+            )
+            self._push(now_ms, name)
+
+    def _submit(self, name: str, now_ms: float) -> None:
+        program = self.programs[name]
+        ticket = f"{name}/{program.done}/{program.refusals}"
+        request = _request(
+            ticket,
+            due_ms=program.due_ms,
+            deadline_ms=now_ms + self.DEADLINE_MS,
+            is_new=program.done == 0,
+        )
+        self.dispatcher.submit(request, now_ms)
+
+    def _handle(
+        self, decision: dispatch.Placed | dispatch.Refused, now_ms: float
+    ) -> None:
+        name = decision.ticket.partition("/")[0]
+        program = self.programs[name]
+        if isinstance(decision, dispatch.Placed):
+            run_ms = program.turns[program.done]
+            self._push(now_ms + run_ms, decision)
+            return
+        program.refusals += 1
+        if program.refusals < self.MAX_REFUSALS:
+            self._push(now_ms + decision.retry_after_ms, name)
+        else:
+            self.wasted_turns += program.done
+
+    def _end_turn(self, placed: dispatch.Placed, now_ms: float) -> None:
+        name = placed.ticket.partition("/")[0]
+        program = self.programs[name]
+        run_ms = program.turns[program.done]
+        finished = dispatch.Finished(
+            placed.ticket, placed.target, dispatch.EndReason.DONE, run_ms, 1.0
+        )
+        self.dispatcher.finish(finished, now_ms)
+        program.done += 1
+        program.refusals = 0
+        if program.done < len(program.turns):
+            self._push(now_ms + self.PAUSE_MS, name)
+        else:
+            self.in_time += now_ms <= program.due_ms
+
+    def _simulate(self, overload: float) -> None:
+        self._add_programs(overload)
+        while self.events:
+            now_ms, _, value = heapq.heappop(self.events)
+            if isinstance(value, dispatch.Placed):
+                self._end_turn(value, now_ms)
+            else:
+                self._submit(value, now_ms)
+            for decision in self.dispatcher.advance(now_ms):
+                self._handle(decision, now_ms)
+
+    def test_started_programs_are_finished_in_time(self) -> None:
+        self._simulate(overload=4.0)
+        started = sum(each.done > 0 for each in self.programs.values())
+        self.assertEqual(self.wasted_turns, 0)
+        self.assertGreaterEqual(self.in_time, 0.8 * started)
+
+    def test_none_is_refused_at_the_usual_load(self) -> None:
+        self._simulate(overload=0.75)
+        self.assertEqual(self.in_time, len(self.programs))
