Let weak hosts become homes at once while there are none

Change: while no host owns keys, the wait is 250 ms at most. Stronger hosts have started sooner by then; those that start later get the keys as before.

AllHostsLostTest replays hosts that start after a time inverse to their capacity: equal weak hosts become homes within 300 ms of the first start (2 s before), and of 16 strong and 60 weak hosts only the strong ones are homes.

--- a/mangotally/policy/candidacy.py
+++ b/mangotally/policy/candidacy.py
@@ -30,6 +30,9 @@
 # strong hosts that start at the same time have their keys.
 FIRST_JOIN_DELAY_MS = 500.0
 MAX_FIRST_JOIN_DELAY_MS = 2000.0
+# Longest of these delays while no host owns keys: until one does, requests that
+# need a home are refused. Stronger hosts start sooner than this one anyway.
+MAX_EMPTY_GROUP_DELAY_MS = 250.0
 NO_DELAY_CAPACITY = 1.0
 # A reason to leave or to join must persist for a time. Each host adds a random
 # jitter to it, so that hosts leave or join one after another.
@@ -156,7 +159,10 @@
             return self._join(Reason.RESTARTED)
         if self._has_enough_stronger_homes(view, STAY_OUT_CAPACITY_FACTOR):
             return self._stay_out()
-        remaining_ms = self._remaining_hold_ms(self._join_hold_ms, now_ms)
+        hold_ms = self._join_hold_ms
+        if not view.owners:
+            hold_ms = min(hold_ms, MAX_EMPTY_GROUP_DELAY_MS)
+        remaining_ms = self._remaining_hold_ms(hold_ms, now_ms)
         if remaining_ms > 0:
             return Decision(False, Reason.WAITING, remaining_ms)
         return self._join(Reason.NEEDED)
--- a/tests/test_policy/test_candidacy.py
+++ b/tests/test_policy/test_candidacy.py
@@ -129,6 +129,56 @@
             self.assertFalse(self.is_member)
 
 
+class AllHostsLostTest(unittest.TestCase):
+    """Simulates hosts that start again together; their keys have expired.
+
+    A host starts after a time that is inverse to its capacity.
+    """
+
+    START_MS = 1000.0
+    STEP_MS = 50.0
+
+    def _simulate(
+        self, capacities: list[float], end_ms: float
+    ) -> tuple[float, dict[ids.HostId, float]]:
+        """Returns when the first host owned keys, and who does at the end."""
+        hosts = {
+            ids.HostId(f"h{number}"): capacity
+            for number, capacity in enumerate(capacities)
+        }
+        candidates = {
+            host: candidacy.Candidacy(host, capacity, jitter=0.5)
+            for host, capacity in hosts.items()
+        }
+        owners: dict[ids.HostId, float] = {}
+        first_ms, now_ms = -1.0, 0.0
+        while now_ms < end_ms:
+            known = dict(owners)
+            for host, candidate in candidates.items():
+                if now_ms < self.START_MS / hosts[host]:
+                    continue
+                view = candidacy.GroupView(known, host in known, False)
+                if candidate.decide(view, now_ms).is_member:
+                    owners[host] = hosts[host]
+                else:
+                    owners.pop(host, None)
+            if owners and first_ms < 0:
+                first_ms = now_ms
+            now_ms += self.STEP_MS
+        return first_ms, owners
+
+    def test_equal_weak_hosts_do_not_wait_for_stronger_ones(self) -> None:
+        started_ms = self.START_MS / 0.12
+        first_ms, owners = self._simulate([0.12] * 20, started_ms + 2000.0)
+        self.assertLessEqual(first_ms, started_ms + 300.0)
+        self.assertEqual(len(owners), 20)
+
+    def test_weak_hosts_leave_the_keys_to_strong_ones(self) -> None:
+        first_ms, owners = self._simulate([STRONG] * 16 + [WEAK] * 60, 10_000.0)
+        self.assertLessEqual(first_ms, self.START_MS / STRONG + 100.0)
+        self.assertEqual(set(owners.values()), {STRONG})
+
+
 class IsolatedTest(_CandidateCase):
     """A host that no other responds to is isolated, or all homes failed."""
 
