Treat a program as new until a turn of it has run

Cause: the home of an organisation's rate knows a program from its first call on, so the repetition of a refused first turn counted as one of an active program, and got its place in an overloaded queue.

Change: the home of the service remembers the sessions that it refused before any request of them was placed.

--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -11,11 +11,12 @@
 
 import dataclasses
 import enum
-from typing import NewType
+from typing import NewType, TypeVar
 
 from mangotally import ids
 
 Ticket = NewType("Ticket", str)
+T = TypeVar("T")
 
 # Weight of a new observation in the moving average of a target's relative
 # time.
@@ -216,6 +217,8 @@
         self._targets: dict[ids.TargetId, TargetView] = {}
         self._queue: dict[Ticket, _QueueEntry] = {}
         self._sessions: dict[str, ids.TargetId] = {}
+        # Sessions whose program was refused before any of it ran.
+        self._refused_sessions: dict[str, None] = {}
         self._average_run_ms = INITIAL_RUN_MS
         self._average_unit_ms = 0.0
         self._results: list[Placed | Refused] = []
@@ -262,6 +265,8 @@
         if known is not None:
             known.last_submitted_ms = now_ms
             return
+        if request.session in self._refused_sessions:
+            request = dataclasses.replace(request, is_new=True)
         self._queue[request.ticket] = _QueueEntry(request, now_ms, now_ms)
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -352,10 +357,8 @@
         del self._queue[request.ticket]
         self._targets[target].in_flight[request.ticket] = request.host
         if request.session:
-            self._sessions.pop(request.session, None)
-            self._sessions[request.session] = target
-            if len(self._sessions) > MAX_SESSIONS:
-                del self._sessions[next(iter(self._sessions))]
+            self._refused_sessions.pop(request.session, None)
+            _remember(self._sessions, request.session, target)
         self._results.append(
             Placed(request.ticket, target, now_ms - entry.queued_ms)
         )
@@ -424,6 +427,8 @@
             )
             ticket = entry.request.ticket
             del self._queue[ticket]
+            if entry.request.is_new and entry.request.session:
+                _remember(self._refused_sessions, entry.request.session, None)
             self._results.append(Refused(ticket, retry_after_ms, reason))
 
     def _refusal(
@@ -462,3 +467,11 @@
             unit_ms / max(MIN_RELATIVE_TIME, view.relative_time)
             - self._average_unit_ms
         )
+
+
+def _remember(sessions: dict[str, T], session: str, value: T) -> None:
+    """Sets the value of a session; the oldest ones are dropped."""
+    sessions.pop(session, None)
+    sessions[session] = value
+    if len(sessions) > MAX_SESSIONS:
+        del sessions[next(iter(sessions))]
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -380,8 +380,10 @@
             ticket,
             due_ms=program.due_ms,
             deadline_ms=now_ms + self.DEADLINE_MS,
-            is_new=program.done == 0,
+            # Only the first request of a program is known to be one.
+            is_new=program.done == 0 and program.refusals == 0,
         )
+        request = dataclasses.replace(request, session=name)
         self.dispatcher.submit(request, now_ms)
 
     def _handle(
