Reload restarted hosts in the soak, too

A host is ready once it has served a request that was sent after its last start. ReloadTest fails before the change.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -276,15 +276,16 @@
             host.send_signal(signal.SIGHUP)
 
     def _ready_hosts(self) -> list[processes.HostProcess]:
-        served = {
-            each.host
-            for each in self._environment.oracle.attempts.values()
-            if each.is_served
-        }
+        """Returns the hosts that have served since they were last started."""
+        served_ms: dict[str, float] = {}
+        for each in self._environment.oracle.attempts.values():
+            if each.is_served:
+                last_ms = served_ms.get(each.host, 0.0)
+                served_ms[each.host] = max(last_ms, each.sent_ms)
         return [
             each
             for each in self._environment.hosts
-            if each.name in served and each.starts == 1
+            if served_ms.get(each.name, 0.0) > each.started_ms
         ]
 
     async def _inject_link_fault(
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -42,6 +42,7 @@
         name: The id of the host.
         ip: Address on which it listens.
         starts: How often the process was started.
+        started_ms: When it was last started.
         should_run: Whether the soak expects the process to be running.
         unexpected_exit_codes: Exit codes of processes that ended without
             a signal from the soak.
@@ -57,7 +58,9 @@
         """
         self.name = f"h{number}"
         self.ip = host_ip(number)
+        self._clock = clock_lib.BootClock()
         self.starts = 0
+        self.started_ms = 0.0
         self.should_run = False
         self.unexpected_exit_codes: list[int] = []
         self._settings = folder / f"{self.name}.yaml"
@@ -112,6 +115,7 @@
                 env=environment,
             )
         self.starts += 1
+        self.started_ms = self._clock.now_ms()
         self.should_run = True
 
     def send_signal(self, number: signal.Signals) -> None:
--- a/tests/test_soak/test_parts.py
+++ b/tests/test_soak/test_parts.py
@@ -6,7 +6,9 @@
 import contextlib
 import itertools
 import random
+import types
 import unittest
+from typing import cast
 
 import aiohttp
 
@@ -116,6 +118,31 @@
         return {number for _, number, _ in found["parts"]}
 
 
+class ReloadTest(unittest.TestCase):
+    """Hosts that have restarted are reloaded, too."""
+
+    def test_ready_hosts(self) -> None:
+        hosts = [
+            types.SimpleNamespace(name="never-restarted", started_ms=10.0),
+            types.SimpleNamespace(name="restarted", started_ms=50.0),
+            types.SimpleNamespace(name="starting", started_ms=90.0),
+        ]
+        served_ms = [("never-restarted", 20.0), ("starting", 80.0)]
+        served_ms += [("restarted", 40.0), ("restarted", 60.0)]
+        attempts = {
+            str(at_ms): types.SimpleNamespace(
+                host=host, sent_ms=at_ms, is_served=True
+            )
+            for host, at_ms in served_ms
+        }
+        environment = types.SimpleNamespace(
+            hosts=hosts, oracle=types.SimpleNamespace(attempts=attempts)
+        )
+        injector = faults.FaultInjector(cast("faults.Environment", environment))
+        ready = [each.name for each in injector._ready_hosts()]
+        self.assertEqual(ready, ["never-restarted", "restarted"])
+
+
 class PlanTest(unittest.TestCase):
     """A plan depends on its seed and duration alone."""
 
