--- a/mangotally/entry/__main__.py
+++ b/mangotally/entry/__main__.py
@@ -11,8 +11,8 @@
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 os.environ.setdefault("SSL_CERT_DIR", os.devnull)
 
-# Collections during the imports would take a fifth of their time and find next
-# to nothing. They begin once the host serves.
+# Collections during the imports would take long and find next to nothing. They
+# begin once the host serves.
 gc.disable()
 
 # The default action of SIGHUP (reload) would end the process if the signal
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -284,7 +284,9 @@
                     f"{source} limit={reply.limit_calls:.0f} "
                     f"programs={reply.programs} new={reply.is_new}"
                 )
-                return OverRate(reply.wait_ms, detail)
+                # Homes of earlier versions state later times, too.
+                wait_ms = min(reply.wait_ms, admission.MAX_RETRY_AFTER_MS)
+                return OverRate(wait_ms, detail)
             if reply.wait_ms > 0:
                 await asyncio.sleep(clock_lib.to_seconds(reply.wait_ms))
             return Admitted(reply.is_new, source)
--- a/mangotally/settings/entry.py
+++ b/mangotally/settings/entry.py
@@ -1,8 +1,8 @@
 """Settings of an entry host.
 
-The types do not need the validation library, which takes a third of the start
-of a host to import. `loader` validates them with it; `prepared` builds them
-from a file that is valid as it stands.
+The types do not need the validation library, whose import would delay the
+start of a host. `loader` validates them with it; `prepared` builds them from a
+file that is valid as it stands.
 """
 
 from __future__ import annotations
@@ -14,15 +14,6 @@
 _ADDRESS = re.compile(r"[^:\s]+:\d{1,5}")
 
 
-def _check_address(name: str, value: str) -> None:
-    _check(_ADDRESS.fullmatch(value) is not None, name, "must be HOST:PORT")
-
-
-def _check(is_valid: bool, name: str, reason: str) -> None:
-    if not is_valid:
-        raise ValueError(f"{name} {reason}")
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Settings:
     # Unknown fields are refused.
@@ -138,10 +129,19 @@
     failure_domain: str
     listen: Listen
     store: Store
-    processor: Processor = Processor()
-    bounds: Bounds = Bounds()
+    processor: Processor = dataclasses.field(default_factory=Processor)
+    bounds: Bounds = dataclasses.field(default_factory=Bounds)
 
     def __post_init__(self) -> None:
         """Checks the names."""
         _check(bool(self.host), "host", "must not be empty")
         _check(bool(self.failure_domain), "failure_domain", "must not be empty")
+
+
+def _check_address(name: str, value: str) -> None:
+    _check(_ADDRESS.fullmatch(value) is not None, name, "must be HOST:PORT")
+
+
+def _check(is_valid: bool, name: str, reason: str) -> None:
+    if not is_valid:
+        raise ValueError(f"{name} {reason}")
--- a/mangotally/settings/prepared.py
+++ b/mangotally/settings/prepared.py
@@ -1,8 +1,8 @@
 """Loads settings that a platform has prepared as JSON, without YAML.
 
-Parsing YAML and validating with its library would take half of the start of a
-host. A file that is anything but plain valid JSON is left to `loader`, which
-also says what is wrong with it.
+The imports of the YAML parser and the validation library would delay the start
+of a host. A file that is anything but plain valid JSON is left to `loader`,
+which also says what is wrong with it.
 """
 
 from __future__ import annotations
@@ -57,6 +57,7 @@
         name
         for name, field in fields.items()
         if field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
     }
     if not required <= values.keys():
         raise ValueError("missing field")
--- a/tests/test_settings/test_prepared.py
+++ b/tests/test_settings/test_prepared.py
@@ -4,10 +4,12 @@
 
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
 import unittest
+from types import MappingProxyType
 
 import hypothesis
 from hypothesis import strategies
@@ -16,6 +18,7 @@
 from mangotally.settings import entry, loader, prepared, yaml_files
 from tests import stateful
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 VALID = {
     "host": "h1",
     "failure_domain": "z",
@@ -89,6 +92,44 @@
                 self.assertIsNone(prepared.load(entry.EntrySettings, path))
 
 
+class TemplateTest(unittest.TestCase):
+    """The platform renders the template of the settings to plain JSON."""
+
+    TEMPLATE = ROOT / "deploy" / "settings.json.in"
+    VALUES = MappingProxyType(
+        {
+            "NodeName": "edge-1",
+            "Zone": "z",
+            "Ip": "10.0.0.1",
+            "Listen.FrontendAddr": "10.0.0.1:80",
+            "Listen.ReadinessAddr": "10.0.0.1:81",
+            "InternalPorts.0": 7780,
+            "InternalPorts.1": 7781,
+            "Platform.Address": "10.0.0.9:80",
+            "Platform.parts": 12,
+            "Limits.CpuShare": 0.7,
+            "Limits.Cores": 3,
+            "Bounds.RevokeMs": 5000,
+            "Bounds.GraceS": 8,
+            "Bounds.QuotaWindowS": 5,
+            "Bounds.QuotaOvershoot": 0.1,
+            "Bounds.QuotaSlack": 20,
+        }
+    )
+
+    def test_needs_no_other_loader(self) -> None:
+        def render(found: re.Match[str]) -> str:
+            value = self.VALUES[found[1]]
+            return json.dumps(value) if found[2] else str(value)
+
+        text = re.sub(
+            r"\{\{([\w.]+)(\|json)?\}\}", render, self.TEMPLATE.read_text()
+        )
+        found = prepared.build(entry.EntrySettings, json.loads(text))
+        self.assertEqual(found.listen.hosts, "10.0.0.1:7780")
+        self.assertEqual(found.bounds.rate_slack, 20.0)
+
+
 class ImportsTest(unittest.TestCase):
     """A host that starts imports only what it needs to serve."""
 
