Learn the usual run time of a route from its first request on

Cause: a target counts as slow if requests take longer there than such requests usually do, and each host learnt that with a weight of 0.05 from a first guess of 100 ms. With 195 hosts each has some 30 requests of a route, so calls of 5 ms seemed fast and calls of 220 ms slow wherever they ran.

Change: policy/run_times.py averages the first observations alike; the first request of a route says nothing about its target.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -17,7 +17,7 @@
 
 from mangotally import ids
 from mangotally.entry import answers, events, model, sending, slots
-from mangotally.policy import dispatch
+from mangotally.policy import dispatch, run_times
 
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
@@ -30,9 +30,6 @@
 MAX_UNREACHABLE_TARGETS = 3
 # Size of the work before the first event (the prefill), in events.
 PREFILL_UNITS = 0.6
-# Weight of a new value in the moving average of a route's run times.
-RUN_TIME_SMOOTHING = 0.05
-INITIAL_RUN_MS = 100.0
 # A request is not sent to a target with less time than this to its deadline.
 MIN_SEND_MS = 5.0
 # Retry-After when targets rejected the request: a full target is expected to
@@ -166,7 +163,7 @@
         self._names = names
         self._clock = clock
         self._tickets = itertools.count()
-        self._route_ms: dict[model.RouteId, float] = {}
+        self._run_times = run_times.UsualRunTimes[model.RouteId]()
 
     async def run(self, state: RequestState, sink: EventSink) -> Result:
         """Runs a request and returns how it ended."""
@@ -256,7 +253,8 @@
             outcome = await self._send(state, slot, sink)
             end = _end_reason(outcome)
             if isinstance(outcome, sending.Whole):
-                units = self._usual_run_ms(state.route.id, slot)
+                run_ms = self._clock.now_ms() - slot.assigned_ms
+                units = self._run_times.add(state.route.id, run_ms)
             elif isinstance(outcome, StreamEnded):
                 sent = state.sent_events - events_before
                 units = PREFILL_UNITS + sent
@@ -339,18 +337,6 @@
             and state.attempts + 1 < state.route.max_attempts
         )
 
-    def _usual_run_ms(self, route: model.RouteId, slot: slots.Slot) -> float:
-        """Returns the usual run time of a route's requests as work size.
-
-        The run time of this request then updates that average.
-        """
-        run_ms = self._clock.now_ms() - slot.assigned_ms
-        usual_ms = self._route_ms.get(route, INITIAL_RUN_MS)
-        self._route_ms[route] = usual_ms + RUN_TIME_SMOOTHING * (
-            run_ms - usual_ms
-        )
-        return usual_ms
-
     def _log_failure(
         self, state: RequestState, slot: slots.Slot, outcome: object
     ) -> None:
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -10,7 +10,7 @@
 import unittest
 
 from mangotally import ids
-from mangotally.policy import dispatch
+from mangotally.policy import dispatch, run_times
 
 HOST = ids.HostId("h1")
 DOMAIN = ids.FailureDomainId("z1")
@@ -436,3 +436,58 @@
     def test_none_is_refused_at_the_usual_load(self) -> None:
         self._simulate(overload=0.75)
         self.assertEqual(self.in_time, len(self.programs))
+
+
+class KindsOfWorkTest(unittest.TestCase):
+    """Simulates many hosts whose requests differ in work by up to 40 times.
+
+    All targets are equally fast, so each gets its share of the requests.
+    """
+
+    HOSTS = 200
+    TARGETS = 24
+    REQUESTS = 12_000
+    RUN_MS = (5.0, 55.0, 55.0, 220.0)
+    GAP_MS = 4.0
+
+    def _simulate(self) -> collections.Counter[str]:
+        """Returns the number of requests of each target."""
+        rng = random.Random(1)
+        dispatcher = _dispatcher(*[6] * self.TARGETS)
+        times = [run_times.UsualRunTimes[float]() for _ in range(self.HOSTS)]
+        events: list[tuple[float, int, dispatch.Placed | None]] = [
+            (n * self.GAP_MS, n, None) for n in range(self.REQUESTS)
+        ]
+        heapq.heapify(events)
+        kinds: dict[str, tuple[int, float]] = {}
+        counts: collections.Counter[str] = collections.Counter()
+        while events:
+            now_ms, number, ended = heapq.heappop(events)
+            if ended is None:
+                kinds[f"w{number}"] = (
+                    rng.randrange(self.HOSTS),
+                    rng.choice(self.RUN_MS),
+                )
+                dispatcher.submit(_request(f"w{number}"), now_ms)
+            else:
+                host, run_ms = kinds[ended.ticket]
+                finished = dispatch.Finished(
+                    ended.ticket,
+                    ended.target,
+                    dispatch.EndReason.DONE,
+                    run_ms,
+                    times[host].add(run_ms, run_ms),
+                )
+                dispatcher.finish(finished, now_ms)
+            for each in dispatcher.advance(now_ms):
+                assert isinstance(each, dispatch.Placed)
+                counts[each.target] += 1
+                run_ms = kinds[each.ticket][1]
+                heapq.heappush(events, (now_ms + run_ms, number, each))
+        return counts
+
+    def test_equal_targets_get_equal_shares(self) -> None:
+        counts = self._simulate()
+        mean = self.REQUESTS / self.TARGETS
+        self.assertEqual(len(counts), self.TARGETS)
+        self.assertLess(max(counts.values()), 1.5 * mean)
