One failure for a home that has moved; unused parts leave

The same failure stood in six modules of homes, two of them with a function of its own; it is errors.home_moved now.

--- a/benches/memory.py
+++ b/benches/memory.py
@@ -19,7 +19,6 @@
 SMALL_SIZES = (50.0, 100.0, 200.0)
 TURNS = 20
 TEXT_CHARS = 2000
-FULL = f"program with {TURNS} turns of {TEXT_CHARS} characters"
 
 
 def main() -> None:
--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -433,7 +433,6 @@
                 ),
                 services.ServiceRoutes(
                     self.live,
-                    self.members,
                     self.admission,
                     self.calls,
                     self.peers,
--- a/mangotally/callers/services.py
+++ b/mangotally/callers/services.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from mangotally.homes import admission as admission_lib
     from mangotally.homes import configuration as live_configuration
-    from mangotally.homes import membership
     from mangotally.hosts import peers as peers_lib
 
 PATH_PREFIX = "/services/"
@@ -39,14 +38,12 @@
     def __init__(
         self,
         live: live_configuration.LiveConfiguration,
-        members: membership.Membership,
         admission: admission_lib.AdmissionClient,
         home: calls.CallHome,
         peers: peers_lib.PeerClient,
         open_services: tuple[str, ...],
     ) -> None:
         self._live = live
-        self._members = members
         self._admission = admission
         self._home = home
         self._peers = peers
--- a/mangotally/errors.py
+++ b/mangotally/errors.py
@@ -107,5 +107,10 @@
     return result.Failure(Failure(reason, detail, ran, retry_after_ms))
 
 
+def home_moved(ran: Ran = Ran.NOT_RUN) -> result.Result[T, Failure]:
+    """Returns the failure of a call to a host that is no longer the home."""
+    return failed(Reason.MOVED, "The home has moved.", ran)
+
+
 class InvariantError(Exception):
     """A broken invariant; the process is stopped."""
--- a/mangotally/homes/calls.py
+++ b/mangotally/homes/calls.py
@@ -140,7 +140,7 @@
             return (
                 _outcome_unknown(read.failure())
                 if read_failed
-                else _home_moved()
+                else errors.home_moved(errors.Ran.MAY_HAVE_RUN)
             )
         attempt = ids.new_attempt_id()
         charged = await self._charge(message, message.key)
@@ -163,12 +163,12 @@
                 partition, message, digest, attempt, outcome.failure()
             )
         if not outcome.unwrap():
-            return (
-                _recorded_outcome(partition, message, digest) or _home_moved()
-            )
+            return _recorded_outcome(
+                partition, message, digest
+            ) or errors.home_moved(errors.Ran.MAY_HAVE_RUN)
         if not self._partitions.holds_lease():
             await self._drop_intent(partition, intent)
-            return _home_moved()
+            return errors.home_moved(errors.Ran.MAY_HAVE_RUN)
         return await self._send_and_record(message, partition, intent)
 
     async def _refuse_or_replay(
@@ -184,9 +184,9 @@
         key = (message.organisation, message.key)
         found = partition.ledger.calls.intent(key)
         if found is not None and found.attempt != attempt:
-            return (
-                _recorded_outcome(partition, message, digest) or _home_moved()
-            )
+            return _recorded_outcome(
+                partition, message, digest
+            ) or errors.home_moved(errors.Ran.MAY_HAVE_RUN)
         if isinstance(read, result.Success):
             return result.Failure(failure)
         if self._partitions.is_sole_home(partition, self._lease_ms):
@@ -267,12 +267,6 @@
             return result.Failure(refused.failure())
 
 
-def _home_moved() -> errors.Outcome[messages.CallAnswer]:
-    return errors.failed(
-        errors.Reason.MOVED, "The home has moved.", errors.Ran.MAY_HAVE_RUN
-    )
-
-
 def _outcome_unknown(
     failure: errors.Failure,
 ) -> errors.Outcome[messages.CallAnswer]:
--- a/mangotally/homes/organisations.py
+++ b/mangotally/homes/organisations.py
@@ -333,7 +333,7 @@
                 retry_after_ms=EXTRA_HOLD_MS,
             )
         case _:
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
+            return errors.home_moved()
 
 
 def _plan_missing() -> errors.Outcome[Any]:
--- a/mangotally/homes/partitions.py
+++ b/mangotally/homes/partitions.py
@@ -132,7 +132,7 @@
         self, partition_id: ids.PartitionId
     ) -> errors.Outcome[partition_log.Partition]:
         if not self._members.is_home(rendezvous.partition_key(partition_id)):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
+            return errors.home_moved()
         async with self._locks.setdefault(partition_id, asyncio.Lock()):
             loaded = self._loaded.get(partition_id)
             if loaded is not None:
--- a/mangotally/homes/pool.py
+++ b/mangotally/homes/pool.py
@@ -119,7 +119,7 @@
             self._abandon(call.call)
             raise
         self._isolation.remove(call.call, is_answered=False)
-        return errors.failed(errors.Reason.MOVED, "The home has moved.")
+        return errors.home_moved()
 
     def finish(self, message: messages.ReleaseSlot) -> None:
         """Handles the report of a call that ended or was abandoned."""
--- a/mangotally/homes/pools.py
+++ b/mangotally/homes/pools.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import logging
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Self
 
 from returns import result
 
@@ -111,7 +111,7 @@
         The `deadline_ms` of the message's call is the time that is left.
         """
         if not self.is_home(message.service):
-            return _moved_failure()
+            return errors.home_moved()
         pool = self.pool(message.service)
         for crash in message.crashes:
             pool.record_crash(message.call.digest, crash.target, crash.call)
@@ -124,7 +124,7 @@
     ) -> errors.Outcome[messages.Done]:
         """Handles the report of a call that ended."""
         if not self.is_home(message.service):
-            return _moved_failure()
+            return errors.home_moved()
         self.pool(message.service).finish(message)
         return result.Success(messages.Done())
 
@@ -133,7 +133,7 @@
     ) -> errors.Outcome[messages.Done]:
         """Cancels the calls of an ended program and releases its prefixes."""
         if not self.is_home(message.service):
-            return _moved_failure()
+            return errors.home_moved()
         pool = self.pool(message.service)
         pool.end_program(message.program, message.organisation)
         return result.Success(messages.Done())
@@ -359,7 +359,3 @@
             if len(programs) < MAX_RELEASES_PER_REQUEST:
                 programs.append(program)
     return found
-
-
-def _moved_failure() -> errors.Outcome[Any]:
-    return errors.failed(errors.Reason.MOVED, "The home has moved.")
--- a/mangotally/homes/weights.py
+++ b/mangotally/homes/weights.py
@@ -65,7 +65,7 @@
         now_ms = self._clock.now_ms()
         is_home = self._members.is_home(HOME_KEY)
         if not is_home or not self._members.lease.is_valid(now_ms):
-            return errors.failed(errors.Reason.MOVED, "The home has moved.")
+            return errors.home_moved()
         if now_ms < self._next_fetch_ms:
             return errors.failed(
                 errors.Reason.OVER_RATE,
--- a/tests/history_fakes.py
+++ b/tests/history_fakes.py
@@ -163,10 +163,6 @@
         """Returns whether this host is the home of a key."""
         return self.home_of(key) == self.host
 
-    def may_act(self) -> bool:
-        """Returns whether the lease is valid."""
-        return self.lease.is_valid(self._clock.now_ms())
-
 
 class FakeTurns:
     """A turn runner that records the turns it runs."""
