--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import entry_pb2, model
+from mangotally.entry import entry_pb2, service_pool, slot_messages
 from mangotally.policy import dispatch
 from mangotally.util import background
 from mangotally.util import clock as clock_lib
@@ -31,9 +31,6 @@
 # Interval at which a host reports all its slots to the homes.
 REPORT_INTERVAL_MS = 300
 REPORT_TIMEOUT_MS = 300
-# A host that has not reported for this time is treated as failed, and its
-# slots are free again.
-STALE_REPORT_MS = 1200
 DISPATCH_INTERVAL_MS = 20
 
 
@@ -78,139 +75,6 @@
     return f"service/{service}"
 
 
-class ServicePool:
-    """Queue and slots of one service, as known to this host."""
-
-    def __init__(
-        self,
-        service: ids.ServiceId,
-        directory: directory_lib.TargetDirectory,
-        clock: clock_lib.Clock,
-    ) -> None:
-        """Initialises the pool with the targets that the directory lists.
-
-        Args:
-            service: The service.
-            directory: Lists the targets.
-            clock: Source of the current time.
-        """
-        self.dispatcher = dispatch.Dispatcher()
-        self._service = service
-        self._directory = directory
-        self._clock = clock
-        self._start_ms: dict[ids.TargetId, int] = {}
-        self._waiters: dict[
-            dispatch.Ticket,
-            asyncio.Future[dispatch.Placed | dispatch.Refused],
-        ] = {}
-        self._reported_ms: dict[ids.HostId, float] = {}
-        for target in directory.of_service(service):
-            self.update_target(target.id)
-
-    def update_target(self, name: ids.TargetId) -> None:
-        """Updates a target from its current entry in the directory.
-
-        A target with another start time has been restarted, so that its slots
-        are free.
-        """
-        target = self._directory.find(name)
-        if target is None or target.service != self._service:
-            self.dispatcher.drop_target(name)
-            self._start_ms.pop(name, None)
-            return
-        if self._start_ms.get(name, target.born_ms) != target.born_ms:
-            self.dispatcher.drop_target(name)
-        self._start_ms[name] = target.born_ms
-        self.dispatcher.set_target(
-            name,
-            target.slots,
-            target.failure_domain,
-            target.state is model.TargetState.READY,
-        )
-        self.advance()
-
-    async def request_slot(
-        self, request: dispatch.QueuedRequest, wait_ms: float
-    ) -> dispatch.Placed | dispatch.Refused | None:
-        """Queues a request, and waits for its slot.
-
-        Returns:
-            The decision, or None if the request is still queued.
-        """
-        now_ms = self._clock.now_ms()
-        self._reported_ms.setdefault(request.host, now_ms)
-        future = self._waiters.get(request.ticket)
-        if future is None:
-            future = asyncio.get_running_loop().create_future()
-            self._waiters[request.ticket] = future
-        if not future.done():
-            self.dispatcher.submit(request, now_ms)
-            self.advance()
-        if not future.done():
-            await asyncio.wait((future,), timeout=clock_lib.to_seconds(wait_ms))
-        if not future.done():
-            return None
-        self._waiters.pop(request.ticket, None)
-        return future.result()
-
-    def withdraw(self, ticket: dispatch.Ticket) -> None:
-        """Withdraws a request that is queued or holds a slot."""
-        self._waiters.pop(ticket, None)
-        self.dispatcher.withdraw(ticket)
-        self.advance()
-
-    def finish(self, finished: dispatch.Finished) -> None:
-        """Frees the slot of a request that has ended at its target."""
-        self.dispatcher.finish(finished, self._clock.now_ms())
-        self.advance()
-
-    def sync_held(
-        self,
-        host: ids.HostId,
-        held: dict[dispatch.Ticket, ids.TargetId],
-    ) -> None:
-        """Replaces the slots held by a host with a complete report.
-
-        Args:
-            host: The host.
-            held: Target of each of its running requests, by ticket.
-        """
-        self._reported_ms[host] = self._clock.now_ms()
-        self.dispatcher.retain(host, frozenset(held))
-        for ticket, target in held.items():
-            self.dispatcher.adopt(ticket, host, target)
-        self.advance()
-
-    def drop_stale_hosts(self, this_host: ids.HostId) -> None:
-        """Frees the slots of hosts that no longer report.
-
-        Args:
-            this_host: A host that is kept although it does not report.
-        """
-        now_ms = self._clock.now_ms()
-        for host, at_ms in list(self._reported_ms.items()):
-            if host != this_host and now_ms - at_ms > STALE_REPORT_MS:
-                del self._reported_ms[host]
-                self.dispatcher.retain(host, frozenset())
-        self.dispatcher.drop_stale(now_ms - STALE_REPORT_MS)
-        known = self.dispatcher.tickets()
-        for ticket in [each for each in self._waiters if each not in known]:
-            del self._waiters[ticket]
-        self.advance()
-
-    def advance(self) -> None:
-        """Passes new decisions of the dispatcher on to waiting requests.
-
-        A slot is withdrawn if no request waits for it any more.
-        """
-        for each in self.dispatcher.advance(self._clock.now_ms()):
-            future = self._waiters.get(each.ticket)
-            if future is not None and not future.done():
-                future.set_result(each)
-            elif isinstance(each, dispatch.Placed):
-                self.dispatcher.withdraw(each.ticket)
-
-
 class SlotAllocator:
     """Acquires slots for this host's requests.
 
@@ -239,7 +103,7 @@
         self._peer_client = peer_client
         self._directory = directory
         self._clock = clock
-        self._pools: dict[ids.ServiceId, ServicePool] = {}
+        self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
         self._held: dict[dispatch.Ticket, Slot] = {}
         self._reports = background.DetachedTasks()
         directory.add_listener(self._update_target)
@@ -289,7 +153,7 @@
         service = ids.ServiceId(request.service)
         if self._homes.owned_since_ms(pool_key(service)) is None:
             return entry_pb2.PlaceReply()
-        queued = _from_message(request, self._clock.now_ms())
+        queued = slot_messages.queued_request(request, self._clock.now_ms())
         decision = await self._pool(service).request_slot(queued, WAIT_POLL_MS)
         match decision:
             case None:
@@ -319,7 +183,7 @@
             return entry_pb2.ReportReply()
         pool = self._pool(service)
         for each in request.finished:
-            pool.finish(_finished(each))
+            pool.finish(slot_messages.finished(each))
         if request.is_whole:
             held = {
                 dispatch.Ticket(each.ticket): ids.TargetId(each.target)
@@ -358,7 +222,7 @@
             return await self._acquire_locally(service, request, "alone")
         reply = await self._peer_client.place(
             address,
-            _to_message(service, request, self._clock.now_ms()),
+            slot_messages.place_request(service, request, self._clock.now_ms()),
             WAIT_POLL_MS + HOME_TIMEOUT_MS,
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
@@ -465,58 +329,15 @@
         )
         await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
-    def _pool(self, service: ids.ServiceId) -> ServicePool:
+    def _pool(self, service: ids.ServiceId) -> service_pool.ServicePool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = ServicePool(service, self._directory, self._clock)
+            pool = service_pool.ServicePool(
+                service, self._directory, self._clock
+            )
             self._pools[service] = pool
         return pool
 
     def _update_target(self, name: ids.TargetId) -> None:
         for pool in self._pools.values():
             pool.update_target(name)
-
-
-def _to_message(
-    service: ids.ServiceId, request: dispatch.QueuedRequest, now_ms: float
-) -> entry_pb2.PlaceRequest:
-    return entry_pb2.PlaceRequest(
-        service=service,
-        ticket=request.ticket,
-        host=request.host,
-        failure_domain=request.failure_domain,
-        priority=request.priority,
-        is_new=request.is_new,
-        due_in_ms=request.due_ms - now_ms,
-        deadline_in_ms=request.deadline_ms - now_ms,
-        session=request.session,
-        excluded=sorted(request.excluded),
-        connected=sorted(request.connected),
-    )
-
-
-def _from_message(
-    request: entry_pb2.PlaceRequest, now_ms: float
-) -> dispatch.QueuedRequest:
-    return dispatch.QueuedRequest(
-        ticket=dispatch.Ticket(request.ticket),
-        host=ids.HostId(request.host),
-        failure_domain=ids.FailureDomainId(request.failure_domain),
-        priority=request.priority,
-        is_new=request.is_new,
-        due_ms=now_ms + request.due_in_ms,
-        deadline_ms=now_ms + request.deadline_in_ms,
-        session=request.session,
-        excluded=frozenset(ids.TargetId(each) for each in request.excluded),
-        connected=frozenset(ids.TargetId(each) for each in request.connected),
-    )
-
-
-def _finished(message: entry_pb2.FinishedPlace) -> dispatch.Finished:
-    return dispatch.Finished(
-        dispatch.Ticket(message.ticket),
-        ids.TargetId(message.target),
-        dispatch.EndReason(message.end),
-        message.run_ms,
-        message.units,
-    )
