--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -212,7 +212,7 @@
     async def _acquire_slot(
         self, state: RequestState, excluded: frozenset[ids.TargetId]
     ) -> slots.Slot | slots.SlotRefusal:
-        ticket = dispatch.Ticket(f"{self._host}/{next(self._tickets)}")
+        ticket = ids.Ticket(f"{self._host}/{next(self._tickets)}")
         queued = dispatch.QueuedRequest(
             ticket=ticket,
             host=self._host,
@@ -273,6 +273,16 @@
         remaining_ms = state.deadline_ms - self._clock.now_ms()
         if remaining_ms < MIN_SEND_MS:
             return sending.NotRun("no-time-left", is_reached=False)
+        sent_ms = self._clock.now_ms()
+
+        def observe(received: multidict.CIMultiDictProxy[str]) -> None:
+            self._allocator.observe_limit(
+                slot,
+                received.getall(self._names.limit, ()),
+                sent_ms,
+                is_run=self._names.not_run not in received,
+            )
+
         attempt_headers = {
             self._names.expected_target: target.id,
             self._names.time_left: str(int(remaining_ms)),
@@ -286,6 +296,7 @@
             state.make_headers(attempt_headers),
             state.body,
             state.deadline_ms,
+            observe,
         )
         outcome = await self._sender.send(target.address, request)
         if isinstance(outcome, sending.Stream):
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -29,6 +29,8 @@
         organisation: The organisation whose key the request carries.
         target: The target that sent the answer.
         load: Running and queued requests of a target, and its slots.
+        limit: Requests per second that a target under strain accepts from all
+            hosts together.
         not_run: Present if the target has not run the request.
         stamp: The target's signature of its answer.
         internal: Headers that callers must not set.
@@ -47,6 +49,7 @@
     organisation: str
     target: str
     load: str
+    limit: str
     not_run: str
     stamp: str
     internal: frozenset[str]
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Self, TypeAlias
 
 import aiohttp
@@ -39,6 +40,7 @@
         headers: Headers.
         body: Complete body.
         deadline_ms: When its caller stops waiting.
+        on_headers: Called with the headers of the target's answer.
     """
 
     id: model.RequestId
@@ -47,6 +49,7 @@
     headers: multidict.CIMultiDict[str]
     body: bytes
     deadline_ms: float
+    on_headers: Callable[[multidict.CIMultiDictProxy[str]], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -221,6 +224,7 @@
             if (failure := self._check(response, request)) is not None:
                 response.close()
                 return failure
+            request.on_headers(response.headers)
             if self._is_stream(response):
                 return Stream(response, self._clock, request.deadline_ms)
             protocol = (
--- a/mangotally/entry/service_pool.py
+++ b/mangotally/entry/service_pool.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from mangotally import ids
     from mangotally.entry import directory as directory_lib
+    from mangotally.entry import known_limits
 
 # A host that has not reported for this time is treated as failed, and its
 # slots are free again.
@@ -25,6 +26,7 @@
         self,
         service: ids.ServiceId,
         directory: directory_lib.TargetDirectory,
+        limits: known_limits.KnownLimits,
         clock: clock_lib.Clock,
     ) -> None:
         """Initialises the pool with the targets that the directory lists.
@@ -32,15 +34,17 @@
         Args:
             service: The service.
             directory: Lists the targets.
+            limits: Limits that the targets have named.
             clock: Source of the current time.
         """
         self.dispatcher = dispatch.Dispatcher()
         self._service = service
         self._directory = directory
+        self._limits = limits
         self._clock = clock
         self._start_ms: dict[ids.TargetId, int] = {}
         self._waiters: dict[
-            dispatch.Ticket,
+            ids.Ticket,
             asyncio.Future[dispatch.Placed | dispatch.Refused],
         ] = {}
         self._reported_ms: dict[ids.HostId, float] = {}
@@ -48,7 +52,7 @@
             self.update_target(target.id)
 
     def update_target(self, name: ids.TargetId) -> None:
-        """Updates a target from its current entry in the directory.
+        """Updates a target from its entry in the directory and its limit.
 
         A target with another start time has been restarted, so that its slots
         are free.
@@ -67,6 +71,9 @@
             target.failure_domain,
             target.state is model.TargetState.READY,
         )
+        self.dispatcher.set_limit(
+            name, self._limits.limit_of(name), self._clock.now_ms()
+        )
         self.advance()
 
     async def request_slot(
@@ -93,7 +100,7 @@
         self._waiters.pop(request.ticket, None)
         return future.result()
 
-    def withdraw(self, ticket: dispatch.Ticket) -> None:
+    def withdraw(self, ticket: ids.Ticket) -> None:
         """Withdraws a request that is queued or holds a slot."""
         self._waiters.pop(ticket, None)
         self.dispatcher.withdraw(ticket)
@@ -107,7 +114,7 @@
     def sync_held(
         self,
         host: ids.HostId,
-        held: dict[dispatch.Ticket, ids.TargetId],
+        held: dict[ids.Ticket, ids.TargetId],
     ) -> None:
         """Replaces the slots held by a host with a complete report.
 
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from mangotally import ids
 from mangotally.entry import entry_pb2
-from mangotally.policy import dispatch
+from mangotally.policy import dispatch, target_limits
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 def place_request(
-    service: ids.ServiceId, request: dispatch.QueuedRequest, now_ms: float
+    service: ids.ServiceId,
+    request: dispatch.QueuedRequest,
+    limits: Iterable[entry_pb2.TargetLimit],
+    now_ms: float,
 ) -> entry_pb2.PlaceRequest:
     """Returns the call for a slot; its times are relative to `now_ms`."""
     return entry_pb2.PlaceRequest(
@@ -23,6 +31,7 @@
         session=request.session,
         excluded=sorted(request.excluded),
         connected=sorted(request.connected),
+        limits=limits,
     )
 
 
@@ -31,7 +40,7 @@
 ) -> dispatch.QueuedRequest:
     """Returns the request of a call for a slot."""
     return dispatch.QueuedRequest(
-        ticket=dispatch.Ticket(request.ticket),
+        ticket=ids.Ticket(request.ticket),
         host=ids.HostId(request.host),
         failure_domain=ids.FailureDomainId(request.failure_domain),
         priority=request.priority,
@@ -44,12 +53,74 @@
     )
 
 
+def place_reply(
+    decision: dispatch.Placed | dispatch.Refused | None,
+    limits: Iterable[entry_pb2.TargetLimit],
+) -> entry_pb2.PlaceReply:
+    """Returns the reply to a call for a slot; None if it is still queued."""
+    match decision:
+        case None:
+            return entry_pb2.PlaceReply(
+                outcome=entry_pb2.PlaceReply.WAITING, limits=limits
+            )
+        case dispatch.Placed():
+            return entry_pb2.PlaceReply(
+                outcome=entry_pb2.PlaceReply.PLACED,
+                target=decision.target,
+                waited_ms=decision.waited_ms,
+                limits=limits,
+            )
+        case dispatch.Refused():
+            return entry_pb2.PlaceReply(
+                outcome=entry_pb2.PlaceReply.REFUSED,
+                retry_after_ms=decision.retry_after_ms,
+                reason=decision.reason,
+                limits=limits,
+            )
+
+
+def finished_place(finished: dispatch.Finished) -> entry_pb2.FinishedPlace:
+    """Returns the message that a request has ended at its target."""
+    return entry_pb2.FinishedPlace(
+        ticket=finished.ticket,
+        target=finished.target,
+        end=finished.end.value,
+        run_ms=finished.run_ms,
+        units=finished.units,
+    )
+
+
 def finished(message: entry_pb2.FinishedPlace) -> dispatch.Finished:
     """Returns the report that a request has ended at its target."""
     return dispatch.Finished(
-        dispatch.Ticket(message.ticket),
+        ids.Ticket(message.ticket),
         ids.TargetId(message.target),
         dispatch.EndReason(message.end),
         message.run_ms,
         message.units,
     )
+
+
+def target_limit(
+    observation: target_limits.Observation, now_ms: float
+) -> entry_pb2.TargetLimit:
+    """Returns the message about the limit of a target."""
+    return entry_pb2.TargetLimit(
+        target=observation.target,
+        born_ms=observation.born_ms,
+        limit_per_s=observation.limit_per_s,
+        age_ms=now_ms - observation.at_ms,
+    )
+
+
+def limit_observation(
+    message: entry_pb2.TargetLimit, now_ms: float
+) -> target_limits.Observation:
+    """Returns the observation in a message about the limit of a target."""
+    has_limit = message.HasField("limit_per_s")
+    return target_limits.Observation(
+        ids.TargetId(message.target),
+        message.born_ms,
+        message.limit_per_s if has_limit else None,
+        now_ms - message.age_ms,
+    )
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -13,12 +13,19 @@
 from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import entry_pb2, service_pool, slot_messages
+from mangotally.entry import (
+    entry_pb2,
+    known_limits,
+    service_pool,
+    slot_messages,
+)
 from mangotally.policy import dispatch
 from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import peers
@@ -47,7 +54,7 @@
         assigned_ms: When it was assigned.
     """
 
-    ticket: dispatch.Ticket
+    ticket: ids.Ticket
     service: ids.ServiceId
     target: ids.TargetId
     queued_ms: float
@@ -104,8 +111,11 @@
         self._directory = directory
         self._clock = clock
         self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
-        self._held: dict[dispatch.Ticket, Slot] = {}
+        self._held: dict[ids.Ticket, Slot] = {}
         self._reports = background.DetachedTasks()
+        self._limits = known_limits.KnownLimits(
+            directory, self._update_pools, clock
+        )
         directory.add_listener(self._update_target)
 
     async def acquire(
@@ -146,6 +156,34 @@
             return
         self._reports.start(self._report_finished(home, slot.service, finished))
 
+    def observe_limit(
+        self, slot: Slot, values: Sequence[str], sent_ms: float, is_run: bool
+    ) -> None:
+        """Reads the limit that a target names in an answer.
+
+        A change is reported to the home at once: a streaming answer may last
+        for seconds.
+
+        Args:
+            slot: The slot of the request that was answered.
+            values: Values of the answer's header for the limit.
+            sent_ms: When the request was sent.
+            is_run: Whether the target ran the request.
+        """
+        is_changed = self._limits.observe_answer(
+            slot.target, values, sent_ms, is_run
+        )
+        home = self._homes.home_of(pool_key(slot.service))
+        if not is_changed or home is None or self._homes.is_self(home):
+            return
+        self._reports.start(
+            self._peer_client.report(
+                home.address,
+                self._make_report(slot.service),
+                REPORT_TIMEOUT_MS,
+            )
+        )
+
     async def handle_slot_request(
         self, request: entry_pb2.PlaceRequest
     ) -> entry_pb2.PlaceReply:
@@ -153,25 +191,12 @@
         service = ids.ServiceId(request.service)
         if self._homes.owned_since_ms(pool_key(service)) is None:
             return entry_pb2.PlaceReply()
+        self._limits.merge(request.limits)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
         decision = await self._pool(service).request_slot(queued, WAIT_POLL_MS)
-        match decision:
-            case None:
-                return entry_pb2.PlaceReply(
-                    outcome=entry_pb2.PlaceReply.WAITING
-                )
-            case dispatch.Placed():
-                return entry_pb2.PlaceReply(
-                    outcome=entry_pb2.PlaceReply.PLACED,
-                    target=decision.target,
-                    waited_ms=decision.waited_ms,
-                )
-            case dispatch.Refused():
-                return entry_pb2.PlaceReply(
-                    outcome=entry_pb2.PlaceReply.REFUSED,
-                    retry_after_ms=decision.retry_after_ms,
-                    reason=decision.reason,
-                )
+        return slot_messages.place_reply(
+            decision, self._limits.messages(service)
+        )
 
     async def handle_slot_report(
         self, request: entry_pb2.PlaceReport
@@ -181,12 +206,13 @@
         if not service:
             # A report without a service only checks that this host answers.
             return entry_pb2.ReportReply()
+        self._limits.merge(request.limits)
         pool = self._pool(service)
         for each in request.finished:
             pool.finish(slot_messages.finished(each))
         if request.is_whole:
             held = {
-                dispatch.Ticket(each.ticket): ids.TargetId(each.target)
+                ids.Ticket(each.ticket): ids.TargetId(each.target)
                 for each in request.held
             }
             pool.sync_held(ids.HostId(request.host), held)
@@ -219,14 +245,20 @@
             return await self._acquire_locally(service, request, "home")
         address = self._peer_client.home_address(self._homes, key)
         if address is None:
-            return await self._acquire_locally(service, request, "alone")
+            return await self._acquire_alone(service, request)
         reply = await self._peer_client.place(
             address,
-            slot_messages.place_request(service, request, self._clock.now_ms()),
+            slot_messages.place_request(
+                service,
+                request,
+                self._limits.messages(service),
+                self._clock.now_ms(),
+            ),
             WAIT_POLL_MS + HOME_TIMEOUT_MS,
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
-            return await self._acquire_locally(service, request, "alone")
+            return await self._acquire_alone(service, request)
+        self._limits.merge(reply.limits)
         return self._read_reply(reply, service, request)
 
     def _read_reply(
@@ -246,6 +278,19 @@
         self._pool(service).dispatcher.adopt(request.ticket, self._host, target)
         return slot
 
+    async def _acquire_alone(
+        self, service: ids.ServiceId, request: dispatch.QueuedRequest
+    ) -> Slot | SlotRefusal | None:
+        """Assigns a slot without the home, at a target without a limit.
+
+        A limit holds for all hosts together, and each host's share of it would
+        be less than one request.
+        """
+        excluded = request.excluded | self._limits.limited_targets()
+        return await self._acquire_locally(
+            service, dataclasses.replace(request, excluded=excluded), "alone"
+        )
+
     async def _acquire_locally(
         self,
         service: ids.ServiceId,
@@ -303,9 +348,9 @@
         ]
         if not held:
             return
-        report = entry_pb2.PlaceReport(
-            service=service, host=self._host, is_whole=True, held=held
-        )
+        report = self._make_report(service)
+        report.is_whole = True
+        report.held.extend(held)
         await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
     async def _report_finished(
@@ -314,30 +359,30 @@
         service: ids.ServiceId,
         finished: dispatch.Finished,
     ) -> None:
-        report = entry_pb2.PlaceReport(
+        report = self._make_report(service)
+        report.finished.append(slot_messages.finished_place(finished))
+        await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
+
+    def _make_report(self, service: ids.ServiceId) -> entry_pb2.PlaceReport:
+        return entry_pb2.PlaceReport(
             service=service,
             host=self._host,
-            finished=[
-                entry_pb2.FinishedPlace(
-                    ticket=finished.ticket,
-                    target=finished.target,
-                    end=finished.end.value,
-                    run_ms=finished.run_ms,
-                    units=finished.units,
-                )
-            ],
+            limits=self._limits.messages(service),
         )
-        await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
     def _pool(self, service: ids.ServiceId) -> service_pool.ServicePool:
         pool = self._pools.get(service)
         if pool is None:
             pool = service_pool.ServicePool(
-                service, self._directory, self._clock
+                service, self._directory, self._limits, self._clock
             )
             self._pools[service] = pool
         return pool
 
     def _update_target(self, name: ids.TargetId) -> None:
+        self._limits.update_target(name)
+        self._update_pools(name)
+
+    def _update_pools(self, name: ids.TargetId) -> None:
         for pool in self._pools.values():
             pool.update_target(name)
--- a/mangotally/platform/headers.py
+++ b/mangotally/platform/headers.py
@@ -21,6 +21,7 @@
     organisation="Tenant",
     target="Instance-Id",
     load="Server-Load",
+    limit="Server-Limit",
     not_run="Not-Executed",
     stamp="Server-Stamp",
     internal=frozenset(
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -43,6 +43,7 @@
         wrong_id: Answer with the id of another request.
         no_stamp: Omit the stamp, the target's signature, from answers.
         endless: Kind of endless answer, a key of `ENDLESS`, or empty.
+        limit: Requests per second that answers name as the limit, or empty.
     """
 
     shed: bool = False
@@ -51,6 +52,7 @@
     wrong_id: bool = False
     no_stamp: bool = False
     endless: str = ""
+    limit: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +65,7 @@
         path: Path and query.
         headers: Headers by name in lower case.
         body: The body.
+        at_ms: When it was executed.
     """
 
     request_id: str
@@ -70,6 +73,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    at_ms: float
 
 
 class StandInWorker(server.StandIn):
@@ -102,6 +106,7 @@
         self.max_running = 0
         self.events = events
         self.event_ms = event_ms
+        self._clock = clock_lib.SystemClock()
 
     def registration(self, state: str = "ready") -> dict[str, object]:
         """Returns the record that the worker writes to the store."""
@@ -133,7 +138,11 @@
         if self.faults.shed or self.running >= self.slots:
             return web.Response(
                 status=503,
-                headers={_NAMES.not_run: "1", _NAMES.request_id: name},
+                headers={
+                    _NAMES.not_run: "1",
+                    _NAMES.request_id: name,
+                    **self._limit_headers(),
+                },
             )
         self.executed.append(
             ExecutedRequest(
@@ -142,6 +151,7 @@
                 request.raw_path,
                 {key.lower(): each for key, each in request.headers.items()},
                 body,
+                self._clock.now_ms(),
             )
         )
         return await self._count_running(lambda: self._run(request, name))
@@ -162,6 +172,7 @@
         headers_ = {
             _NAMES.request_id: "other" if self.faults.wrong_id else name,
             _NAMES.load: f"{self.running},0,{self.slots}",
+            **self._limit_headers(),
         }
         if not self.faults.no_stamp:
             headers_[_NAMES.stamp] = STAMP
@@ -172,6 +183,10 @@
         await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
         return web.Response(body=b"answer", headers=headers_)
 
+    def _limit_headers(self) -> dict[str, str]:
+        limit = self.faults.limit
+        return {_NAMES.limit: limit} if limit else {}
+
     async def _send_endlessly(
         self, request: web.Request, headers_: dict[str, str]
     ) -> None:
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -2,20 +2,21 @@
 
 Targets process requests in order of arrival and have no priorities. To handle
 bursts and slow targets, requests therefore wait in a queue here, and a target
-gets no more requests than it runs at once. The queue is ordered by priority,
-then requests that are not yet past their due time, then requests of active
-programs before those that start a program, then by due time.
+gets no more requests than it runs at once, and no more in a second than the
+limit that it names. The queue is ordered by priority, then requests that are
+not yet past their due time, then requests of active programs before those that
+start a program, then by due time.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
-from typing import NewType, TypeVar
+from typing import TypeVar
 
 from mangotally import ids
+from mangotally.policy import target_view as view_lib
 
-Ticket = NewType("Ticket", str)
 T = TypeVar("T")
 
 # Weight of a new observation in the moving average of a target's relative
@@ -43,10 +44,6 @@
 # and those already active would be late, and much of their work wasted.
 NEW_PROGRAM_WAIT_FRACTION = 0.03
 MIN_NEW_PROGRAM_WAIT_MS = 50.0
-# Pause of a target after its second consecutive fault; doubled by each further
-# one up to the maximum.
-BACKOFF_MS = 1000.0
-MAX_BACKOFF_MS = 8000.0
 MAX_SESSIONS = 20_000
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 2000.0
@@ -70,7 +67,7 @@
         connected: Targets to which the host has an idle connection.
     """
 
-    ticket: Ticket
+    ticket: ids.Ticket
     host: ids.HostId
     failure_domain: ids.FailureDomainId
     priority: int
@@ -111,7 +108,7 @@
             the service; 0 if unknown.
     """
 
-    ticket: Ticket
+    ticket: ids.Ticket
     target: ids.TargetId
     end: EndReason
     run_ms: float = 0.0
@@ -128,7 +125,7 @@
         waited_ms: Time that the request spent in the queue.
     """
 
-    ticket: Ticket
+    ticket: ids.Ticket
     target: ids.TargetId
     waited_ms: float
 
@@ -143,66 +140,11 @@
         reason: Reason of the refusal.
     """
 
-    ticket: Ticket
+    ticket: ids.Ticket
     retry_after_ms: float
     reason: str
 
 
-class TargetView:
-    """State of one target as known to the dispatcher.
-
-    Attributes:
-        slots: Number of requests that it runs at once.
-        failure_domain: Failure domain of the target.
-        is_open: Whether it accepts new requests.
-        in_flight: Tickets of the requests at the target, with their hosts.
-        relative_time: Time per unit of work, relative to the average of the
-            targets of the service.
-    """
-
-    def __init__(
-        self, slots: int, failure_domain: ids.FailureDomainId, is_open: bool
-    ) -> None:
-        self.slots = slots
-        self.failure_domain = failure_domain
-        self.is_open = is_open
-        self.in_flight: dict[Ticket, ids.HostId] = {}
-        self.relative_time = 1.0
-        self._paused_until_ms = 0.0
-        self._consecutive_failures = 0
-
-    def free_slots(self, now_ms: float) -> int:
-        """Returns how many more requests the target may get.
-
-        After a fault the target gets one request at a time until one of them
-        succeeds.
-        """
-        if not self.is_open:
-            return 0
-        if now_ms < self._paused_until_ms:
-            return 0
-        if self._consecutive_failures:
-            return 1 - len(self.in_flight)
-        return self.slots - len(self.in_flight)
-
-    def succeed(self) -> None:
-        """Records a complete answer."""
-        self._consecutive_failures = 0
-
-    def fail(self, now_ms: float) -> None:
-        """Records a fault; consecutive faults start an exponential backoff."""
-        self._consecutive_failures += 1
-        if self._consecutive_failures >= 2:
-            pause_ms = BACKOFF_MS * 2.0 ** min(
-                self._consecutive_failures - 2, 4
-            )
-            self._paused_until_ms = now_ms + min(pause_ms, MAX_BACKOFF_MS)
-
-    def reject(self, now_ms: float, pause_ms: float) -> None:
-        """Records that the target was full, and pauses it for a time."""
-        self._paused_until_ms = max(self._paused_until_ms, now_ms + pause_ms)
-
-
 @dataclasses.dataclass
 class _QueueEntry:
     request: QueuedRequest
@@ -210,12 +152,32 @@
     last_submitted_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Capacity:
+    """Capacity of the targets that a request may be assigned to.
+
+    Attributes:
+        throughput_per_ms: Requests that they process in a millisecond.
+        limit_wait_ms: Time until the limit of any of them allows a request.
+    """
+
+    throughput_per_ms: float
+    limit_wait_ms: float
+
+    def wait_ms(self, position: int) -> float:
+        """Returns the estimated wait at a position in the queue, from 0."""
+        if not self.throughput_per_ms:
+            return 0.0
+        queue_ms = (position + 1) / self.throughput_per_ms
+        return max(queue_ms, self.limit_wait_ms)
+
+
 class Dispatcher:
     """Assigns the requests of one service to its targets; queues the rest."""
 
     def __init__(self) -> None:
-        self._targets: dict[ids.TargetId, TargetView] = {}
-        self._queue: dict[Ticket, _QueueEntry] = {}
+        self._targets: dict[ids.TargetId, view_lib.TargetView] = {}
+        self._queue: dict[ids.Ticket, _QueueEntry] = {}
         self._sessions: dict[str, ids.TargetId] = {}
         # Sessions whose program was refused before any of it ran.
         self._refused_sessions: dict[str, None] = {}
@@ -233,7 +195,7 @@
         """Number of requests at targets."""
         return sum(len(each.in_flight) for each in self._targets.values())
 
-    def tickets(self) -> set[Ticket]:
+    def tickets(self) -> set[ids.Ticket]:
         """Returns the requests that are queued or at targets."""
         known = set(self._queue)
         for view in self._targets.values():
@@ -250,11 +212,19 @@
         """Adds a target, or updates its slots and whether it is open."""
         known = self._targets.get(target)
         if known is None:
-            known = TargetView(slots, failure_domain, is_open)
+            known = view_lib.TargetView(slots, failure_domain, is_open)
             self._targets[target] = known
         known.slots = slots
         known.is_open = is_open
 
+    def set_limit(
+        self, target: ids.TargetId, limit_per_s: float | None, now_ms: float
+    ) -> None:
+        """Sets the requests per second that a target accepts, or None."""
+        view = self._targets.get(target)
+        if view is not None:
+            view.set_limit(limit_per_s, now_ms)
+
     def drop_target(self, target: ids.TargetId) -> None:
         """Removes a target."""
         self._targets.pop(target, None)
@@ -269,7 +239,7 @@
             request = dataclasses.replace(request, is_new=True)
         self._queue[request.ticket] = _QueueEntry(request, now_ms, now_ms)
 
-    def withdraw(self, ticket: Ticket) -> None:
+    def withdraw(self, ticket: ids.Ticket) -> None:
         """Removes a request that is queued or was assigned to a target."""
         if self._queue.pop(ticket, None) is None:
             for view in self._targets.values():
@@ -293,14 +263,14 @@
                 pass
 
     def adopt(
-        self, ticket: Ticket, host: ids.HostId, target: ids.TargetId
+        self, ticket: ids.Ticket, host: ids.HostId, target: ids.TargetId
     ) -> None:
         """Adds a request that another dispatcher assigned to a target."""
         view = self._targets.get(target)
         if view is not None:
             view.in_flight.setdefault(ticket, host)
 
-    def retain(self, host: ids.HostId, tickets: frozenset[Ticket]) -> None:
+    def retain(self, host: ids.HostId, tickets: frozenset[ids.Ticket]) -> None:
         """Drops in-flight requests of a host except those listed.
 
         Args:
@@ -356,6 +326,7 @@
         request = entry.request
         del self._queue[request.ticket]
         self._targets[target].in_flight[request.ticket] = request.host
+        self._targets[target].count_request(now_ms)
         if request.session:
             self._refused_sessions.pop(request.session, None)
             _remember(self._sessions, request.session, target)
@@ -386,7 +357,7 @@
                 best, best_cost = name, cost
         return best
 
-    def _cost(self, request: QueuedRequest, view: TargetView) -> float:
+    def _cost(self, request: QueuedRequest, view: view_lib.TargetView) -> float:
         load = len(view.in_flight) / view.slots
         cost = view.relative_time * (1.0 + BATCH_SLOWDOWN * load)
         if view.failure_domain == request.failure_domain:
@@ -407,23 +378,27 @@
         return request.priority, is_overdue, request.is_new, request.due_ms
 
     def _refuse(self, ordered: list[_QueueEntry], now_ms: float) -> None:
-        slots = sum(
-            each.slots for each in self._targets.values() if each.is_open
-        )
+        capacities: dict[frozenset[ids.TargetId], _Capacity] = {}
         remaining = [
             each for each in ordered if each.request.ticket in self._queue
         ]
         for position, entry in enumerate(remaining):
-            wait_ms = (position + 1) * self._average_run_ms / max(1, slots)
+            excluded = entry.request.excluded
+            capacity = capacities.get(excluded)
+            if capacity is None:
+                capacity = self._capacity(excluded, now_ms)
+                capacities[excluded] = capacity
+            wait_ms = capacity.wait_ms(position)
             reason = (
                 self._refusal(entry.request, wait_ms, now_ms)
-                if slots
+                if capacity.throughput_per_ms
                 else "no-target"
             )
             if reason is None:
                 continue
-            retry_after_ms = min(
-                MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)
+            retry_after_ms = max(
+                min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)),
+                capacity.limit_wait_ms,
             )
             ticket = entry.request.ticket
             del self._queue[ticket]
@@ -431,6 +406,20 @@
                 _remember(self._refused_sessions, entry.request.session, None)
             self._results.append(Refused(ticket, retry_after_ms, reason))
 
+    def _capacity(
+        self, excluded: frozenset[ids.TargetId], now_ms: float
+    ) -> _Capacity:
+        """Returns the capacity of the open targets that are not excluded."""
+        views = [
+            view
+            for name, view in self._targets.items()
+            if view.is_open and name not in excluded
+        ]
+        return _Capacity(
+            sum(each.throughput_per_ms(self._average_run_ms) for each in views),
+            min((each.limit_wait_ms(now_ms) for each in views), default=0.0),
+        )
+
     def _refusal(
         self, request: QueuedRequest, wait_ms: float, now_ms: float
     ) -> str | None:
@@ -445,7 +434,9 @@
             return "queue-full"
         return None
 
-    def _update_run_times(self, view: TargetView, finished: Finished) -> None:
+    def _update_run_times(
+        self, view: view_lib.TargetView, finished: Finished
+    ) -> None:
         if finished.run_ms <= 0:
             return
         self._average_run_ms += RUN_TIME_SMOOTHING * (
--- /dev/null
+++ b/mangotally/policy/target_view.py
@@ -0,0 +1,103 @@
+"""State of one target, as known to the dispatcher of its service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mangotally.policy import target_limits
+from mangotally.util import clock
+
+if TYPE_CHECKING:
+    from mangotally import ids
+
+# Pause of a target after its second consecutive fault; doubled by each further
+# one up to the maximum.
+BACKOFF_MS = 1000.0
+MAX_BACKOFF_MS = 8000.0
+
+
+class TargetView:
+    """State of one target as known to the dispatcher.
+
+    Attributes:
+        slots: Number of requests that it runs at once.
+        failure_domain: Failure domain of the target.
+        is_open: Whether it accepts new requests.
+        in_flight: ids.Tickets of the requests at the target, with their hosts.
+        relative_time: Time per unit of work, relative to the average of the
+            targets of the service.
+    """
+
+    def __init__(
+        self, slots: int, failure_domain: ids.FailureDomainId, is_open: bool
+    ) -> None:
+        self.slots = slots
+        self.failure_domain = failure_domain
+        self.is_open = is_open
+        self.in_flight: dict[ids.Ticket, ids.HostId] = {}
+        self.relative_time = 1.0
+        self._paused_until_ms = 0.0
+        self._consecutive_failures = 0
+        self._intake: target_limits.LimitedIntake | None = None
+
+    def free_slots(self, now_ms: float) -> int:
+        """Returns how many more requests the target may get.
+
+        After a fault the target gets one request at a time until one of them
+        succeeds.
+        """
+        if not self.is_open:
+            return 0
+        if now_ms < self._paused_until_ms:
+            return 0
+        if self.limit_wait_ms(now_ms) > 0:
+            return 0
+        if self._consecutive_failures:
+            return 1 - len(self.in_flight)
+        return self.slots - len(self.in_flight)
+
+    def set_limit(self, limit_per_s: float | None, now_ms: float) -> None:
+        """Sets the requests per second that it accepts; None for no limit."""
+        if limit_per_s is None:
+            self._intake = None
+        elif self._intake is None:
+            self._intake = target_limits.LimitedIntake(limit_per_s, now_ms)
+        else:
+            self._intake.change(limit_per_s, now_ms)
+
+    def limit_wait_ms(self, now_ms: float) -> float:
+        """Returns the time until its limit allows another request."""
+        return self._intake.wait_ms(now_ms) if self._intake else 0.0
+
+    def count_request(self, now_ms: float) -> None:
+        """Counts a request that it gets now towards its limit."""
+        if self._intake is not None:
+            self._intake.take(now_ms)
+
+    def throughput_per_ms(self, run_ms: float) -> float:
+        """Returns how many requests it can process in a millisecond.
+
+        Args:
+            run_ms: Average run time of a request.
+        """
+        throughput = self.slots / run_ms
+        if self._intake is None:
+            return throughput
+        return min(throughput, self._intake.rate_per_s / clock.MS_PER_S)
+
+    def succeed(self) -> None:
+        """Records a complete answer."""
+        self._consecutive_failures = 0
+
+    def fail(self, now_ms: float) -> None:
+        """Records a fault; consecutive faults start an exponential backoff."""
+        self._consecutive_failures += 1
+        if self._consecutive_failures >= 2:
+            pause_ms = BACKOFF_MS * 2.0 ** min(
+                self._consecutive_failures - 2, 4
+            )
+            self._paused_until_ms = now_ms + min(pause_ms, MAX_BACKOFF_MS)
+
+    def reject(self, now_ms: float, pause_ms: float) -> None:
+        """Records that the target was full, and pauses it for a time."""
+        self._paused_until_ms = max(self._paused_until_ms, now_ms + pause_ms)
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -57,6 +57,7 @@
             multidict.CIMultiDict({"Request-Id": REQUEST_ID}),
             b"in",
             self.clock.now_ms() + DEADLINE_MS,
+            lambda _: None,
         )
         address = server.url.removeprefix("http://")
         return await self.sender.send(address, request)
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -10,7 +10,7 @@
 import unittest
 
 from mangotally import ids
-from mangotally.policy import dispatch, run_times
+from mangotally.policy import dispatch, run_times, target_view
 
 HOST = ids.HostId("h1")
 DOMAIN = ids.FailureDomainId("z1")
@@ -26,7 +26,7 @@
     excluded: tuple[str, ...] = (),
 ) -> dispatch.QueuedRequest:
     return dispatch.QueuedRequest(
-        dispatch.Ticket(name),
+        ids.Ticket(name),
         HOST,
         DOMAIN,
         priority,
@@ -72,7 +72,7 @@
         dispatcher.submit(_request("sooner", due_ms=100.0), 1.0)
         order: list[str] = []
         for number in range(5):
-            done = dispatch.Ticket(order[-1] if order else "running")
+            done = ids.Ticket(order[-1] if order else "running")
             dispatcher.finish(
                 dispatch.Finished(
                     done, ids.TargetId("t0"), dispatch.EndReason.DONE, 5.0
@@ -105,7 +105,7 @@
         dispatcher = _dispatcher(4, 4)
         bad = ids.TargetId("t0")
         for number in range(2):
-            ticket = dispatch.Ticket(f"f{number}")
+            ticket = ids.Ticket(f"f{number}")
             dispatcher.adopt(ticket, HOST, bad)
             dispatcher.finish(
                 dispatch.Finished(ticket, bad, dispatch.EndReason.FAILED), 0.0
@@ -115,7 +115,7 @@
         results = dispatcher.advance(1.0)
         targets = {r.target for r in results if isinstance(r, dispatch.Placed)}
         self.assertEqual(targets, {"t1"})
-        results = dispatcher.advance(2.0 + dispatch.BACKOFF_MS)
+        results = dispatcher.advance(2.0 + target_view.BACKOFF_MS)
         self.assertEqual(len(_placed(results)), 1)
 
     def test_skips_excluded_targets(self) -> None:
@@ -132,6 +132,95 @@
         dispatcher.retain(HOST, frozenset())
         self.assertEqual(dispatcher.in_flight, 0)
 
+    def test_refuses_at_once_if_all_targets_are_excluded(self) -> None:
+        dispatcher = _dispatcher(1)
+        dispatcher.submit(_request("w", excluded=("t0",)), 0.0)
+        (refused,) = dispatcher.advance(0.0)
+        assert isinstance(refused, dispatch.Refused)
+        self.assertEqual(refused.reason, "no-target")
+
+
+class TargetLimitTest(unittest.TestCase):
+    """Targets that name limits in the middle of traffic."""
+
+    SECONDS = 20
+
+    def _targets_of_load(
+        self, limits_per_s: dict[str, float], per_s: float
+    ) -> dict[str, list[float]]:
+        """Returns when each of four targets gets requests, which end at once.
+
+        The limits are named at 0 ms.
+        """
+        dispatcher = _dispatcher(4, 4, 4, 4)
+        for name, limit_per_s in limits_per_s.items():
+            dispatcher.set_limit(ids.TargetId(name), limit_per_s, 0.0)
+        assigned: dict[str, list[float]] = collections.defaultdict(list)
+        for number in range(int(per_s * self.SECONDS)):
+            now_ms = number * 1000.0 / per_s
+            deadline_ms = now_ms + 3000.0
+            dispatcher.submit(
+                _request(f"w{number}", deadline_ms=deadline_ms), now_ms
+            )
+            for each in dispatcher.advance(now_ms):
+                if not isinstance(each, dispatch.Placed):
+                    assigned["refused"].append(now_ms)
+                    continue
+                assigned[each.target].append(now_ms)
+                done = dispatch.Finished(
+                    each.ticket, each.target, dispatch.EndReason.DONE, 50.0, 1.0
+                )
+                dispatcher.finish(done, now_ms)
+        return assigned
+
+    def _check_limit(self, at_ms: list[float], limit_per_s: float) -> None:
+        for begin_ms in at_ms:
+            in_window = sum(
+                begin_ms <= each < begin_ms + 4000 for each in at_ms
+            )
+            self.assertLessEqual(in_window, 1.5 * limit_per_s * 4 + 5)
+
+    def test_other_targets_take_what_limited_ones_can_not(self) -> None:
+        limits_per_s = {"t0": 5.8, "t1": 3.2, "t2": 0.0}
+        assigned = self._targets_of_load(limits_per_s, per_s=60.0)
+        for name, limit_per_s in limits_per_s.items():
+            self._check_limit(assigned[name], limit_per_s)
+        self.assertEqual(assigned["refused"], [])
+
+    def test_limits_are_used_under_overload(self) -> None:
+        limits_per_s = {f"t{n}": 2.0 + n for n in range(4)}
+        assigned = self._targets_of_load(limits_per_s, per_s=60.0)
+        for name, limit_per_s in limits_per_s.items():
+            self._check_limit(assigned[name], limit_per_s)
+            self.assertGreaterEqual(
+                len(assigned[name]), 0.9 * limit_per_s * self.SECONDS
+            )
+
+    def test_refuses_at_once_what_no_limit_allows_in_time(self) -> None:
+        dispatcher = _dispatcher(4)
+        dispatcher.set_limit(ids.TargetId("t0"), 0.25, 0.0)
+        dispatcher.submit(_request("w", deadline_ms=3000.0), 0.0)
+        (refused,) = dispatcher.advance(0.0)
+        assert isinstance(refused, dispatch.Refused)
+        self.assertEqual(refused.reason, "too-late")
+        self.assertEqual(refused.retry_after_ms, 4000.0)
+
+    def test_a_restarted_target_has_no_limit(self) -> None:
+        dispatcher = _dispatcher(4)
+        target = ids.TargetId("t0")
+        dispatcher.set_limit(target, 0.25, 0.0)
+        dispatcher.drop_target(target)
+        dispatcher.set_target(target, 4, DOMAIN, True)
+        dispatcher.submit(_request("w"), 0.0)
+        self.assertEqual(_placed(dispatcher.advance(0.0)), ["w"])
+
+    def test_requests_wait_for_a_limit(self) -> None:
+        dispatcher = _dispatcher(4)
+        dispatcher.set_limit(ids.TargetId("t0"), 10.0, 0.0)
+        dispatcher.submit(_request("w"), 0.0)
+        self.assertEqual(dispatcher.advance(0.0), [])
+        self.assertEqual(_placed(dispatcher.advance(100.0)), ["w"])
+
 
 class LoadTest(unittest.TestCase):
     """Simulates load on targets that run every request they get."""
@@ -161,7 +250,7 @@
                 run_ms = self.RUN_MS * (slow if target == "t0" else 1.0)
                 dispatcher.finish(
                     dispatch.Finished(
-                        dispatch.Ticket(name),
+                        ids.Ticket(name),
                         ids.TargetId(target),
                         dispatch.EndReason.DONE,
                         run_ms,
