--- a/mangotally/entry/access_log.py
+++ b/mangotally/entry/access_log.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from mangotally.entry import attempts, requests
+    from mangotally.entry import attempts, requests, resumptions
     from mangotally.util import clock as clock_lib
 
 
@@ -27,6 +27,7 @@
         admitted_by: Which rate limiter admitted the request, see
             `rates.Admitted.source`.
         chain_turns: Number of preceding turns that were read.
+        resumption: What is known of the stream that it continues, or None.
         outcome: Outcome to log if there is no response.
         step_ms: Total time of each processing step, by name.
     """
@@ -43,6 +44,7 @@
         self.admitted_by = ""
         self.proof_age_ms = math.inf
         self.chain_turns = 0
+        self.resumption: resumptions.Resumption | None = None
         self.outcome = ""
         self.step_ms: collections.Counter[str] = collections.Counter()
 
--- a/mangotally/entry/answers.py
+++ b/mangotally/entry/answers.py
@@ -30,6 +30,8 @@
     NO_TURN = "no-turn"
     TURN_UNKNOWN = "turn-unknown"
     NO_PLACE = "no-place"
+    STREAM_UNKNOWN = "stream-unknown"
+    VERSION_GONE = "version-gone"
     NOT_RUN = "not-run"
     MAY_HAVE_RUN = "may-have-run"
     TIMEOUT = "timeout"
@@ -50,6 +52,8 @@
     Cause.NO_TURN: 404,
     Cause.TURN_UNKNOWN: 503,
     Cause.NO_PLACE: 503,
+    Cause.STREAM_UNKNOWN: 503,
+    Cause.VERSION_GONE: 503,
     Cause.NOT_RUN: 503,
     Cause.MAY_HAVE_RUN: 502,
     Cause.TIMEOUT: 504,
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -13,6 +13,7 @@
 
 from mangotally import ids
 from mangotally.entry import (
+    access,
     attempts,
     budgets,
     configuration_cache,
@@ -26,9 +27,11 @@
     monitor,
     peers,
     rates,
+    resumptions,
     sending,
     server,
     slots,
+    stream_origins,
 )
 from mangotally.platform import (
     failover,
@@ -230,11 +233,13 @@
         self._rate_home = rates.RateHome(
             self._member, self._configuration_cache, rate_bounds, clock
         )
+        origins = stream_origins.StreamOrigins(self._store, partitions, clock)
         self._monitor = monitor.Monitor(clock)
         self._budgets = self._wire_budgets(peer_client)
         dependencies = handler.Dependencies(
-            configuration_cache=self._configuration_cache,
-            refresh=self._configuration.read_now,
+            access=access.AccessControl(
+                self._configuration_cache, self._configuration.read_now
+            ),
             rates=rates.Rates(
                 self._rate_home, self._member, peer_client, rate_bounds, clock
             ),
@@ -246,9 +251,13 @@
                 self._slot_allocator,
                 sender,
                 self._directory,
+                origins,
                 headers.NAMES,
                 clock,
             ),
+            resumptions=resumptions.Resumptions(
+                origins, self._directory, clock
+            ),
             names=headers.NAMES,
             monitor=self._monitor,
             clock=clock,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -17,11 +17,12 @@
 
 from mangotally import ids
 from mangotally.entry import answers, events, model, sending, slots
-from mangotally.policy import dispatch, run_times
+from mangotally.policy import dispatch, resumption, run_times
 
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
+    from mangotally.entry import stream_origins
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -68,6 +69,8 @@
         event_limit: Number of events that may be sent to the caller so far.
         raise_event_limit: Raises `event_limit`; returns whether it could.
         last_event: Id of the last event sent to the caller, or None.
+        origin: What began the stream; None before its first event. Only
+            targets of the same version may go on with it.
     """
 
     id: model.RequestId
@@ -92,6 +95,7 @@
     event_limit: float = math.inf
     raise_event_limit: Callable[[], Awaitable[bool]] | None = None
     last_event: int | None = None
+    origin: resumption.Origin | None = None
 
     def record_first_event(self, after_ms: float) -> None:
         """Records the time to the first event; later calls do nothing."""
@@ -141,6 +145,7 @@
         allocator: slots.SlotAllocator,
         sender: sending.Sender,
         directory: directory_lib.TargetDirectory,
+        origins: stream_origins.StreamOrigins,
         names: headers_lib.HeaderNames,
         clock: clock_lib.Clock,
     ) -> None:
@@ -152,6 +157,7 @@
             allocator: Assigns slots at targets.
             sender: HTTP client for the targets.
             directory: Lists the targets.
+            origins: Records what began each stream.
             names: Names of headers.
             clock: Source of the current time.
         """
@@ -160,6 +166,7 @@
         self._allocator = allocator
         self._sender = sender
         self._directory = directory
+        self._origins = origins
         self._names = names
         self._clock = clock
         self._tickets = itertools.count()
@@ -207,8 +214,20 @@
             state.route.is_repeatable
             and state.attempts < state.route.max_attempts
             and remaining_ms > MIN_SEND_MS
+            and self._is_version_certain(state)
         )
 
+    def _is_version_certain(self, state: RequestState) -> bool:
+        """Returns whether it is certain which version began a stream.
+
+        Before its first event, any version may begin it.
+        """
+        if state.origin is None:
+            return True
+        listed = self._directory.version_of(state.origin.target)
+        version = resumption.version_to_resume_at(state.origin, listed)
+        return version is not None
+
     async def _acquire_slot(
         self, state: RequestState, excluded: frozenset[ids.TargetId]
     ) -> slots.Slot | slots.SlotRefusal:
@@ -224,6 +243,7 @@
             session=state.session,
             excluded=excluded,
             connected=self._idle_connected_targets(state.service),
+            version=state.origin.version if state.origin else None,
         )
         begin_ms = self._clock.now_ms()
         decision = await self._allocator.acquire(state.service, queued)
@@ -270,6 +290,8 @@
         target = self._directory.find(slot.target)
         if target is None:
             return sending.NotRun("target-gone", is_reached=False)
+        if state.origin and target.version != state.origin.version:
+            return sending.NotRun("other-version", is_reached=False)
         remaining_ms = state.deadline_ms - self._clock.now_ms()
         if remaining_ms < MIN_SEND_MS:
             return sending.NotRun("no-time-left", is_reached=False)
@@ -301,13 +323,16 @@
         outcome = await self._sender.send(target.address, request)
         if isinstance(outcome, sending.Stream):
             state.first_event_ms = None
-            return await self._forward_stream(state, slot, outcome, sink)
+            return await self._forward_stream(
+                state, slot, target, outcome, sink
+            )
         return outcome
 
     async def _forward_stream(
         self,
         state: RequestState,
         slot: slots.Slot,
+        target: model.Target,
         stream: sending.Stream,
         sink: EventSink,
     ) -> StreamEnded | StreamBroken | sending.Broken:
@@ -324,6 +349,7 @@
                 )
                 if not await _may_send(state, len(new)):
                     return StreamBroken("tokens-used-up")
+                self._record_origin(state, target)
                 state.sent_events += len(new)
                 state.last_event = new[-1].number
                 await sink.send_events(new)
@@ -341,11 +367,22 @@
             return StreamBroken(failure.reason)
         return failure
 
+    def _record_origin(self, state: RequestState, target: model.Target) -> None:
+        """Records what began a stream, unless it is known already."""
+        if state.origin is not None:
+            return
+        state.origin = resumption.Origin(
+            target.service, target.id, target.version, self._clock.wall_ms()
+        )
+        if state.route.is_resumable:
+            self._origins.record(state.id, state.origin)
+
     def _can_resume(self, state: RequestState) -> bool:
         return (
             state.last_event is not None
             and state.route.is_repeatable
             and state.attempts + 1 < state.route.max_attempts
+            and self._is_version_certain(state)
         )
 
     def _log_failure(
@@ -407,6 +444,8 @@
 
 def _refuse_without_slot(slot: slots.SlotRefusal) -> answers.Refusal:
     detail = f"{slot.reason} by {slot.source}"
+    if slot.reason == dispatch.NO_TARGET_OF_VERSION:
+        return answers.Refusal(answers.Cause.VERSION_GONE, detail)
     return answers.Refusal(answers.Cause.NO_PLACE, detail, slot.retry_after_ms)
 
 
--- a/mangotally/entry/directory.py
+++ b/mangotally/entry/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -26,6 +27,11 @@
         self._targets: dict[ids.TargetId, model.Target] = {}
         self._removal_due_ms: dict[ids.TargetId, float] = {}
         self._listeners: list[Callable[[ids.TargetId], None]] = []
+        self._followed_since_ms = math.inf
+        # When the last target of a service and version ended.
+        self._ended_ms: dict[
+            tuple[ids.ServiceId, ids.SoftwareVersion], float
+        ] = {}
 
     def add_listener(self, listener: Callable[[ids.TargetId], None]) -> None:
         """Registers a function to call with the id of each changed target."""
@@ -35,18 +41,46 @@
         """Returns a target, or None if it is not listed."""
         return self._targets.get(target)
 
+    def version_of(
+        self, target: ids.TargetId | None
+    ) -> ids.SoftwareVersion | None:
+        """Returns the version of a target, or None if it is not listed."""
+        listed = self._targets.get(target) if target is not None else None
+        return listed.version if listed is not None else None
+
     def of_service(self, service: ids.ServiceId) -> list[model.Target]:
         """Returns the listed targets of a service."""
         return [
             each for each in self._targets.values() if each.service == service
         ]
 
+    def only_version(
+        self, service: ids.ServiceId, since_ms: float
+    ) -> ids.SoftwareVersion | None:
+        """Returns the only version of a service's targets since a time.
+
+        Returns:
+            The version. None if there was none or more than one, or if the
+            targets have not been followed since then.
+        """
+        if self._followed_since_ms > since_ms:
+            return None
+        versions = {each.version for each in self.of_service(service)}
+        versions |= {
+            version
+            for (ended_service, version), at_ms in self._ended_ms.items()
+            if ended_service == service and at_ms >= since_ms
+        }
+        return versions.pop() if len(versions) == 1 else None
+
     def put(self, target: model.Target) -> None:
         """Adds or updates a target."""
         self._removal_due_ms.pop(target.id, None)
         known = self._targets.get(target.id)
         if known == target:
             return
+        if known is not None:
+            self._record_end(known)
         self._targets[target.id] = target
         logger.info(
             "target_changed",
@@ -55,6 +89,7 @@
                 "service": target.service,
                 "state": target.state.value,
                 "born_ms": target.born_ms,
+                "version": target.version,
                 "address": target.address,
             },
         )
@@ -63,8 +98,10 @@
     def remove(self, target: ids.TargetId, reason: str) -> None:
         """Removes a target at once."""
         self._removal_due_ms.pop(target, None)
-        if self._targets.pop(target, None) is None:
+        ended = self._targets.pop(target, None)
+        if ended is None:
             return
+        self._record_end(ended)
         logger.info("target_gone", extra={"target": target, "reason": reason})
         self._notify(target)
 
@@ -85,6 +122,9 @@
             after_outage: Whether entries may have expired although their
                 targets are running; these are removed later.
         """
+        self._followed_since_ms = min(
+            self._followed_since_ms, self._clock.now_ms()
+        )
         listed = {each.id: each for each in targets}
         for target in listed.values():
             self.put(target)
@@ -101,6 +141,10 @@
             if now_ms >= until_ms:
                 self.remove(name, "lapsed")
 
+    def _record_end(self, target: model.Target) -> None:
+        key = (target.service, target.version)
+        self._ended_ms[key] = self._clock.now_ms()
+
     def _notify(self, target: ids.TargetId) -> None:
         for listener in self._listeners:
             listener(target)
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -43,6 +43,14 @@
         for route, histogram in sorted(monitor.latency.items()):
             latency.add_metric([route], *histogram.buckets())
         yield latency
+        resumptions = metrics_core.CounterMetricFamily(
+            "mangotally_stream_resumptions",
+            "Requests that continue an interrupted stream, by outcome.",
+            labels=["outcome"],
+        )
+        for outcome, count in sorted(monitor.resumption_outcomes.items()):
+            resumptions.add_metric([outcome], count)
+        yield resumptions
         for name, value in sorted(monitor.gauges.items()):
             yield metrics_core.GaugeMetricFamily(
                 f"mangotally_{name}", name.replace("_", " "), value
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -6,12 +6,11 @@
 import dataclasses
 import math
 import random
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from mangotally import ids
+from mangotally.entry import access as access_lib
 from mangotally.entry import access_log as access_log_lib
 from mangotally.entry import (
     answers,
@@ -22,10 +21,10 @@
     model,
     rates,
     requests,
+    resumptions,
     sending,
     turns,
 )
-from mangotally.entry import configuration_cache as configuration_cache_lib
 from mangotally.entry import monitor as monitor_lib
 from mangotally.entry import sink as sink_lib
 from mangotally.util import clock as clock_lib
@@ -33,18 +32,12 @@
 if TYPE_CHECKING:
     import multidict
 
+    from mangotally import ids
+
 
-# Retry-After while there is no configuration, or none recent enough to deny.
-CONFIGURATION_RETRY_MS = 300.0
-# Retry-After while the cached configuration is stale. An outage that lasted
-# long enough to make it stale seldom ends at once.
-STALE_RETRY_MS = 800.0
 # Retry-After while the store is unavailable. It is seldom available again
 # sooner, and callers make few attempts.
 STORE_RETRY_MS = 1000.0
-# Before an unknown key or route is denied, a cached configuration older than
-# this is refreshed.
-DENIAL_AGE_MS = 100.0
 # Time-out for saving a turn, which the end of its streaming response waits
 # for. Callers disconnect from a stream after two seconds without data.
 SAVE_TIMEOUT_MS = 1800.0
@@ -53,42 +46,27 @@
 DEFAULT_TIMEOUT_MS = 60_000.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Access:
-    """Access that has been granted to a request.
-
-    Attributes:
-        configuration: The configuration that grants it.
-        route: The route of the request.
-        organisation: Its organisation, or None on public routes.
-    """
-
-    configuration: model.Configuration
-    route: model.Route
-    organisation: model.Organisation | None
-
-
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
     """Components that the handler uses.
 
     Attributes:
-        configuration_cache: The cached configuration.
-        refresh: Reads the configuration now; returns whether that succeeded.
+        access: Decides what a request may access.
         rates: Rate limits of organisations.
         budgets: Token budgets of programs.
         history: Saved turns.
+        resumptions: Prepares requests that continue a stream.
         attempts: Runs requests at targets.
         names: Names of headers.
         monitor: Counts and logs requests.
         clock: A clock that also advances while the machine is suspended.
     """
 
-    configuration_cache: configuration_cache_lib.ConfigurationCache
-    refresh: Callable[[], Awaitable[bool]]
+    access: access_lib.AccessControl
     rates: rates.Rates
     budgets: budgets.BudgetClient
     history: history.History
+    resumptions: resumptions.Resumptions
     attempts: attempts.AttemptRunner
     names: headers.HeaderNames
     monitor: monitor_lib.Monitor
@@ -145,7 +123,7 @@
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> attempts.Result:
-        access = await self._check_access(received, log_entry)
+        access = await self._dependencies.access.check(received, log_entry)
         if isinstance(access, answers.Refusal):
             return access
         try:
@@ -156,7 +134,19 @@
             return answers.Refusal(answers.Cause.TOO_LARGE)
         state = self._make_state(received, access, body)
         log_entry.state = state
-        log_entry.organisation = _organisation_id(access)
+        log_entry.organisation = access.organisation_id
+        if received.continues_stream and (
+            access.route.kind is model.RouteKind.STREAMING
+        ):
+            with log_entry.measure_step("resume"):
+                (
+                    log_entry.resumption,
+                    refusal,
+                ) = await self._dependencies.resumptions.prepare(
+                    received, state
+                )
+            if refusal is not None:
+                return refusal
         if not received.is_turn:
             return await self._admit_and_run(
                 received, access, state, sink, log_entry
@@ -166,7 +156,7 @@
     async def _run_turn(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
@@ -200,7 +190,7 @@
     async def _admit_and_run(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
@@ -227,7 +217,7 @@
     async def _admit(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> answers.Refusal | None:
@@ -252,61 +242,18 @@
                 admitted.retry_after_ms,
             )
         log_entry.admitted_by = admitted.source
-        state.is_new = bool(admitted.is_new) and received.is_turn
+        state.is_new = (
+            bool(admitted.is_new)
+            and received.is_turn
+            and not received.continues_stream
+        )
         return None
 
-    async def _check_access(
+    def _make_state(
         self,
         received: requests.CallerRequest,
-        log_entry: access_log_lib.AccessLogEntry,
-    ) -> Access | answers.Refusal:
-        """Returns what a request may access.
-
-        An unknown key or route is denied only by a recently confirmed
-        configuration, which is refreshed first if necessary.
-        """
-        cache = self._dependencies.configuration_cache
-        access = self._find_access(received)
-        if _is_denial(access) and cache.age_ms > DENIAL_AGE_MS:
-            is_read = await self._dependencies.refresh()
-            access = (
-                self._find_access(received)
-                if is_read
-                else _refuse_stale_denial()
-            )
-        configuration = cache.configuration
-        log_entry.version = configuration.version if configuration else 0
-        log_entry.proof_age_ms = cache.age_ms
-        return access
-
-    def _find_access(
-        self, received: requests.CallerRequest
-    ) -> Access | answers.Refusal:
-        cache = self._dependencies.configuration_cache
-        configuration = cache.configuration
-        if configuration is None:
-            return answers.Refusal(
-                answers.Cause.NO_CONFIGURATION,
-                retry_after_ms=CONFIGURATION_RETRY_MS,
-            )
-        route = configuration.find_route(received.host, received.path_only)
-        if route is None or not route.backends:
-            return answers.Refusal(answers.Cause.NO_ROUTE)
-        if route.is_public or not configuration.organisations:
-            return Access(configuration, route, None)
-        if not cache.is_fresh:
-            return answers.Refusal(
-                answers.Cause.STALE_CONFIGURATION,
-                f"age {cache.age_ms:.0f} ms",
-                STALE_RETRY_MS,
-            )
-        organisation = configuration.organisation_of(received.key or "")
-        if organisation is None:
-            return answers.Refusal(answers.Cause.BAD_KEY)
-        return Access(configuration, route, organisation)
-
-    def _make_state(
-        self, received: requests.CallerRequest, access: Access, body: bytes
+        access: access_lib.Access,
+        body: bytes,
     ) -> attempts.RequestState:
         route = access.route
         time_limit_ms = min(
@@ -339,7 +286,7 @@
     def _target_headers(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         attempt_headers: dict[str, str],
     ) -> multidict.CIMultiDict[str]:
         if access.organisation is not None:
@@ -353,7 +300,7 @@
     async def _load_turn_chain(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> bytes | answers.Refusal:
@@ -361,7 +308,7 @@
         until_ms = received.arrived_ms + access.route.objective_ms
         chain = await self._dependencies.history.chain(
             received.parent_turn,
-            _organisation_id(access),
+            access.organisation_id,
             min(until_ms, state.deadline_ms),
         )
         match chain:
@@ -380,7 +327,7 @@
     async def _reserve(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
     ) -> budgets.TurnReservation | answers.Refusal:
         until_ms = received.arrived_ms + access.route.objective_ms
@@ -408,16 +355,14 @@
     async def _request_tokens(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         tokens: int,
         until_ms: float,
         may_be_provisional: bool,
     ) -> budgets.Reservation | budgets.Denial:
         assert received.program is not None
         assert received.token_budget is not None
-        program = budgets.program_key(
-            _organisation_id(access), received.program
-        )
+        program = budgets.program_key(access.organisation_id, received.program)
         return await self._dependencies.budgets.reserve(
             program, received.token_budget, tokens, until_ms, may_be_provisional
         )
@@ -425,7 +370,7 @@
     def _make_turn_reservation(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         state: attempts.RequestState,
         first: budgets.Reservation,
     ) -> budgets.TurnReservation:
@@ -463,7 +408,7 @@
     async def _save_turn(
         self,
         received: requests.CallerRequest,
-        access: Access,
+        access: access_lib.Access,
         body: bytes,
         sink: sink_lib.CallerSink,
         answer: attempts.StreamEnded,
@@ -471,7 +416,7 @@
         data = b"".join(each + b"\n" for each in sink.data)
         turn = turns.Turn(
             model.TurnId(received.id),
-            _organisation_id(access),
+            access.organisation_id,
             received.parent_turn,
             body + data,
         )
@@ -507,21 +452,6 @@
         return response
 
 
-def _is_denial(access: Access | answers.Refusal) -> bool:
-    return isinstance(access, answers.Refusal) and access.cause in (
-        answers.Cause.NO_ROUTE,
-        answers.Cause.BAD_KEY,
-    )
-
-
-def _refuse_stale_denial() -> answers.Refusal:
-    return answers.Refusal(
-        answers.Cause.STALE_CONFIGURATION,
-        "configuration too old to deny access",
-        CONFIGURATION_RETRY_MS,
-    )
-
-
 def _choose_service(route: model.Route) -> ids.ServiceId:
     weights = [each.weight for each in route.backends]
     if len(weights) == 1 or not sum(weights):
@@ -529,13 +459,7 @@
     return random.choices(route.backends, weights)[0].service
 
 
-def _organisation_id(access: Access) -> ids.OrganisationId:
-    if access.organisation is None:
-        return ids.OrganisationId("")
-    return access.organisation.id
-
-
-def _event_tokens(access: Access, service: ids.ServiceId) -> int:
+def _event_tokens(access: access_lib.Access, service: ids.ServiceId) -> int:
     configured = access.configuration.services.get(service)
     engine = configured.engine if configured else None
     return engine.tokens_per_event if engine else 1
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -25,6 +25,8 @@
         token_usage: Tokens of the prompt, and the maximum to generate.
         parent_turn: Id of the turn that this one continues.
         last_event: Id of the last event that the sender has received.
+        resumes: Id of the request whose answer brought the first event of the
+            stream that this request continues.
         expected_target: The only target that may run the request.
         organisation: The organisation whose key the request carries.
         target: The target that sent the answer.
@@ -45,6 +47,7 @@
     token_usage: str
     parent_turn: str
     last_event: str
+    resumes: str
     expected_target: str
     organisation: str
     target: str
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -10,7 +10,7 @@
 from mangotally.metrics import histograms
 
 if TYPE_CHECKING:
-    from mangotally.entry import access_log
+    from mangotally.entry import access_log, resumptions
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger("mangotally.requests")
@@ -27,6 +27,7 @@
         self._clock = clock
         self._outcomes: collections.Counter[tuple[str, str]]
         self._outcomes = collections.Counter()
+        self._resumptions: collections.Counter[str] = collections.Counter()
         self._latency: dict[str, histograms.LatencyHistogram] = {}
         self.gauges: dict[str, float] = {}
 
@@ -47,6 +48,8 @@
         if isinstance(answer, answers.Refusal | attempts.StreamBroken):
             level = logging.WARNING
         logger.log(level, "request", extra=_fields(entry, answer, total_ms))
+        if entry.resumption is not None:
+            self._record_resumption(entry, entry.resumption, outcome)
 
     def render(self) -> bytes:
         """Returns all metrics in the text exposition format."""
@@ -60,11 +63,35 @@
         """Number of requests by route and outcome."""
         return dict(self._outcomes)
 
+    @property
+    def resumption_outcomes(self) -> dict[str, int]:
+        """Number of requests that continued a stream, by outcome."""
+        return dict(self._resumptions)
+
     @property
     def latency(self) -> dict[str, histograms.LatencyHistogram]:
         """Latencies of answered requests by route."""
         return self._latency
 
+    def _record_resumption(
+        self,
+        entry: access_log.AccessLogEntry,
+        found: resumptions.Resumption,
+        outcome: str,
+    ) -> None:
+        self._resumptions[outcome] += 1
+        logger.info(
+            "stream_resumption",
+            extra={
+                "request": entry.received.id,
+                "resumes": found.resumes,
+                "version": found.version,
+                "source": found.source,
+                "age_ms": found.age_ms,
+                "outcome": outcome,
+            },
+        )
+
 
 def _outcome(
     entry: access_log.AccessLogEntry, answer: attempts.Result | None
--- a/mangotally/entry/requests.py
+++ b/mangotally/entry/requests.py
@@ -16,6 +16,8 @@
 DEFAULT_MAX_TOKENS = 512
 # Larger numbers are reduced to this, which fits the messages between hosts.
 MAX_TOKENS = 2**53
+# Ids of the last event that say that there was none.
+_NO_EVENTS = frozenset({"", "0"})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +39,10 @@
         token_budget: Tokens that its program may generate, or None.
         max_tokens: Maximum number of tokens that this turn generates.
         parent_turn: The turn that it continues, or None.
+        continues_stream: Whether its caller has received events of the stream
+            from an earlier answer.
+        resumes: The request whose answer brought the first of them; None if
+            the caller does not name it.
     """
 
     id: model.RequestId
@@ -53,6 +59,8 @@
     token_budget: int | None
     max_tokens: int
     parent_turn: model.TurnId | None
+    continues_stream: bool
+    resumes: model.RequestId | None
 
     @property
     def path_only(self) -> str:
@@ -74,6 +82,8 @@
 ) -> CallerRequest:
     """Parses a request; malformed numbers are treated as absent."""
     parent = headers.get(names.parent_turn)
+    resumes = headers.get(names.resumes)
+    has_events = headers.get(names.last_event, "") not in _NO_EVENTS
     return CallerRequest(
         id=model.RequestId(headers.get(names.request_id, "")),
         method=method,
@@ -89,6 +99,8 @@
         token_budget=_token_count(headers.get(names.token_budget)),
         max_tokens=_max_tokens(headers.get(names.token_usage)),
         parent_turn=model.TurnId(parent) if parent else None,
+        continues_stream=has_events or bool(resumes),
+        resumes=model.RequestId(resumes) if resumes else None,
     )
 
 
--- /dev/null
+++ b/mangotally/entry/resumptions.py
@@ -0,0 +1,145 @@
+"""Prepares requests that continue an interrupted stream."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from mangotally import ids
+from mangotally.entry import answers, model, stream_origins
+from mangotally.entry import log as log_lib
+from mangotally.policy import resumption
+
+if TYPE_CHECKING:
+    from mangotally.entry import attempts, requests
+    from mangotally.entry import directory as directory_lib
+    from mangotally.util import clock as clock_lib
+
+# Retry-After while the store is unavailable: callers can take up a stream for
+# a few seconds only.
+STORE_RETRY_MS = 300.0
+# Other hosts may have found a target earlier than this one by this time.
+DISCOVERY_MS = 2000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Resumption:
+    """What is known of an interrupted stream, for the log.
+
+    Attributes:
+        resumes: The request whose answer brought its first event, or None.
+        version: The software version that must go on with it, or None.
+        source: Where the version is known from: `own`, `log` or
+            `only-version`, or why it is not known.
+        age_ms: Time since the first event; `inf` if unknown.
+    """
+
+    resumes: model.RequestId | None
+    version: ids.SoftwareVersion | None
+    source: str
+    age_ms: float = math.inf
+
+
+class Resumptions:
+    """Finds out at which software version interrupted streams go on.
+
+    A stream whose version is not known is refused: its caller can start it
+    again, but could not tell that its text was joined from two versions.
+    """
+
+    def __init__(
+        self,
+        origins: stream_origins.StreamOrigins,
+        directory: directory_lib.TargetDirectory,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Initialises the lookup.
+
+        Args:
+            origins: Records of the streams.
+            directory: Lists the targets.
+            clock: Source of the current time.
+        """
+        self._origins = origins
+        self._directory = directory
+        self._clock = clock
+
+    async def prepare(
+        self,
+        received: requests.CallerRequest,
+        state: attempts.RequestState,
+    ) -> tuple[Resumption, answers.Refusal | None]:
+        """Restricts a request to the version that began its stream.
+
+        Args:
+            received: The request.
+            state: Its state, whose origin and service are set.
+
+        Returns:
+            What is known of the stream, and the refusal if it can't go on.
+        """
+        if received.resumes is None:
+            return self._apply_only_version(state)
+        until_ms = received.arrived_ms + state.route.objective_ms
+        found = await self._origins.look_up(
+            received.resumes, min(until_ms, state.deadline_ms)
+        )
+        match found:
+            case log_lib.Unavailable():
+                return _refuse(
+                    received.resumes, "store-unavailable", STORE_RETRY_MS
+                )
+            case stream_origins.NotRecorded():
+                return _refuse(received.resumes, "not-recorded")
+        return self._apply(received.resumes, found, state)
+
+    def _apply(
+        self,
+        resumes: model.RequestId,
+        found: stream_origins.Found,
+        state: attempts.RequestState,
+    ) -> tuple[Resumption, answers.Refusal | None]:
+        origin = found.origin
+        listed = self._directory.version_of(origin.target)
+        version = resumption.version_to_resume_at(origin, listed)
+        if version is None:
+            return _refuse(resumes, "target-changed")
+        if origin.service not in {
+            each.service for each in state.route.backends
+        }:
+            return _refuse(resumes, "service-changed")
+        state.origin = origin
+        state.service = origin.service
+        source = "own" if found.is_own else "log"
+        age_ms = math.inf
+        if origin.begun_ms is not None:
+            age_ms = self._clock.wall_ms() - origin.begun_ms
+        return Resumption(resumes, version, source, age_ms), None
+
+    def _apply_only_version(
+        self, state: attempts.RequestState
+    ) -> tuple[Resumption, answers.Refusal | None]:
+        """Restricts a request whose caller does not name what it resumes.
+
+        Its stream began within the time limit of the route. If only one
+        version has served since then, that one began it.
+        """
+        limit_ms = state.route.timeout_ms + DISCOVERY_MS
+        since_ms = self._clock.now_ms() - limit_ms
+        version = self._directory.only_version(state.service, since_ms)
+        if version is None or len(state.route.backends) > 1:
+            return _refuse(None, "not-named")
+        state.origin = resumption.Origin(state.service, None, version, None)
+        return Resumption(None, version, "only-version"), None
+
+
+def _refuse(
+    resumes: model.RequestId | None,
+    reason: str,
+    retry_after_ms: float | None = None,
+) -> tuple[Resumption, answers.Refusal]:
+    refusal = answers.Refusal(
+        answers.Cause.STREAM_UNKNOWN, reason, retry_after_ms
+    )
+    return Resumption(resumes, None, reason), refusal
--- a/mangotally/entry/service_pool.py
+++ b/mangotally/entry/service_pool.py
@@ -70,6 +70,7 @@
             target.slots,
             target.failure_domain,
             target.state is model.TargetState.READY,
+            target.version,
         )
         self.dispatcher.set_limit(
             name, self._limits.limit_of(name), self._clock.now_ms()
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -32,6 +32,7 @@
         excluded=sorted(request.excluded),
         connected=sorted(request.connected),
         limits=limits,
+        version=request.version,
     )
 
 
@@ -50,6 +51,11 @@
         session=request.session,
         excluded=frozenset(ids.TargetId(each) for each in request.excluded),
         connected=frozenset(ids.TargetId(each) for each in request.connected),
+        version=(
+            ids.SoftwareVersion(request.version)
+            if request.HasField("version")
+            else None
+        ),
     )
 
 
--- /dev/null
+++ b/mangotally/entry/stream_origins.py
@@ -0,0 +1,185 @@
+"""Records in the log which target began each resumable stream.
+
+A caller whose stream was interrupted takes it up at any host, also after all
+hosts were killed. The record tells that host the software version that must
+go on with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import json
+import logging
+
+from mangotally import ids
+from mangotally.entry import log as log_lib
+from mangotally.entry import model, partition_writer
+from mangotally.policy import rendezvous, resumption
+from mangotally.util import background
+from mangotally.util import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+TOPIC = log_lib.Topic("streams")
+RETRY_MS = 40
+# A record may be on its way to the log while the caller already takes the
+# stream up elsewhere.
+SETTLE_MS = 120
+# Callers take up a stream within its time limit of a few seconds.
+WRITE_TIMEOUT_MS = 5000
+MAX_PENDING_WRITES = 1000
+MAX_CACHED = 8192
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """The origin of a stream.
+
+    Attributes:
+        origin: The origin.
+        is_own: Whether this host forwarded the first event itself.
+    """
+
+    origin: resumption.Origin
+    is_own: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRecorded:
+    """The log holds no record of the stream."""
+
+
+class StreamOrigins:
+    """Origins of the resumable streams of all hosts."""
+
+    def __init__(
+        self, log: log_lib.Log, partition_count: int, clock: clock_lib.Clock
+    ) -> None:
+        """Starts with an empty cache.
+
+        Args:
+            log: Log that holds the records.
+            partition_count: Number of partitions of the topic.
+            clock: Clock for deadlines.
+        """
+        self._clock = clock
+        self._partition_count = partition_count
+        numbers = range(partition_count)
+        self._writers = [
+            partition_writer.PartitionWriter(log, TOPIC, number)
+            for number in numbers
+        ]
+        self._cursors = [
+            log_lib.Cursor(log, TOPIC, number) for number in numbers
+        ]
+        self._locks = [asyncio.Lock() for _ in numbers]
+        self._cached: collections.OrderedDict[model.RequestId, Found]
+        self._cached = collections.OrderedDict()
+        self._writes = background.DetachedTasks()
+        self._pending_writes = 0
+
+    def record(
+        self, request: model.RequestId, origin: resumption.Origin
+    ) -> None:
+        """Records the origin of a stream in the background.
+
+        The first event need not wait for this: a stream without a record is
+        not resumed.
+        """
+        self._cache(request, Found(origin, is_own=True))
+        if self._pending_writes >= MAX_PENDING_WRITES:
+            logger.warning("stream_not_recorded", extra={"request": request})
+            return
+        self._writes.start(self._write(request, origin))
+
+    async def look_up(
+        self, request: model.RequestId, until_ms: float
+    ) -> Found | NotRecorded | log_lib.Unavailable:
+        """Returns the origin of a stream.
+
+        Args:
+            request: The request whose answer brought its first event.
+            until_ms: Deadline if the log does not respond.
+        """
+        settled_ms = self._clock.now_ms() + SETTLE_MS
+        while True:
+            failure = await self._read_until_cached(request)
+            found = self._cached.get(request)
+            if found is not None:
+                return found
+            now_ms = self._clock.now_ms()
+            is_last = now_ms + RETRY_MS >= until_ms
+            if failure is None and (is_last or now_ms >= settled_ms):
+                return NotRecorded()
+            if failure is not None and is_last:
+                return failure
+            await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+
+    async def _read_until_cached(
+        self, request: model.RequestId
+    ) -> log_lib.Unavailable | None:
+        """Reads the new records of a partition if the stream is unknown."""
+        if request in self._cached:
+            return None
+        number = self._partition_of(request)
+        async with self._locks[number]:
+            return await self._cursors[number].read(self._add_record)
+
+    async def _write(
+        self, request: model.RequestId, origin: resumption.Origin
+    ) -> None:
+        writer = self._writers[self._partition_of(request)]
+        record = _encode(request, origin)
+        until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
+        self._pending_writes += 1
+        try:
+            while await writer.write([record]) is None:
+                if self._clock.now_ms() + RETRY_MS >= until_ms:
+                    logger.warning(
+                        "stream_not_recorded", extra={"request": request}
+                    )
+                    return
+                await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+        finally:
+            self._pending_writes -= 1
+
+    def _add_record(self, record: bytes) -> None:
+        try:
+            request, origin = _decode(record)
+        except (ValueError, TypeError):
+            logger.error("stream_record_unreadable")
+            return
+        if request not in self._cached:
+            self._cache(request, Found(origin, is_own=False))
+
+    def _cache(self, request: model.RequestId, found: Found) -> None:
+        self._cached[request] = found
+        while len(self._cached) > MAX_CACHED:
+            self._cached.popitem(last=False)
+
+    def _partition_of(self, request: model.RequestId) -> int:
+        return rendezvous.partition_of_key(request, self._partition_count)
+
+
+def _encode(request: model.RequestId, origin: resumption.Origin) -> bytes:
+    fields = [
+        request,
+        origin.service,
+        origin.target,
+        origin.version,
+        origin.begun_ms,
+    ]
+    return json.dumps(fields).encode()
+
+
+def _decode(record: bytes) -> tuple[model.RequestId, resumption.Origin]:
+    request, service, target, version, begun_ms = json.loads(record)
+    origin = resumption.Origin(
+        ids.ServiceId(service),
+        ids.TargetId(target),
+        ids.SoftwareVersion(version),
+        begun_ms,
+    )
+    return model.RequestId(request), origin
--- a/mangotally/ids.py
+++ b/mangotally/ids.py
@@ -14,6 +14,7 @@
 ProgramId = NewType("ProgramId", str)
 AttemptId = NewType("AttemptId", str)
 CallId = NewType("CallId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 # A request that needs or holds a slot at a target.
 Ticket = NewType("Ticket", str)
 KeyId = NewType("KeyId", str)
--- a/mangotally/platform/headers.py
+++ b/mangotally/platform/headers.py
@@ -17,6 +17,7 @@
     token_usage="Token-Usage",
     parent_turn="Parent-Turn",
     last_event="Last-Event-Id",
+    resumes="Resumes",
     expected_target="Expect-Instance",
     organisation="Tenant",
     target="Instance-Id",
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -20,6 +20,7 @@
     from collections.abc import Awaitable, Callable
 
 STAMP = "stamp"
+FIRST_VERSION = "v1"
 # For each kind of endless answer: its first bytes and the bytes that are
 # repeated. All kinds but "head" send the status line and usual headers first.
 ENDLESS = {
@@ -86,6 +87,7 @@
         slots: int = 4,
         events: int = 3,
         event_ms: float = 2.0,
+        version: str = FIRST_VERSION,
     ) -> None:
         """Creates a worker.
 
@@ -95,6 +97,7 @@
             slots: Maximum number of concurrent requests.
             events: Number of events in a stream.
             event_ms: Time per event, or per plain answer.
+            version: Version of its software, which changes what it generates.
         """
         super().__init__()
         self.name = name
@@ -106,6 +109,7 @@
         self.max_running = 0
         self.events = events
         self.event_ms = event_ms
+        self.version = version
         self._clock = clock_lib.SystemClock()
 
     def registration(self, state: str = "ready") -> dict[str, object]:
@@ -114,7 +118,7 @@
             "Service": self.service,
             "Address": self.url.removeprefix("http://"),
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
@@ -218,11 +222,17 @@
                 _abort(request)
                 raise ConnectionAbortedError
             await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
-            await response.write(f"id: {number}\ndata: e{number}\n\n".encode())
+            await response.write(event(number, self.version))
         await response.write_eof()
         return response
 
 
+def event(number: int, version: str = FIRST_VERSION) -> bytes:
+    """Returns an event of a stream, as a software version generates it."""
+    suffix = "" if version == FIRST_VERSION else f" of {version}"
+    return f"id: {number}\ndata: e{number}{suffix}\n\n".encode()
+
+
 def _abort(request: web.Request) -> None:
     assert request.transport is not None
     request.transport.abort()
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -67,6 +67,7 @@
                 ids.FailureDomainId(found.text("Zone")),
                 max(1, found.count("Slots")),
                 _STATES[found.text("State")],
+                ids.SoftwareVersion(found.text("Version")),
             )
         )
     except (KeyError, ValueError) as error:
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -19,6 +19,12 @@
 
 T = TypeVar("T")
 
+# Reasons of refusals for which waiting is useless.
+NO_TARGET = "no-target"
+NO_TARGET_OF_VERSION = "no-target-of-version"
+# Version of a target that has not said any.
+NO_VERSION = ids.SoftwareVersion("")
+
 # Weight of a new observation in the moving average of a target's relative
 # time.
 RELATIVE_TIME_SMOOTHING = 0.15
@@ -65,6 +71,8 @@
             if no prefix is shared.
         excluded: Targets that must not be chosen.
         connected: Targets to which the host has an idle connection.
+        version: The only software version that may run it, or None. What two
+            versions generate can't be joined in one stream.
     """
 
     ticket: ids.Ticket
@@ -77,6 +85,15 @@
     session: str = ""
     excluded: frozenset[ids.TargetId] = frozenset()
     connected: frozenset[ids.TargetId] = frozenset()
+    version: ids.SoftwareVersion | None = None
+
+    def allows(
+        self, target: ids.TargetId, version: ids.SoftwareVersion
+    ) -> bool:
+        """Returns whether a target of a software version may run it."""
+        if target in self.excluded:
+            return False
+        return self.version is None or self.version == version
 
 
 class EndReason(enum.Enum):
@@ -208,14 +225,24 @@
         slots: int,
         failure_domain: ids.FailureDomainId,
         is_open: bool,
+        version: ids.SoftwareVersion = NO_VERSION,
     ) -> None:
-        """Adds a target, or updates its slots and whether it is open."""
+        """Adds a target, or updates its slots, version and whether it is open.
+
+        Args:
+            target: The target.
+            slots: Number of requests that it runs at once.
+            failure_domain: Its failure domain.
+            is_open: Whether it accepts new requests.
+            version: Version of its software.
+        """
         known = self._targets.get(target)
         if known is None:
             known = view_lib.TargetView(slots, failure_domain, is_open)
             self._targets[target] = known
         known.slots = slots
         known.is_open = is_open
+        known.version = version
 
     def set_limit(
         self, target: ids.TargetId, limit_per_s: float | None, now_ms: float
@@ -348,7 +375,9 @@
         best: ids.TargetId | None = None
         best_cost = float("inf")
         for name, view in self._targets.items():
-            if name in request.excluded or view.free_slots(now_ms) <= 0:
+            if not request.allows(name, view.version):
+                continue
+            if view.free_slots(now_ms) <= 0:
                 continue
             cost = self._cost(request, view)
             cost -= CACHED_PREFIX_BONUS * (name == session_target)
@@ -378,21 +407,22 @@
         return request.priority, is_overdue, request.is_new, request.due_ms
 
     def _refuse(self, ordered: list[_QueueEntry], now_ms: float) -> None:
-        capacities: dict[frozenset[ids.TargetId], _Capacity] = {}
+        capacities: dict[object, _Capacity] = {}
         remaining = [
             each for each in ordered if each.request.ticket in self._queue
         ]
         for position, entry in enumerate(remaining):
-            excluded = entry.request.excluded
-            capacity = capacities.get(excluded)
+            request = entry.request
+            allowed = (request.excluded, request.version)
+            capacity = capacities.get(allowed)
             if capacity is None:
-                capacity = self._capacity(excluded, now_ms)
-                capacities[excluded] = capacity
+                capacity = self._capacity(request, now_ms)
+                capacities[allowed] = capacity
             wait_ms = capacity.wait_ms(position)
             reason = (
-                self._refusal(entry.request, wait_ms, now_ms)
+                self._refusal(request, wait_ms, now_ms)
                 if capacity.throughput_per_ms
-                else "no-target"
+                else _no_target(request)
             )
             if reason is None:
                 continue
@@ -400,20 +430,19 @@
                 min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)),
                 capacity.limit_wait_ms,
             )
-            ticket = entry.request.ticket
-            del self._queue[ticket]
-            if entry.request.is_new and entry.request.session:
-                _remember(self._refused_sessions, entry.request.session, None)
-            self._results.append(Refused(ticket, retry_after_ms, reason))
-
-    def _capacity(
-        self, excluded: frozenset[ids.TargetId], now_ms: float
-    ) -> _Capacity:
-        """Returns the capacity of the open targets that are not excluded."""
+            del self._queue[request.ticket]
+            if request.is_new and request.session:
+                _remember(self._refused_sessions, request.session, None)
+            self._results.append(
+                Refused(request.ticket, retry_after_ms, reason)
+            )
+
+    def _capacity(self, request: QueuedRequest, now_ms: float) -> _Capacity:
+        """Returns the capacity of the open targets that may run a request."""
         views = [
             view
             for name, view in self._targets.items()
-            if view.is_open and name not in excluded
+            if view.is_open and request.allows(name, view.version)
         ]
         return _Capacity(
             sum(each.throughput_per_ms(self._average_run_ms) for each in views),
@@ -460,6 +489,10 @@
         )
 
 
+def _no_target(request: QueuedRequest) -> str:
+    return NO_TARGET if request.version is None else NO_TARGET_OF_VERSION
+
+
 def _remember(sessions: dict[str, T], session: str, value: T) -> None:
     """Sets the value of a session; the oldest ones are dropped."""
     sessions.pop(session, None)
--- a/mangotally/policy/target_view.py
+++ b/mangotally/policy/target_view.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from mangotally import ids
 from mangotally.policy import target_limits
 from mangotally.util import clock
 
-if TYPE_CHECKING:
-    from mangotally import ids
-
 # Pause of a target after its second consecutive fault; doubled by each further
 # one up to the maximum.
 BACKOFF_MS = 1000.0
@@ -22,6 +18,7 @@
     Attributes:
         slots: Number of requests that it runs at once.
         failure_domain: Failure domain of the target.
+        version: Version of its software.
         is_open: Whether it accepts new requests.
         in_flight: ids.Tickets of the requests at the target, with their hosts.
         relative_time: Time per unit of work, relative to the average of the
@@ -33,6 +30,7 @@
     ) -> None:
         self.slots = slots
         self.failure_domain = failure_domain
+        self.version = ids.SoftwareVersion("")
         self.is_open = is_open
         self.in_flight: dict[ids.Ticket, ids.HostId] = {}
         self.relative_time = 1.0
--- a/tests/test_entry/test_parts.py
+++ b/tests/test_entry/test_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import time
 import unittest
@@ -35,6 +36,7 @@
         ids.FailureDomainId("z"),
         4,
         state,
+        ids.SoftwareVersion("v1"),
     )
 
 
@@ -102,6 +104,54 @@
         self.assertIsNone(self.directory.find(self.ready.id))
 
 
+class OnlyVersionTest(unittest.TestCase):
+    """The only version of a service is known if it was followed long enough."""
+
+    SERVICE = ids.ServiceId("s")
+
+    def setUp(self) -> None:
+        self.clock = clock_lib.ManualClock(1000.0)
+        self.directory = directory.TargetDirectory(self.clock)
+        self.old = _target("old", model.TargetState.READY)
+        self.new = dataclasses.replace(
+            self.old, id=ids.TargetId("new"), version=ids.SoftwareVersion("v2")
+        )
+
+    def _only(self, age_ms: float) -> str | None:
+        since_ms = self.clock.now_ms() - age_ms
+        return self.directory.only_version(self.SERVICE, since_ms)
+
+    def test_unknown_before_the_targets_were_followed(self) -> None:
+        self.assertIsNone(self._only(0.0))
+        self.directory.replace([self.old], after_outage=False)
+        self.clock.advance(100.0)
+        self.assertIsNone(self._only(101.0))
+        self.assertEqual(self._only(100.0), "v1")
+
+    def test_unknown_while_two_versions_serve(self) -> None:
+        self.directory.replace([self.old, self.new], after_outage=False)
+        self.assertIsNone(self._only(0.0))
+
+    def test_a_version_counts_until_it_has_been_gone_for_long(self) -> None:
+        self.directory.replace([self.old, self.new], after_outage=False)
+        self.clock.advance(10.0)
+        self.directory.remove(self.old.id, "unlisted")
+        self.clock.advance(50.0)
+        self.assertIsNone(self._only(50.0))
+        self.assertEqual(self._only(49.0), "v2")
+
+    def test_a_target_that_changes_its_version_counts_as_both(self) -> None:
+        self.directory.replace([self.old], after_outage=False)
+        changed = dataclasses.replace(
+            self.old, version=ids.SoftwareVersion("v2")
+        )
+        self.clock.advance(10.0)
+        self.directory.put(changed)
+        self.clock.advance(50.0)
+        self.assertIsNone(self._only(50.0))
+        self.assertEqual(self._only(49.0), "v2")
+
+
 class EventSplitterTest(unittest.TestCase):
     """Only complete events are forwarded, byte for byte."""
 
--- /dev/null
+++ b/tests/test_entry/test_stream_versions.py
@@ -0,0 +1,322 @@
+"""Tests of streams whose targets run several software versions."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from mangotally import ids
+from mangotally.platform import standin_worker
+from tests import entry_fleet
+from tests.entry_fleet import QUERY, with_fleet
+
+if TYPE_CHECKING:
+    from mangotally.entry import model
+
+NEW = "v2"
+EVENTS = 6
+FIRST_PART = 2
+SLOW_EVENT_MS = 400.0
+# A refusal must come long before the caller's time limit of 3 s.
+AT_ONCE_S = 0.4
+
+
+def _events(first: int, last: int, version: str) -> bytes:
+    return b"".join(
+        standin_worker.event(number, version)
+        for number in range(first, last + 1)
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """What a caller received.
+
+    Attributes:
+        status: HTTP status.
+        body: The body, as far as it came.
+        is_complete: Whether the answer ended as complete.
+        retry_after: Value of the Retry-After header, or None.
+    """
+
+    status: int
+    body: bytes
+    is_complete: bool
+    retry_after: str | None
+
+
+class _Versions(entry_fleet.EntryFleet):
+    """A fleet whose model targets run two versions."""
+
+    def __init__(self, versions: tuple[str, ...]) -> None:
+        super().__init__(models=len(versions))
+        for worker, version in zip(self.models, versions, strict=True):
+            worker.version = version
+            worker.events = EVENTS
+
+    async def stream(self, request_id: str, host: int, **sent: str) -> _Answer:
+        """Reads a stream until it ends or breaks."""
+        headers = {
+            "Host": entry_fleet.HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "3000",
+            "Authorization": f"Bearer {entry_fleet.KEY}",
+            "Program-Id": "p1",
+            "Token-Budget": "100000",
+            "Token-Usage": "5,50",
+            "Program-Deadline-Ms": "5000",
+        }
+        headers |= {name.replace("_", "-"): text for name, text in sent.items()}
+        body = b""
+        is_complete = False
+        async with self.session.post(
+            self.urls[host] + QUERY, data=b"in", headers=headers
+        ) as response:
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                async for chunk in response.content.iter_any():
+                    body += chunk
+                is_complete = True
+            return _Answer(
+                response.status,
+                body,
+                is_complete,
+                response.headers.get("Retry-After"),
+            )
+
+    async def take_up(
+        self, request_id: str, host: int, resumes: str, last_event: int
+    ) -> _Answer:
+        """Continues a stream."""
+        return await self.stream(
+            request_id,
+            host,
+            Resumes=resumes,
+            Last_Event_Id=str(last_event),
+        )
+
+    def only(self, version: str) -> None:
+        """Lets only the targets of a version accept requests."""
+        for worker in self.models:
+            worker.faults.shed = worker.version != version
+
+    async def begin_and_break(self, version: str, request_id: str) -> None:
+        """Begins a stream at a version, and breaks it off."""
+        self.only(version)
+        for worker in self.models:
+            worker.faults.cut_after = FIRST_PART
+        answer = await self.stream(request_id, 0)
+        assert answer.body == _events(1, FIRST_PART, version), answer
+        assert not answer.is_complete
+        for worker in self.models:
+            worker.faults.cut_after = -1
+            worker.faults.shed = False
+
+    async def set_state(
+        self, worker: standin_worker.StandInWorker, state: str
+    ) -> None:
+        """Changes the state of a target, and waits until all hosts know."""
+        record = worker.registration(state)
+        self.store.put("keyed.servers", worker.name, record)
+        await entry_fleet.wait_for(
+            lambda: all(
+                listed is not None and listed.state.value == state
+                for listed in self._listed(worker)
+            )
+        )
+
+    async def remove(self, worker: standin_worker.StandInWorker) -> None:
+        """Removes the entry of a target, and waits until all hosts know."""
+        self.store.put("keyed.servers", worker.name, None)
+        await entry_fleet.wait_for(
+            lambda: not any(each for each in self._listed(worker))
+        )
+
+    def _listed(
+        self, worker: standin_worker.StandInWorker
+    ) -> list[model.Target | None]:
+        target = ids.TargetId(worker.name)
+        return [host._directory.find(target) for host in self.hosts]
+
+    async def restart_hosts(self) -> None:
+        """Replaces all hosts by new ones that know nothing."""
+        count = len(self.hosts)
+        for stack in self._stacks:
+            await stack.aclose()
+        self._stacks.clear()
+        self.hosts.clear()
+        self.urls.clear()
+        for number in range(count):
+            await self.add_host(f"n{number}")
+        await self.wait_until_ready()
+
+
+class OneAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Within one answer a stream goes on at its version only."""
+
+    async def test_is_aborted_rather_than_joined(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            for begun, other in (fleet.models, fleet.models[::-1]):
+                begun.faults.cut_after = FIRST_PART
+                other.faults.shed = True
+                call = fleet.stream(f"a-{begun.name}", 0)
+                task = asyncio.create_task(call)
+                await entry_fleet.wait_for(begun.executed.__len__)
+                other.faults.shed = False
+                answer = await task
+                self.assertEqual(
+                    answer.body, _events(1, FIRST_PART, begun.version)
+                )
+                self.assertFalse(answer.is_complete)
+                self.assertEqual(other.executed, [])
+                begun.faults.cut_after = -1
+                begun.executed.clear()
+
+    async def test_goes_on_at_another_target_of_its_version(self) -> None:
+        async with _Versions(("v1", NEW, NEW)) as fleet:
+            old, first, second = fleet.models
+            await fleet.set_state(old, "draining")
+            for worker in (first, second):
+                worker.faults.cut_after = FIRST_PART
+                worker.event_ms = SLOW_EVENT_MS
+            task = asyncio.create_task(fleet.stream("a", 0))
+            await entry_fleet.wait_for(lambda: first.executed + second.executed)
+            await fleet.set_state(old, "ready")
+            other = second if first.executed else first
+            other.faults.cut_after = -1
+            answer = await task
+            self.assertEqual(answer.body, _events(1, EVENTS, NEW))
+            self.assertTrue(answer.is_complete)
+
+
+class TakeUpTest(unittest.IsolatedAsyncioTestCase):
+    """Callers take streams up at any host, at the same version only."""
+
+    async def test_goes_on_at_its_version_after_all_hosts_restarted(
+        self,
+    ) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            for version in ("v1", NEW):
+                await fleet.begin_and_break(version, f"a-{version}")
+            await fleet.restart_hosts()
+            for host in range(2):
+                for version in ("v1", NEW):
+                    answer = await fleet.take_up(
+                        f"b-{version}-{host}", host, f"a-{version}", FIRST_PART
+                    )
+                    self.assertEqual(answer.status, 200)
+                    self.assertEqual(
+                        answer.body, _events(FIRST_PART + 1, EVENTS, version)
+                    )
+
+    async def test_a_second_take_up_names_the_first_request(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            await fleet.begin_and_break("v1", "a")
+            for worker in fleet.models:
+                worker.faults.cut_after = FIRST_PART + 1
+            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            self.assertEqual(answer.body, standin_worker.event(3))
+            for worker in fleet.models:
+                worker.faults.cut_after = -1
+            answer = await fleet.take_up("c", 0, "a", FIRST_PART + 1)
+            self.assertEqual(answer.body, _events(4, EVENTS, "v1"))
+
+    async def test_is_refused_at_once_if_its_version_has_left(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            await fleet.begin_and_break("v1", "a")
+            await fleet.remove(fleet.models[0])
+            fleet.models[1].executed.clear()
+            begin_s = time.monotonic()
+            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            self.assertLess(time.monotonic() - begin_s, AT_ONCE_S)
+            self.assertEqual((answer.status, answer.retry_after), (503, None))
+            self.assertEqual(fleet.models[1].executed, [])
+
+    async def test_an_unknown_stream_is_refused(self) -> None:
+        async with _Versions((NEW,)) as fleet:
+            begin_s = time.monotonic()
+            answer = await fleet.take_up("b", 1, "unknown", FIRST_PART)
+            self.assertLess(time.monotonic() - begin_s, AT_ONCE_S)
+            self.assertEqual((answer.status, answer.retry_after), (503, None))
+            self.assertEqual(fleet.runs(), [])
+
+    async def test_unnamed_goes_on_only_if_one_version_has_served(
+        self,
+    ) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            for host in fleet.hosts:
+                host._directory._followed_since_ms = 0.0
+            answer = await fleet.stream("a", 1, Last_Event_Id="2")
+            self.assertEqual((answer.status, answer.retry_after), (503, None))
+            await fleet.remove(fleet.models[1])
+            answer = await fleet.stream("b", 1, Last_Event_Id="2")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(fleet.runs(), [])
+            for host in fleet.hosts:
+                host._directory._ended_ms.clear()
+            answer = await fleet.stream("c", 1, Last_Event_Id="2")
+            self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
+
+    async def test_an_answer_that_brought_no_event_is_not_taken_up(
+        self,
+    ) -> None:
+        async with _Versions((NEW,)) as fleet:
+            answer = await fleet.stream("b", 1, Last_Event_Id="0")
+            self.assertEqual(answer.body, _events(1, EVENTS, NEW))
+
+    async def test_is_refused_if_its_target_has_changed_its_version(
+        self,
+    ) -> None:
+        async with _Versions(("v1", "v1")) as fleet:
+            await fleet.begin_and_break("v1", "a")
+            for worker in fleet.models:
+                changed = worker.registration() | {"Version": NEW, "born": 2}
+                if worker.executed:
+                    fleet.store.put("keyed.servers", worker.name, changed)
+            await asyncio.sleep(2.0)
+            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            self.assertEqual(answer.status, 503)
+
+    async def test_waits_for_the_store_while_that_is_useful(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            await fleet.begin_and_break("v1", "a")
+            fleet.store.faults.refuse = True
+            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            self.assertEqual(answer.status, 503)
+            self.assertIsNotNone(answer.retry_after)
+            fleet.store.faults.refuse = False
+            answer = await fleet.take_up("c", 1, "a", FIRST_PART)
+            self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
+
+    async def test_is_recorded_once_the_store_is_back(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            for worker in fleet.models:
+                worker.event_ms = SLOW_EVENT_MS
+            call = fleet.begin_and_break("v1", "a")
+            task = asyncio.create_task(call)
+            await entry_fleet.wait_for(fleet.models[0].executed.__len__)
+            fleet.store.faults.refuse = True
+            await task
+            fleet.store.faults.refuse = False
+            await asyncio.sleep(0.3)
+            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
+
+
+class ExpositionTest(unittest.IsolatedAsyncioTestCase):
+    """Operators see how many streams were taken up."""
+
+    @with_fleet
+    async def test_outcomes_are_counted(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        await fleet.turn(QUERY, Last_Event_Id="2", Resumes="unknown")
+        self.assertIn(
+            b'mangotally_stream_resumptions_total{outcome="stream-unknown"} 1',
+            fleet.hosts[0]._monitor.render(),
+        )
--- a/tests/test_platform/test_wire.py
+++ b/tests/test_platform/test_wire.py
@@ -34,6 +34,7 @@
         "Service": "s",
         "Address": "10.0.0.1:80",
         "Zone": "z",
+        "Version": "v1.2",
         "Slots": 8,
         "State": "ready",
         "born": 5,
@@ -72,6 +73,7 @@
     def test_target(self) -> None:
         found = wire.decode_target("i", _target_record()).unwrap()
         self.assertEqual((found.id, found.born_ms, found.slots), ("i", 5, 8))
+        self.assertEqual(found.version, "v1.2")
 
     def test_invalid_targets_are_refused(self) -> None:
         for data in (
@@ -83,6 +85,8 @@
             _target_record(Address="nowhere"),
             _target_record(born=1.5),
             _target_record(Service=None),
+            _target_record(Version=None),
+            _target_record(Version=2),
         ):
             found = wire.decode_target("i", data)
             self.assertIsInstance(found, result.Failure, data)
