Soak: targets of several versions, callers that break streams and take them up

Now targets have one of three versions, a new one drawn at each restart; callers break off 15 in 100 resumable streams and take up four fifths of the broken ones at any host; the oracle checks the text over all tries; the summary counts take-ups.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -376,7 +376,7 @@
         store.put("keyed.servers", name, target.store_record("draining"))
         await asyncio.sleep(clock_lib.to_seconds(DRAIN_MS))
         store.put("keyed.servers", name, None)
-        self._restart_target(target, name)
+        self._restart_target(target, name, rng)
 
     async def _crash_target(self, fault: Fault, rng: random.Random) -> None:
         target = rng.choice(self._environment.targets)
@@ -387,13 +387,15 @@
         await _wait_for_duration(fault)
         target.link.refuses_connections = False
         self._environment.store.put("keyed.servers", name, None)
-        self._restart_target(target, name)
+        self._restart_target(target, name, rng)
 
-    def _restart_target(self, target: targets.Target, former: str) -> None:
+    def _restart_target(
+        self, target: targets.Target, former: str, rng: random.Random
+    ) -> None:
         """Restarts a target under a new id, unless that was done already."""
         if target.name != former:
             return
-        target.restart()
+        target.restart(rng.choice(workload.VERSIONS))
         self._environment.store.put(
             "keyed.servers", target.name, target.store_record()
         )
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -27,6 +27,10 @@
 _NOT_EXECUTED = frozenset({408, 421, 429, 503})
 _TURN_NOT_FOUND = frozenset({404, 410})
 _POSSIBLY_EXECUTED = frozenset({502, 504})
+# Fields of an attempt that are not written as they are.
+_REFERENCES = frozenset(
+    {"parent", "program", "resumes", "kind", "body", "runs"}
+)
 
 
 @dataclasses.dataclass
@@ -90,6 +94,11 @@
         body: Body as sent.
         parent: The turn that it continues from, or None.
         program: The program it belongs to, or None.
+        resumes: The request whose answer brought the first event of the stream
+            that this one takes up, or None.
+        received: Number of events of the stream received over all requests
+            that take it up; counted at its first request.
+        version: Software version that generated the first event, or empty.
         is_foreign: Whether the parent is a turn of another organisation.
         sent_ms: When the caller began to send it.
         ended_ms: When the response or the connection ended.
@@ -111,6 +120,9 @@
     body: bytes
     parent: Attempt | None = None
     program: Program | None = None
+    resumes: Attempt | None = None
+    received: int = 0
+    version: str = ""
     is_foreign: bool = False
     sent_ms: float = 0.0
     ended_ms: float | None = None
@@ -127,6 +139,11 @@
         """Whether the caller got a complete, successful response."""
         return self.is_whole and self.status == _OK
 
+    @property
+    def origin(self) -> Attempt:
+        """The request that began its stream."""
+        return self.resumes or self
+
     @property
     def history(self) -> bytes:
         """The prompt prefix of a turn that continues from this one."""
@@ -209,11 +226,19 @@
 
     def record_events(self, attempt: Attempt, events: list[bytes]) -> None:
         """Records and checks events as they reach the caller."""
+        origin = attempt.origin
         for event in events:
             attempt.events += 1
-            if event != workload.event_bytes(attempt.id, attempt.events)[:-2]:
+            origin.received += 1
+            origin.version = origin.version or workload.event_version(event)
+            expected = workload.event_bytes(
+                origin.id, origin.received, origin.version
+            )
+            if event != expected[:-2]:
                 self.add_finding(
-                    "ORDER", attempt, f"event {attempt.events}: {event!r}"
+                    "ORDER",
+                    attempt,
+                    f"event {origin.received} of {origin.version}: {event!r}",
                 )
         program = attempt.program
         if program is None:
@@ -361,9 +386,10 @@
         if not runs or runs[0].status != _OK:
             self.add_finding("MIXED", attempt, f"stamp {attempt.stamp!r}")
         elif attempt.kind.is_stream:
-            if attempt.events != workload.event_count(attempt.id):
+            received = attempt.origin.received
+            if received != workload.event_count(attempt.origin.id):
                 self.add_finding(
-                    "ORDER", attempt, f"complete after {attempt.events} events"
+                    "ORDER", attempt, f"complete after {received} events"
                 )
             if body:
                 self.add_finding(
@@ -428,11 +454,12 @@
     found = {
         field.name: getattr(attempt, field.name)
         for field in dataclasses.fields(attempt)
-        if field.name not in ("parent", "program", "kind", "body", "runs")
+        if field.name not in _REFERENCES
     }
     found["kind"] = attempt.kind.name
     found["body_bytes"] = len(attempt.body)
     found["parent"] = attempt.parent.id if attempt.parent else None
+    found["resumes"] = attempt.resumes.id if attempt.resumes else None
     if attempt.program is not None:
         found["program"] = attempt.program.id
         found["budget"] = attempt.program.budget
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -89,11 +89,13 @@
         self._counts = itertools.count(1)
         self._running = 0
         self._start_ms = 0
+        self._version = ""
         self.name = ""
-        self.restart()
+        self.restart(workload.VERSIONS[number % len(workload.VERSIONS)])
 
-    def restart(self) -> None:
+    def restart(self, version: str) -> None:
         """Takes a new id and start time, as a restarted process has."""
+        self._version = version
         self.name = f"t{self._number}-{next(self._starts)}"
         self._start_ms = clock_lib.SystemClock().wall_ms()
 
@@ -103,7 +105,7 @@
             "Service": self.service,
             "Address": self.link.address,
             "Zone": "z1",
-            "Version": "v1",
+            "Version": self._version,
             "Slots": SLOTS,
             "State": state,
             "ColdRemainingMs": 0,
@@ -211,10 +213,14 @@
         response.content_type = "text/event-stream"
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        stream = request.headers.get("Resumes", name)
         is_slow = self._occurs(SLOW_PROBABILITY)
-        for number in range(first, workload.event_count(name) + 1):
+        # The prompt of a later turn does not tell the versions of earlier ones.
+        is_query = request.path.startswith(workload.RequestKind.QUERY.value)
+        version = self._version if is_query else workload.FIRST_VERSION
+        for number in range(first, workload.event_count(stream) + 1):
             await self._work(SLOW_FACTOR if is_slow else 1.0)
-            event = workload.event_bytes(name, number)
+            event = workload.event_bytes(stream, number, version)
             if self._occurs(self.faults.cut / 2):
                 await response.write(event[: len(event) // 2])
                 self._abort(request, run)
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -31,6 +31,10 @@
 BUDGET_TURNS = (2, 4, 400)
 CHANGE_HOST_PROBABILITY = 0.05
 ABANDON_PROBABILITY = 0.02
+# Of streams that may be resumed; most of them are then taken up.
+BREAK_PROBABILITY = 0.15
+# Of broken streams; the others are started again.
+TAKE_UP_PROBABILITY = 0.8
 FOREIGN_PARENT_PROBABILITY = 0.03
 OLD_KEY_PROBABILITY = 0.5
 MEAN_LIMITED_PAUSE_MS = 20.0
@@ -158,6 +162,7 @@
         key: str,
         program: oracle_lib.Program | None = None,
         parent: oracle_lib.Attempt | None = None,
+        resumes: oracle_lib.Attempt | None = None,
     ) -> oracle_lib.Attempt:
         """Returns a new request, which is not sent yet."""
         number = next(self._oracle.numbers)
@@ -171,6 +176,7 @@
             body=f"in-{number};".encode() * self._rng.randrange(1, 40),
             program=program,
             parent=parent,
+            resumes=resumes,
         )
         if kind is RequestKind.LOOKUP and self._rng.random() < 0.5:
             attempt.method, attempt.body = "GET", b""
@@ -196,7 +202,10 @@
         """Sends a request, reads its response and reports to the oracle."""
         host = host or self._select_host()
         attempt.host = host.name
-        abandons = self._rng.random() < ABANDON_PROBABILITY
+        probability = ABANDON_PROBABILITY
+        if attempt.kind is RequestKind.QUERY:
+            probability = BREAK_PROBABILITY
+        abandons = self._rng.random() < probability
         limit_s = self._rng.uniform(0.0, 0.2) if abandons else None
         self._oracle.record_sent(attempt)
         body = b""
@@ -281,8 +290,9 @@
         parent = None
         if kind is RequestKind.TURN and served:
             parent = self._rng.choice(served)
+        resumes: oracle_lib.Attempt | None = None
         for _ in range(MAX_ATTEMPTS):
-            attempt = self.make_attempt(kind, key, program, parent)
+            attempt = self.make_attempt(kind, key, program, parent, resumes)
             if (
                 parent is not None
                 and self._rng.random() < FOREIGN_PARENT_PROBABILITY
@@ -293,9 +303,22 @@
                 return attempt
             if attempt.status == _BUDGET_SPENT:
                 return None
+            resumes = self._choose_resumption(attempt)
             await self._pause(RETRY_MS)
         return None
 
+    def _choose_resumption(
+        self, failed: oracle_lib.Attempt
+    ) -> oracle_lib.Attempt | None:
+        """Returns the stream that the next request takes up, or None."""
+        if failed.kind is not RequestKind.QUERY or not failed.origin.received:
+            return None
+        if self._rng.random() > TAKE_UP_PROBABILITY:
+            return None
+        # Retries reach other hosts.
+        self._host = None
+        return failed.origin
+
     def _make_foreign(self, attempt: oracle_lib.Attempt) -> None:
         """Changes the key to one of an organisation without the parent turn."""
         if attempt.key == entry_fleet.KEY:
@@ -327,4 +350,7 @@
         }
     if attempt.parent is not None:
         found["Parent-Turn"] = attempt.parent.id
+    if attempt.resumes is not None:
+        found["Resumes"] = attempt.resumes.id
+        found["Last-Event-Id"] = str(attempt.resumes.received)
     return found
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -19,6 +19,10 @@
 LIMITED_KEY = "key-limited"
 RATE_PER_S = 20.0
 BURST = 10.0
+# Software versions of targets. What they generate in streams that may be
+# resumed differs.
+FIRST_VERSION = "v1"
+VERSIONS = (FIRST_VERSION, "v2", "v3")
 # Routes are moved between this service and entry_fleet.DESK.
 SPARE_DESK = "desk-2"
 
@@ -52,9 +56,26 @@
     return 1 + _hash(request) % MAX_EVENTS
 
 
-def event_bytes(request: str, number: int) -> bytes:
-    """Returns an event as sent, with the blank line that ends it."""
-    return b"id: %d\ndata: %s\n\n" % (number, event_data(request, number))
+def event_bytes(
+    request: str, number: int, version: str = FIRST_VERSION
+) -> bytes:
+    """Returns an event as sent, with the blank line that ends it.
+
+    Args:
+        request: The request that began the stream.
+        number: Id of the event.
+        version: Software version of the target that generates it.
+    """
+    data = event_data(request, number)
+    if version != FIRST_VERSION:
+        data += b"@" + version.encode()
+    return b"id: %d\ndata: %s\n\n" % (number, data)
+
+
+def event_version(event: bytes) -> str:
+    """Returns the software version that generated an event."""
+    data, _, version = event.rpartition(b"@")
+    return version.decode(errors="replace") if data else FIRST_VERSION
 
 
 def stream_bytes(request: str, first: int = 1) -> bytes:
--- a/tests/test_soak/test_oracle.py
+++ b/tests/test_soak/test_oracle.py
@@ -67,12 +67,19 @@
         attempt.stamp = stamp if status == 200 else ""
         self.oracle.record_end(attempt, body)
 
-    def _stream(self, attempt: oracle_lib.Attempt, events: int) -> None:
+    def _stream(
+        self,
+        attempt: oracle_lib.Attempt,
+        events: int,
+        first: int = 1,
+        version: str = workload.FIRST_VERSION,
+    ) -> None:
+        stream = attempt.origin.id
         self.oracle.record_events(
             attempt,
             [
-                workload.event_bytes(attempt.id, number)[:-2]
-                for number in range(1, events + 1)
+                workload.event_bytes(stream, number, version)[:-2]
+                for number in range(first, events + 1)
             ],
         )
 
@@ -97,6 +104,21 @@
         self._answer(self._send(RequestKind.PAY), 503)
         self._assert_rules()
 
+    def test_a_stream_that_is_taken_up(self) -> None:
+        for version, rules in (("v2", ()), ("v3", ("ORDER",))):
+            begun = self._send(RequestKind.QUERY)
+            while workload.event_count(begun.id) <= 2:
+                begun = self._send(RequestKind.QUERY)
+            self._run(begun)
+            self._stream(begun, 2, version="v2")
+            again = self._send(RequestKind.QUERY)
+            again.resumes = begun
+            self._run(again)
+            last = workload.event_count(begun.id)
+            self._stream(again, last, first=3, version=version)
+            self._answer(again, body=b"")
+            self._assert_rules(*rules)
+
     def test_executed_twice(self) -> None:
         attempt = self._send(RequestKind.PAY)
         self._run(attempt)
