--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -176,17 +176,21 @@
     Attributes:
         throughput_per_ms: Requests that they process in a millisecond.
         limit_wait_ms: Time until the limit of any of them allows a request.
+        run_ms: Average run time of a request.
     """
 
     throughput_per_ms: float
     limit_wait_ms: float
+    run_ms: float
 
     def wait_ms(self, position: int) -> float:
-        """Returns the estimated wait at a position in the queue, from 0."""
-        if not self.throughput_per_ms:
-            return 0.0
-        queue_ms = (position + 1) / self.throughput_per_ms
-        return max(queue_ms, self.limit_wait_ms)
+        """Returns the estimated wait at a position in the queue, from 0.
+
+        Without targets, this is the wait at a target that comes back with one
+        slot.
+        """
+        throughput_per_ms = self.throughput_per_ms or 1.0 / self.run_ms
+        return max((position + 1) / throughput_per_ms, self.limit_wait_ms)
 
 
 class Dispatcher:
@@ -447,6 +451,7 @@
         return _Capacity(
             sum(each.throughput_per_ms(self._average_run_ms) for each in views),
             min((each.limit_wait_ms(now_ms) for each in views), default=0.0),
+            self._average_run_ms,
         )
 
     def _refusal(
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -101,6 +101,18 @@
         assert isinstance(refused, dispatch.Refused)
         self.assertEqual(refused.reason, "no-target")
 
+    def test_callers_return_one_after_another_without_targets(self) -> None:
+        dispatcher = dispatch.Dispatcher()
+        for number in range(3):
+            dispatcher.submit(_request(f"w{number}"), 0.0)
+        times_ms = [
+            each.retry_after_ms
+            for each in dispatcher.advance(0.0)
+            if isinstance(each, dispatch.Refused)
+        ]
+        run_ms = dispatch.INITIAL_RUN_MS
+        self.assertEqual(times_ms, [run_ms, 2 * run_ms, 3 * run_ms])
+
     def test_pauses_a_target_after_consecutive_faults(self) -> None:
         dispatcher = _dispatcher(4, 4)
         bad = ids.TargetId("t0")
