A test of slow handshakes between hosts, known red; a limit while the home moves

TwoHomesTest replays a home of a service that moves: the limit of a target holds in every window of 4 s.

--- a/tests/test_entry/test_peers.py
+++ b/tests/test_entry/test_peers.py
@@ -8,6 +8,7 @@
 from mangotally.entry import entry_pb2, peers
 from mangotally.util import clock as clock_lib
 from tests import entry_fleet
+from tests.soak import proxy
 
 TIMEOUT_MS = 100
 ANSWER_MS = 1000
@@ -94,3 +95,31 @@
     async def test_an_unreachable_host_is_backed_off(self) -> None:
         self.assertIsNone(await self._report())
         self.assertFalse(self.client.is_available(self.address))
+
+
+class SlowHandshakeTest(unittest.IsolatedAsyncioTestCase):
+    """A host connects to another one that takes half a second to answer."""
+
+    DELAY_MS = 250.0
+    ATTEMPTS = 20
+
+    async def test_connects(self) -> None:
+        port = entry_fleet.free_port()
+        address = f"127.0.0.1:{port}"
+        await self.enterAsyncContext(
+            peers.Server(address, _Handlers(), lambda _name: None)
+        )
+        link = proxy.Link("slow", ("127.0.0.1", port))
+        link.delay_ms = self.DELAY_MS
+        await self.enterAsyncContext(link)
+        client = await self.enterAsyncContext(
+            peers.PeerClient(clock_lib.SystemClock())
+        )
+        for _ in range(self.ATTEMPTS):
+            reply = await client.report(
+                link.address, entry_pb2.PlaceReport(), ANSWER_MS
+            )
+            if reply is not None:
+                return
+            await asyncio.sleep(0.1)
+        self.fail("no connection was made")
--- a/tests/test_policy/test_target_limits.py
+++ b/tests/test_policy/test_target_limits.py
@@ -103,3 +103,42 @@
         intake.change(1.0, 10_000.0)
         intake.take(10_000.0)
         self.assertGreater(intake.wait_ms(10_000.0), 0.0)
+
+
+class TwoHomesTest(unittest.TestCase):
+    """The limit holds while the home of a service moves.
+
+    The home before goes on assigning until it notices, a second later; the
+    new one knows the limit, but not what was assigned.
+    """
+
+    MOVE_MS = 10_000.0
+    OVERLAP_MS = 1000.0
+    STEP_MS = 10.0
+    END_MS = 20_000.0
+
+    def _taken_ms(self, limit_per_s: float) -> list[float]:
+        """Returns when the target gets requests from homes under overload."""
+        taken_ms: list[float] = []
+        before = target_limits.LimitedIntake(limit_per_s, 0.0)
+        after = target_limits.LimitedIntake(limit_per_s, self.MOVE_MS)
+        now_ms = 0.0
+        while now_ms < self.END_MS:
+            homes = [before] if now_ms < self.MOVE_MS + self.OVERLAP_MS else []
+            homes += [after] if now_ms >= self.MOVE_MS else []
+            for intake in homes:
+                if intake.wait_ms(now_ms) <= 0:
+                    intake.take(now_ms)
+                    taken_ms.append(now_ms)
+            now_ms += self.STEP_MS
+        return taken_ms
+
+    def test_limit_holds(self) -> None:
+        for limit_per_s in (0.0, 0.3, 1.0, 3.2, 5.8, 20.0, 60.0):
+            taken_ms = self._taken_ms(limit_per_s)
+            allowed = 1.5 * limit_per_s * WINDOW_MS / 1000.0 + 5
+            for begin_ms in taken_ms:
+                in_window = sum(
+                    begin_ms <= each < begin_ms + WINDOW_MS for each in taken_ms
+                )
+                self.assertLessEqual(in_window, allowed, limit_per_s)
