--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -74,7 +74,7 @@
 
         Args:
             received: The request.
-            state: Its state, whose origin and service are set.
+            state: Its state; its origin and service are set here.
 
         Returns:
             What is known of the stream, and the refusal if it can't go on.
--- a/mangotally/policy/target_view.py
+++ b/mangotally/policy/target_view.py
@@ -20,7 +20,7 @@
         failure_domain: Failure domain of the target.
         version: Version of its software.
         is_open: Whether it accepts new requests.
-        in_flight: ids.Tickets of the requests at the target, with their hosts.
+        in_flight: Tickets of the requests at the target, with their hosts.
         relative_time: Time per unit of work, relative to the average of the
             targets of the service.
     """
