Keep the limit of a target that is unlisted and listed again

What could be seen: a target whose entry lapses while it runs (its way to the store is cut, or the store was away) comes back without its limit, so a home fills all its slots at once until the first answer names it again.

Cause: the limit was forgotten with the entry, not with the process.

Change: only another start time ends it; the 1,000 targets observed last are kept. Tests: tests/test_entry/test_known_limits.py; the one of a target listed again failed before (no limit), the bound did not exist.

--- a/mangotally/entry/known_limits.py
+++ b/mangotally/entry/known_limits.py
@@ -114,14 +114,15 @@
         ]
 
     def update_target(self, target: ids.TargetId) -> None:
-        """Forgets the limit of a target that has ended or restarted."""
+        """Forgets the limit of a target that has restarted.
+
+        A target that is not listed may be running, and be listed again.
+        """
         listed = self._directory.find(target)
-        for each in self._limits.observations():
-            is_old = listed is None or listed.born_ms != each.born_ms
-            if each.target == target and is_old:
-                self._limits.drop(target)
         if listed is None:
             self._unreadable.discard(target)
+            return
+        self._limits.drop_older(target, listed.born_ms)
 
     def _log_unreadable(self, target: ids.TargetId) -> None:
         """Logs the first answer of a target with an unreadable limit."""
--- a/mangotally/policy/target_limits.py
+++ b/mangotally/policy/target_limits.py
@@ -25,6 +25,8 @@
 # Requests that may follow each other at once, as time at the limit; at least
 # one.
 BURST_MS = 250.0
+# Targets whose limits are kept; those observed longest ago are forgotten.
+MAX_TARGETS = 1000
 
 
 class Reading(enum.Enum):
@@ -97,12 +99,17 @@
             return False
         if known is not None and known.at_ms >= observation.at_ms:
             return False
+        self._newest.pop(observation.target, None)
         self._newest[observation.target] = observation
+        if len(self._newest) > MAX_TARGETS:
+            del self._newest[next(iter(self._newest))]
         return known is None or known.limit_per_s != observation.limit_per_s
 
-    def drop(self, target: ids.TargetId) -> None:
-        """Forgets a target that has ended."""
-        self._newest.pop(target, None)
+    def drop_older(self, target: ids.TargetId, born_ms: int) -> None:
+        """Forgets a target unless its process started at a time."""
+        known = self._newest.get(target)
+        if known is not None and known.born_ms != born_ms:
+            del self._newest[target]
 
 
 class LimitedIntake:
