Give a connection between hosts a second for its handshake

Cause: grpc.min_reconnect_backoff_ms is the time-out of a connection, and was 100 ms; with the back-off of 200 ms at most, a handshake that takes longer than some 200 ms is never awaited. All hosts then make 5 connections a second to each other, which keeps handshakes slow. Class: a time-out below what the work takes under load, repeated without growing.

Change: 1000 ms, like the keepalive.

--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -22,6 +22,10 @@
 
 KEEPALIVE_MS = 2000
 KEEPALIVE_TIMEOUT_MS = 1000
+# Time-out of a connection until the other host has answered. If it were shorter
+# than that takes when all hosts are busy, none would ever connect, and the
+# attempts would keep them busy.
+CONNECT_TIMEOUT_MS = 1000
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 200
 # Limits of the back-off before a host that did not answer is called again.
@@ -38,7 +42,8 @@
     ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS),
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
-    ("grpc.min_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    # Despite its name, this option is the time-out of a connection.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
