--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -135,24 +135,36 @@
         state = self._make_state(received, access, body)
         log_entry.state = state
         log_entry.organisation = access.organisation_id
-        if received.continues_stream and (
-            access.route.kind is model.RouteKind.STREAMING
-        ):
-            with log_entry.measure_step("resume"):
-                (
-                    log_entry.resumption,
-                    refusal,
-                ) = await self._dependencies.resumptions.prepare(
-                    received, state
-                )
-            if refusal is not None:
-                return refusal
+        refusal = await self._prepare_resumption(received, state, log_entry)
+        if refusal is not None:
+            return refusal
         if not received.is_turn:
             return await self._admit_and_run(
                 received, access, state, sink, log_entry
             )
         return await self._run_turn(received, access, state, sink, log_entry)
 
+    async def _prepare_resumption(
+        self,
+        received: requests.CallerRequest,
+        state: attempts.RequestState,
+        log_entry: access_log_lib.AccessLogEntry,
+    ) -> answers.Refusal | None:
+        """Prepares a request that continues an interrupted stream.
+
+        Returns:
+            The refusal if the stream can't go on.
+        """
+        is_stream = state.route.kind is model.RouteKind.STREAMING
+        if not (received.continues_stream and is_stream):
+            return None
+        with log_entry.measure_step("resume"):
+            found, refusal = await self._dependencies.resumptions.prepare(
+                received, state
+            )
+        log_entry.resumption = found
+        return refusal
+
     async def _run_turn(
         self,
         received: requests.CallerRequest,
