Usual terms for resumed streams; tests for three checks that had none

With the three checks switched off all three fail (joined text e3 in place of 'e3 of v2', a stream that ends as complete, another refusal).

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -70,7 +70,7 @@
         raise_event_limit: Raises `event_limit`; returns whether it could.
         last_event: Id of the last event sent to the caller, or None.
         origin: What began the stream; None before its first event. Only
-            targets of the same version may go on with it.
+            targets of the same version may continue it.
     """
 
     id: model.RequestId
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -153,7 +153,7 @@
         """Prepares a request that continues an interrupted stream.
 
         Returns:
-            The refusal if the stream can't go on.
+            The refusal if the stream can't be continued.
         """
         is_stream = state.route.kind is model.RouteKind.STREAMING
         if not (received.continues_stream and is_stream):
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -31,7 +31,7 @@
         organisation: The organisation whose key the request carries.
         target: The target that sent the answer.
         load: Running and queued requests of a target, and its slots.
-        limit: Requests per second that a target under strain accepts from all
+        limit: Requests per second that an overloaded target accepts from all
             hosts together.
         not_run: Present if the target has not run the request.
         stamp: The target's signature of its answer.
--- a/mangotally/entry/model.py
+++ b/mangotally/entry/model.py
@@ -203,8 +203,8 @@
         failure_domain: Failure domain that it runs in.
         slots: Number of requests that it runs concurrently.
         state: Whether it accepts new requests.
-        version: Version of its software. A stream can go on only at a target
-            of the version that began it.
+        version: Version of its software. A stream can be continued only by a
+            target of the version that began it.
     """
 
     id: ids.TargetId
--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -16,10 +16,10 @@
     from mangotally.entry import directory as directory_lib
     from mangotally.util import clock as clock_lib
 
-# Retry-After while the store is unavailable: callers can take up a stream for
-# a few seconds only.
+# Retry-After while the store is unavailable. An outage may end before the
+# deadline of the caller.
 STORE_RETRY_MS = 300.0
-# Other hosts may have found a target earlier than this one by this time.
+# Other hosts may have found a target by this time before this one.
 DISCOVERY_MS = 2000.0
 
 
@@ -29,7 +29,7 @@
 
     Attributes:
         resumes: The request whose answer brought its first event, or None.
-        version: The software version that must go on with it, or None.
+        version: The software version that must continue it, or None.
         source: Where the version is known from: `own`, `log` or
             `only-version`, or why it is not known.
         age_ms: Time since the first event; `inf` if unknown.
@@ -42,7 +42,7 @@
 
 
 class Resumptions:
-    """Finds out at which software version interrupted streams go on.
+    """Finds out which software version must continue interrupted streams.
 
     A stream whose version is not known is refused: its caller can start it
     again, but could not tell that its text was joined from two versions.
@@ -77,7 +77,8 @@
             state: Its state; its origin and service are set here.
 
         Returns:
-            What is known of the stream, and the refusal if it can't go on.
+            What is known of the stream, and the refusal if it can't be
+            continued.
         """
         if received.resumes is None:
             return self._apply_only_version(state)
@@ -122,11 +123,11 @@
     ) -> tuple[Resumption, answers.Refusal | None]:
         """Restricts a request whose caller does not name what it resumes.
 
-        Its stream began within the time limit of the route. If only one
-        version has served since then, that one began it.
+        Its stream began within the timeout of the route. If only one version
+        has served since then, that one began it.
         """
-        limit_ms = state.route.timeout_ms + DISCOVERY_MS
-        since_ms = self._clock.now_ms() - limit_ms
+        max_age_ms = state.route.timeout_ms + DISCOVERY_MS
+        since_ms = self._clock.now_ms() - max_age_ms
         version = self._directory.only_version(state.service, since_ms)
         if version is None or len(state.route.backends) > 1:
             return _refuse(None, "not-named")
--- a/mangotally/entry/stream_origins.py
+++ b/mangotally/entry/stream_origins.py
@@ -1,8 +1,8 @@
 """Records in the log which target began each resumable stream.
 
-A caller whose stream was interrupted takes it up at any host, also after all
+A caller whose stream was interrupted resumes it at any host, also after all
 hosts were killed. The record tells that host the software version that must
-go on with it.
+continue it.
 """
 
 from __future__ import annotations
@@ -24,10 +24,10 @@
 
 TOPIC = log_lib.Topic("streams")
 RETRY_MS = 40
-# A record may be on its way to the log while the caller already takes the
-# stream up elsewhere.
+# A record may be on its way to the log while the caller already resumes the
+# stream at another host.
 SETTLE_MS = 120
-# Callers take up a stream within its time limit of a few seconds.
+# A later record is useless: the deadline of its caller has passed.
 WRITE_TIMEOUT_MS = 5000
 # First pause before a failed write is repeated; doubled after each failure, as
 # all hosts repeat theirs in an outage.
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -15,7 +15,7 @@
 from typing import TypeVar
 
 from mangotally import ids
-from mangotally.policy import target_view as view_lib
+from mangotally.policy import target_view
 
 T = TypeVar("T")
 
@@ -169,35 +169,11 @@
     last_submitted_ms: float
 
 
-@dataclasses.dataclass(frozen=True)
-class _Capacity:
-    """Capacity of the targets that a request may be assigned to.
-
-    Attributes:
-        throughput_per_ms: Requests that they process in a millisecond.
-        limit_wait_ms: Time until the limit of any of them allows a request.
-        run_ms: Average run time of a request.
-    """
-
-    throughput_per_ms: float
-    limit_wait_ms: float
-    run_ms: float
-
-    def wait_ms(self, position: int) -> float:
-        """Returns the estimated wait at a position in the queue, from 0.
-
-        Without targets, this is the wait at a target that comes back with one
-        slot.
-        """
-        throughput_per_ms = self.throughput_per_ms or 1.0 / self.run_ms
-        return max((position + 1) / throughput_per_ms, self.limit_wait_ms)
-
-
 class Dispatcher:
     """Assigns the requests of one service to its targets; queues the rest."""
 
     def __init__(self) -> None:
-        self._targets: dict[ids.TargetId, view_lib.TargetView] = {}
+        self._targets: dict[ids.TargetId, target_view.TargetView] = {}
         self._queue: dict[ids.Ticket, _QueueEntry] = {}
         self._sessions: dict[str, ids.TargetId] = {}
         # Sessions whose program was refused before any of it ran.
@@ -242,7 +218,7 @@
         """
         known = self._targets.get(target)
         if known is None:
-            known = view_lib.TargetView(slots, failure_domain, is_open)
+            known = target_view.TargetView(slots, failure_domain, is_open)
             self._targets[target] = known
         known.slots = slots
         known.is_open = is_open
@@ -390,7 +366,9 @@
                 best, best_cost = name, cost
         return best
 
-    def _cost(self, request: QueuedRequest, view: view_lib.TargetView) -> float:
+    def _cost(
+        self, request: QueuedRequest, view: target_view.TargetView
+    ) -> float:
         load = len(view.in_flight) / view.slots
         cost = view.relative_time * (1.0 + BATCH_SLOWDOWN * load)
         if view.failure_domain == request.failure_domain:
@@ -411,7 +389,7 @@
         return request.priority, is_overdue, request.is_new, request.due_ms
 
     def _refuse(self, ordered: list[_QueueEntry], now_ms: float) -> None:
-        capacities: dict[object, _Capacity] = {}
+        capacities: dict[object, target_view.Capacity] = {}
         remaining = [
             each for each in ordered if each.request.ticket in self._queue
         ]
@@ -441,14 +419,16 @@
                 Refused(request.ticket, retry_after_ms, reason)
             )
 
-    def _capacity(self, request: QueuedRequest, now_ms: float) -> _Capacity:
+    def _capacity(
+        self, request: QueuedRequest, now_ms: float
+    ) -> target_view.Capacity:
         """Returns the capacity of the open targets that may run a request."""
         views = [
             view
             for name, view in self._targets.items()
             if view.is_open and request.allows(name, view.version)
         ]
-        return _Capacity(
+        return target_view.Capacity(
             sum(each.throughput_per_ms(self._average_run_ms) for each in views),
             min((each.limit_wait_ms(now_ms) for each in views), default=0.0),
             self._average_run_ms,
@@ -469,7 +449,7 @@
         return None
 
     def _update_run_times(
-        self, view: view_lib.TargetView, finished: Finished
+        self, view: target_view.TargetView, finished: Finished
     ) -> None:
         if finished.run_ms <= 0:
             return
--- a/mangotally/policy/resumption.py
+++ b/mangotally/policy/resumption.py
@@ -1,4 +1,4 @@
-"""Decides at which software version an interrupted stream goes on.
+"""Decides which software version continues an interrupted stream.
 
 Load pattern: several software versions of a service run side by side while
 targets crash, connections are reset, or all hosts are killed at once.
@@ -32,7 +32,7 @@
 def version_to_resume_at(
     origin: Origin, listed: ids.SoftwareVersion | None
 ) -> ids.SoftwareVersion | None:
-    """Returns the only version at which a stream may go on.
+    """Returns the only version that may continue a stream.
 
     Args:
         origin: What began the stream.
--- a/mangotally/policy/target_limits.py
+++ b/mangotally/policy/target_limits.py
@@ -1,4 +1,4 @@
-"""Rates of requests that targets under strain accept from all hosts together.
+"""Rates of requests that overloaded targets accept from all hosts together.
 
 Load pattern: in the middle of traffic, targets become slow and name in their
 answers how many requests a second they accept, while others have room.
--- a/mangotally/policy/target_view.py
+++ b/mangotally/policy/target_view.py
@@ -1,7 +1,9 @@
-"""State of one target, as known to the dispatcher of its service."""
+"""State of targets, as known to the dispatcher of their service."""
 
 from __future__ import annotations
 
+import dataclasses
+
 from mangotally import ids
 from mangotally.policy import target_limits
 from mangotally.util import clock
@@ -99,3 +101,27 @@
     def reject(self, now_ms: float, pause_ms: float) -> None:
         """Records that the target was full, and pauses it for a time."""
         self._paused_until_ms = max(self._paused_until_ms, now_ms + pause_ms)
+
+
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """Capacity of the targets that a request may be assigned to.
+
+    Attributes:
+        throughput_per_ms: Requests that they process in a millisecond.
+        limit_wait_ms: Time until the limit of any of them allows a request.
+        run_ms: Average run time of a request.
+    """
+
+    throughput_per_ms: float
+    limit_wait_ms: float
+    run_ms: float
+
+    def wait_ms(self, position: int) -> float:
+        """Returns the estimated wait at a position in the queue, from 0.
+
+        Without targets, this is the wait at a target that comes back with one
+        slot.
+        """
+        throughput_per_ms = self.throughput_per_ms or 1.0 / self.run_ms
+        return max((position + 1) / throughput_per_ms, self.limit_wait_ms)
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -95,9 +95,9 @@
         parent: The turn that it continues from, or None.
         program: The program it belongs to, or None.
         resumes: The request whose answer brought the first event of the stream
-            that this one takes up, or None.
+            that this one continues, or None.
         received: Number of events of the stream received over all requests
-            that take it up; counted at its first request.
+            that continue it; counted at its first request.
         version: Software version that generated the first event, or empty.
         is_foreign: Whether the parent is a turn of another organisation.
         sent_ms: When the caller began to send it.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -80,8 +80,8 @@
         seed: The seed of the run.
         requests: Number of requests sent.
         served: Number of requests with a complete, successful response.
-        take_ups: Number of requests that took up a broken stream.
-        went_on: Number of those whose answer brought further events.
+        resumptions: Number of requests that continue a broken stream.
+        resumed: Number of those whose answer brought further events.
         faults: Number of faults injected.
         findings: Violated invariants.
         folder: Folder of the logs, or None if they were deleted.
@@ -90,8 +90,8 @@
     seed: int
     requests: int
     served: int
-    take_ups: int
-    went_on: int
+    resumptions: int
+    resumed: int
     faults: int
     findings: list[str]
     folder: Path | None
@@ -100,8 +100,8 @@
         """Returns a summary line, followed by a line for each finding."""
         line = (
             f"seed {self.seed}: {self.requests} requests, "
-            f"{self.served} served, {self.went_on} of {self.take_ups} "
-            f"take-ups went on, {self.faults} faults, "
+            f"{self.served} served, {self.resumed} of {self.resumptions} "
+            f"streams resumed, {self.faults} faults, "
             f"{len(self.findings)} findings"
         )
         if self.folder is not None:
@@ -134,13 +134,13 @@
     if not is_kept:
         shutil.rmtree(folder)
     attempts = checker.attempts.values()
-    take_ups = [each for each in attempts if each.resumes is not None]
+    resumptions = [each for each in attempts if each.resumes is not None]
     return Report(
         seed,
         len(attempts),
         sum(each.is_served for each in attempts),
-        len(take_ups),
-        sum(each.events > 0 for each in take_ups),
+        len(resumptions),
+        sum(each.events > 0 for each in resumptions),
         len(plan),
         checker.findings,
         folder if is_kept else None,
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -31,10 +31,10 @@
 BUDGET_TURNS = (2, 4, 400)
 CHANGE_HOST_PROBABILITY = 0.05
 ABANDON_PROBABILITY = 0.02
-# Of streams that may be resumed; most of them are then taken up.
+# Of streams that may be resumed; most of them are then resumed.
 BREAK_PROBABILITY = 0.15
 # Of broken streams; the others are started again.
-TAKE_UP_PROBABILITY = 0.8
+RESUME_PROBABILITY = 0.8
 FOREIGN_PARENT_PROBABILITY = 0.03
 OLD_KEY_PROBABILITY = 0.5
 MEAN_LIMITED_PAUSE_MS = 20.0
@@ -310,10 +310,10 @@
     def _choose_resumption(
         self, failed: oracle_lib.Attempt
     ) -> oracle_lib.Attempt | None:
-        """Returns the stream that the next request takes up, or None."""
+        """Returns the stream that the next request continues, or None."""
         if failed.kind is not RequestKind.QUERY or not failed.origin.received:
             return None
-        if self._rng.random() > TAKE_UP_PROBABILITY:
+        if self._rng.random() > RESUME_PROBABILITY:
             return None
         # Retries reach other hosts.
         self._host = None
--- a/tests/test_entry/test_stream_versions.py
+++ b/tests/test_entry/test_stream_versions.py
@@ -7,18 +7,17 @@
 import dataclasses
 import time
 import unittest
-from typing import TYPE_CHECKING
+from unittest import mock
 
 import aiohttp
 
 from mangotally import ids
+from mangotally.entry import model
 from mangotally.platform import standin_worker
+from mangotally.policy import dispatch, resumption
 from tests import entry_fleet
 from tests.entry_fleet import QUERY, with_fleet
 
-if TYPE_CHECKING:
-    from mangotally.entry import model
-
 NEW = "v2"
 EVENTS = 6
 FIRST_PART = 2
@@ -89,7 +88,7 @@
                 response.headers.get("Retry-After"),
             )
 
-    async def take_up(
+    async def resume(
         self, request_id: str, host: int, resumes: str, last_event: int
     ) -> _Answer:
         """Continues a stream."""
@@ -157,7 +156,7 @@
 
 
 class OneAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """Within one answer a stream goes on at its version only."""
+    """Within one answer a stream is continued by its version only."""
 
     async def test_is_aborted_rather_than_joined(self) -> None:
         async with _Versions(("v1", NEW)) as fleet:
@@ -177,7 +176,7 @@
                 begun.faults.cut_after = -1
                 begun.executed.clear()
 
-    async def test_goes_on_at_another_target_of_its_version(self) -> None:
+    async def test_is_continued_by_another_target_of_its_version(self) -> None:
         async with _Versions(("v1", NEW, NEW)) as fleet:
             old, first, second = fleet.models
             await fleet.set_state(old, "draining")
@@ -193,11 +192,50 @@
             self.assertEqual(answer.body, _events(1, EVENTS, NEW))
             self.assertTrue(answer.is_complete)
 
+    async def test_is_aborted_if_its_target_has_changed_its_version(
+        self,
+    ) -> None:
+        async with _Versions(("v1", "v1")) as fleet:
+            begun, other = fleet.models
+            await fleet.set_state(other, "draining")
+            begun.faults.cut_after = FIRST_PART
+            begun.event_ms = 2 * SLOW_EVENT_MS
+            task = asyncio.create_task(fleet.stream("a", 0))
+            await entry_fleet.wait_for(begun.executed.__len__)
+            begun.version = NEW
+            await fleet.set_state(begun, "draining")
+            await fleet.set_state(other, "ready")
+            answer = await task
+            self.assertFalse(answer.is_complete)
+            self.assertEqual(other.executed, [])
+
+    async def test_is_not_joined_if_the_home_ignores_versions(self) -> None:
+        async with _Versions(("v1", NEW)) as fleet:
+            await fleet.begin_and_break(NEW, "a")
+            fleet.models[0].executed.clear()
+            # The target that refused is paused for a moment.
+            await asyncio.sleep(0.3)
+            with mock.patch.object(
+                dispatch.QueuedRequest,
+                "allows",
+                lambda request, target, _: target not in request.excluded,
+            ):
+                # Another program, which prefers neither target.
+                answer = await fleet.stream(
+                    "b",
+                    1,
+                    Resumes="a",
+                    Last_Event_Id=str(FIRST_PART),
+                    Program_Id="p2",
+                )
+            self.assertEqual(answer.body, _events(FIRST_PART + 1, EVENTS, NEW))
+            self.assertEqual(fleet.models[0].executed, [])
 
-class TakeUpTest(unittest.IsolatedAsyncioTestCase):
-    """Callers take streams up at any host, at the same version only."""
 
-    async def test_goes_on_at_its_version_after_all_hosts_restarted(
+class ResumptionTest(unittest.IsolatedAsyncioTestCase):
+    """Callers resume streams at any host, at the same version only."""
+
+    async def test_is_continued_by_its_version_after_all_hosts_restarted(
         self,
     ) -> None:
         async with _Versions(("v1", NEW)) as fleet:
@@ -206,7 +244,7 @@
             await fleet.restart_hosts()
             for host in range(2):
                 for version in ("v1", NEW):
-                    answer = await fleet.take_up(
+                    answer = await fleet.resume(
                         f"b-{version}-{host}", host, f"a-{version}", FIRST_PART
                     )
                     self.assertEqual(answer.status, 200)
@@ -214,16 +252,16 @@
                         answer.body, _events(FIRST_PART + 1, EVENTS, version)
                     )
 
-    async def test_a_second_take_up_names_the_first_request(self) -> None:
+    async def test_a_second_resumption_names_the_first_request(self) -> None:
         async with _Versions(("v1", NEW)) as fleet:
             await fleet.begin_and_break("v1", "a")
             for worker in fleet.models:
                 worker.faults.cut_after = FIRST_PART + 1
-            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            answer = await fleet.resume("b", 1, "a", FIRST_PART)
             self.assertEqual(answer.body, standin_worker.event(3))
             for worker in fleet.models:
                 worker.faults.cut_after = -1
-            answer = await fleet.take_up("c", 0, "a", FIRST_PART + 1)
+            answer = await fleet.resume("c", 0, "a", FIRST_PART + 1)
             self.assertEqual(answer.body, _events(4, EVENTS, "v1"))
 
     async def test_is_refused_at_once_if_its_version_has_left(self) -> None:
@@ -232,7 +270,7 @@
             await fleet.remove(fleet.models[0])
             fleet.models[1].executed.clear()
             begin_s = time.monotonic()
-            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            answer = await fleet.resume("b", 1, "a", FIRST_PART)
             self.assertLess(time.monotonic() - begin_s, AT_ONCE_S)
             self.assertEqual((answer.status, answer.retry_after), (503, None))
             self.assertEqual(fleet.models[1].executed, [])
@@ -240,12 +278,12 @@
     async def test_an_unknown_stream_is_refused(self) -> None:
         async with _Versions((NEW,)) as fleet:
             begin_s = time.monotonic()
-            answer = await fleet.take_up("b", 1, "unknown", FIRST_PART)
+            answer = await fleet.resume("b", 1, "unknown", FIRST_PART)
             self.assertLess(time.monotonic() - begin_s, AT_ONCE_S)
             self.assertEqual((answer.status, answer.retry_after), (503, None))
             self.assertEqual(fleet.runs(), [])
 
-    async def test_unnamed_goes_on_only_if_one_version_has_served(
+    async def test_unnamed_is_continued_only_if_one_version_has_served(
         self,
     ) -> None:
         async with _Versions(("v1", NEW)) as fleet:
@@ -262,7 +300,7 @@
             answer = await fleet.stream("c", 1, Last_Event_Id="2")
             self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
 
-    async def test_an_answer_that_brought_no_event_is_not_taken_up(
+    async def test_an_answer_that_brought_no_event_is_not_resumed(
         self,
     ) -> None:
         async with _Versions((NEW,)) as fleet:
@@ -279,18 +317,30 @@
                 if worker.executed:
                     fleet.store.put("keyed.servers", worker.name, changed)
             await asyncio.sleep(2.0)
-            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            answer = await fleet.resume("b", 1, "a", FIRST_PART)
             self.assertEqual(answer.status, 503)
 
+    async def test_is_refused_if_its_route_has_another_service(self) -> None:
+        async with _Versions(("v1",)) as fleet:
+            origin = resumption.Origin(
+                ids.ServiceId("other"), None, ids.SoftwareVersion("v1"), None
+            )
+            runner = fleet.hosts[0]._handler._dependencies.attempts
+            runner._origins.record(model.RequestId("a"), origin)
+            answer = await fleet.resume("b", 0, "a", FIRST_PART)
+            self.assertEqual(answer.status, 503)
+            self.assertIn(b"stream-unknown", answer.body)
+            self.assertEqual(fleet.runs(), [])
+
     async def test_waits_for_the_store_while_that_is_useful(self) -> None:
         async with _Versions(("v1", NEW)) as fleet:
             await fleet.begin_and_break("v1", "a")
             fleet.store.faults.refuse = True
-            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            answer = await fleet.resume("b", 1, "a", FIRST_PART)
             self.assertEqual(answer.status, 503)
             self.assertIsNotNone(answer.retry_after)
             fleet.store.faults.refuse = False
-            answer = await fleet.take_up("c", 1, "a", FIRST_PART)
+            answer = await fleet.resume("c", 1, "a", FIRST_PART)
             self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
 
     async def test_is_recorded_once_the_store_is_back(self) -> None:
@@ -304,12 +354,12 @@
             await task
             fleet.store.faults.refuse = False
             await asyncio.sleep(0.3)
-            answer = await fleet.take_up("b", 1, "a", FIRST_PART)
+            answer = await fleet.resume("b", 1, "a", FIRST_PART)
             self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
 
 
 class ExpositionTest(unittest.IsolatedAsyncioTestCase):
-    """Operators see how many streams were taken up."""
+    """Operators see how many streams were resumed."""
 
     @with_fleet
     async def test_outcomes_are_counted(
--- a/tests/test_policy/test_target_limits.py
+++ b/tests/test_policy/test_target_limits.py
@@ -108,7 +108,7 @@
 class TwoHomesTest(unittest.TestCase):
     """The limit holds while the home of a service moves.
 
-    The home before goes on assigning until it notices, a second later; the
+    The previous home still assigns until it notices, a second later; the
     new one knows the limit, but not what was assigned.
     """
 
