Look up interrupted streams by organisation and request

What callers could see: a request of one organisation that names a request of another one was resumed (200), and two organisations that use the same id could get each other's version, so a stream could be joined from two. Cause: records went by the id of the request alone, and callers choose those ids; the memory for them was bounded in number only.

Change: a stream is identified by its organisation and request; requests with ids of over 256 characters are not recorded.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -16,13 +16,19 @@
 import multidict
 
 from mangotally import ids
-from mangotally.entry import answers, events, model, sending, slots
+from mangotally.entry import (
+    answers,
+    events,
+    model,
+    sending,
+    slots,
+    stream_origins,
+)
 from mangotally.policy import dispatch, resumption, run_times
 
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
-    from mangotally.entry import stream_origins
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -51,6 +57,7 @@
         make_headers: Builds the headers for the target from those that are
             set for this attempt.
         route: Its route.
+        organisation: Its organisation; empty on public routes.
         service: The service that handles it.
         priority: Its priority; 0 is the highest.
         session: Requests with the same value share a cached prefix.
@@ -79,6 +86,7 @@
     body: bytes
     make_headers: Callable[[dict[str, str]], multidict.CIMultiDict[str]]
     route: model.Route
+    organisation: ids.OrganisationId
     service: ids.ServiceId
     priority: int
     session: str
@@ -375,7 +383,8 @@
             target.service, target.id, target.version, self._clock.wall_ms()
         )
         if state.route.is_resumable:
-            self._origins.record(state.id, state.origin)
+            stream = stream_origins.StreamId(state.organisation, state.id)
+            self._origins.record(stream, state.origin)
 
     def _can_resume(self, state: RequestState) -> bool:
         return (
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -288,6 +288,7 @@
                 received, access, attempt_headers
             ),
             route=route,
+            organisation=access.organisation_id,
             service=_choose_service(route),
             priority=rank * ORGANISATION_RANK + route.priority,
             session=received.session or received.program or "",
--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -84,7 +84,8 @@
             return self._apply_only_version(state)
         until_ms = received.arrived_ms + state.route.objective_ms
         found = await self._origins.look_up(
-            received.resumes, min(until_ms, state.deadline_ms)
+            stream_origins.StreamId(state.organisation, received.resumes),
+            min(until_ms, state.deadline_ms),
         )
         match found:
             case log_lib.Unavailable():
--- a/mangotally/entry/stream_origins.py
+++ b/mangotally/entry/stream_origins.py
@@ -34,6 +34,23 @@
 WRITE_RETRY_MS = 100
 MAX_PENDING_WRITES = 1000
 MAX_CACHED = 8192
+# Streams of requests with longer ids are not recorded, which bounds the memory
+# for records.
+MAX_ID_CHARS = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamId:
+    """Identifies a stream.
+
+    Attributes:
+        organisation: The organisation that requested it. Callers choose the
+            ids of their requests, so two organisations may use the same one.
+        request: The request whose answer brought its first event.
+    """
+
+    organisation: ids.OrganisationId
+    request: model.RequestId
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,39 +95,38 @@
             log_lib.Cursor(log, TOPIC, number) for number in numbers
         ]
         self._locks = [asyncio.Lock() for _ in numbers]
-        self._cached: collections.OrderedDict[model.RequestId, Found]
+        self._cached: collections.OrderedDict[StreamId, Found]
         self._cached = collections.OrderedDict()
         self._writes = background.DetachedTasks()
         self._pending_writes = 0
 
-    def record(
-        self, request: model.RequestId, origin: resumption.Origin
-    ) -> None:
+    def record(self, stream: StreamId, origin: resumption.Origin) -> None:
         """Records the origin of a stream in the background.
 
         The first event need not wait for this: a stream without a record is
         not resumed.
         """
-        self._cache(request, Found(origin, is_own=True))
-        if self._pending_writes >= MAX_PENDING_WRITES:
-            logger.warning("stream_not_recorded", extra={"request": request})
+        is_short = len(stream.request) <= MAX_ID_CHARS
+        if not is_short or self._pending_writes >= MAX_PENDING_WRITES:
+            _log_not_recorded(stream)
             return
+        self._cache(stream, Found(origin, is_own=True))
         self._pending_writes += 1
-        self._writes.start(self._write(request, origin))
+        self._writes.start(self._write(stream, origin))
 
     async def look_up(
-        self, request: model.RequestId, until_ms: float
+        self, stream: StreamId, until_ms: float
     ) -> Found | NotRecorded | log_lib.Unavailable:
         """Returns the origin of a stream.
 
         Args:
-            request: The request whose answer brought its first event.
+            stream: The stream.
             until_ms: Deadline if the log does not respond.
         """
         settled_ms = self._clock.now_ms() + SETTLE_MS
         while True:
-            failure = await self._read_until_cached(request)
-            found = self._cached.get(request)
+            failure = await self._read_until_cached(stream)
+            found = self._cached.get(stream)
             if found is not None:
                 return found
             now_ms = self._clock.now_ms()
@@ -122,28 +138,24 @@
             await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
 
     async def _read_until_cached(
-        self, request: model.RequestId
+        self, stream: StreamId
     ) -> log_lib.Unavailable | None:
         """Reads the new records of a partition if the stream is unknown."""
-        if request in self._cached:
+        if stream in self._cached:
             return None
-        number = self._partition_of(request)
+        number = self._partition_of(stream)
         async with self._locks[number]:
             return await self._cursors[number].read(self._add_record)
 
-    async def _write(
-        self, request: model.RequestId, origin: resumption.Origin
-    ) -> None:
-        writer = self._writers[self._partition_of(request)]
-        record = _encode(request, origin)
+    async def _write(self, stream: StreamId, origin: resumption.Origin) -> None:
+        writer = self._writers[self._partition_of(stream)]
+        record = _encode(stream, origin)
         until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
         pause_ms = WRITE_RETRY_MS
         try:
             while await writer.write([record]) is None:
                 if self._clock.now_ms() + pause_ms >= until_ms:
-                    logger.warning(
-                        "stream_not_recorded", extra={"request": request}
-                    )
+                    _log_not_recorded(stream)
                     return
                 await asyncio.sleep(clock_lib.to_seconds(pause_ms))
                 pause_ms *= 2
@@ -152,25 +164,35 @@
 
     def _add_record(self, record: bytes) -> None:
         try:
-            request, origin = _decode(record)
+            stream, origin = _decode(record)
         except (ValueError, TypeError):
             logger.error("stream_record_unreadable")
             return
-        if request not in self._cached:
-            self._cache(request, Found(origin, is_own=False))
+        if stream not in self._cached:
+            self._cache(stream, Found(origin, is_own=False))
 
-    def _cache(self, request: model.RequestId, found: Found) -> None:
-        self._cached[request] = found
+    def _cache(self, stream: StreamId, found: Found) -> None:
+        self._cached[stream] = found
         while len(self._cached) > MAX_CACHED:
             self._cached.popitem(last=False)
 
-    def _partition_of(self, request: model.RequestId) -> int:
-        return rendezvous.partition_of_key(request, self._partition_count)
+    def _partition_of(self, stream: StreamId) -> int:
+        return rendezvous.partition_of_key(
+            stream.request, self._partition_count
+        )
+
+
+def _log_not_recorded(stream: StreamId) -> None:
+    logger.warning(
+        "stream_not_recorded",
+        extra={"request": stream.request[:MAX_ID_CHARS]},
+    )
 
 
-def _encode(request: model.RequestId, origin: resumption.Origin) -> bytes:
+def _encode(stream: StreamId, origin: resumption.Origin) -> bytes:
     fields = [
-        request,
+        stream.organisation,
+        stream.request,
         origin.service,
         origin.target,
         origin.version,
@@ -179,12 +201,16 @@
     return json.dumps(fields).encode()
 
 
-def _decode(record: bytes) -> tuple[model.RequestId, resumption.Origin]:
-    request, service, target, version, begun_ms = json.loads(record)
+def _decode(record: bytes) -> tuple[StreamId, resumption.Origin]:
+    fields = json.loads(record)
+    organisation, request, service, target, version, begun_ms = fields
     origin = resumption.Origin(
         ids.ServiceId(service),
         ids.TargetId(target),
         ids.SoftwareVersion(version),
         begun_ms,
     )
-    return model.RequestId(request), origin
+    stream = StreamId(
+        ids.OrganisationId(organisation), model.RequestId(request)
+    )
+    return stream, origin
--- a/tests/test_entry/test_stream_versions.py
+++ b/tests/test_entry/test_stream_versions.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from mangotally import ids
-from mangotally.entry import model
+from mangotally.entry import model, stream_origins
 from mangotally.platform import standin_worker
 from mangotally.policy import dispatch, resumption
 from tests import entry_fleet
@@ -275,6 +275,20 @@
             self.assertEqual((answer.status, answer.retry_after), (503, None))
             self.assertEqual(fleet.models[1].executed, [])
 
+    async def test_is_refused_to_another_organisation(self) -> None:
+        async with _Versions(("v1",)) as fleet:
+            await fleet.begin_and_break("v1", "a")
+            fleet.models[0].executed.clear()
+            answer = await fleet.stream(
+                "b",
+                1,
+                Resumes="a",
+                Last_Event_Id=str(FIRST_PART),
+                Authorization=f"Bearer {entry_fleet.OTHER_KEY}",
+            )
+            self.assertEqual((answer.status, answer.retry_after), (503, None))
+            self.assertEqual(fleet.runs(), [])
+
     async def test_an_unknown_stream_is_refused(self) -> None:
         async with _Versions((NEW,)) as fleet:
             begin_s = time.monotonic()
@@ -326,7 +340,11 @@
                 ids.ServiceId("other"), None, ids.SoftwareVersion("v1"), None
             )
             runner = fleet.hosts[0]._handler._dependencies.attempts
-            runner._origins.record(model.RequestId("a"), origin)
+            stream = stream_origins.StreamId(
+                ids.OrganisationId(entry_fleet.ORGANISATION),
+                model.RequestId("a"),
+            )
+            runner._origins.record(stream, origin)
             answer = await fleet.resume("b", 0, "a", FIRST_PART)
             self.assertEqual(answer.status, 503)
             self.assertIn(b"stream-unknown", answer.body)
