--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import logging
+import os
 import re
 import socket
 from typing import TYPE_CHECKING, Any
@@ -87,6 +88,7 @@
         self._interim_answers = 0
         self._idle_ms = IDLE_CONNECTION_MS
         self._received_ms = 0.0
+        self._socket_error: OSError | None = None
 
     def is_connected(self) -> bool:
         """Whether a request may be sent; idle connections expire."""
@@ -112,9 +114,17 @@
         self._interim_answers = 0
         super().set_response_params(**params)
 
+    def eof_received(self) -> None:
+        """Reads the socket's error while the socket is still open."""
+        self._socket_error = _pending_error(self.transport)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stops counting the answer: no more bytes will arrive."""
         self._stop_counting()
+        error = exc or self._socket_error
+        if self._has_head and not self._is_complete:
+            self._log_end_with_connection(error)
         super().connection_lost(exc)
 
     @property
@@ -209,6 +219,16 @@
         )
         self.transport.abort()
 
+    def _log_end_with_connection(self, error: BaseException | None) -> None:
+        logger.info(
+            "answer_ended_with_connection",
+            extra={
+                "is_stream": self._is_stream,
+                "bytes": self._size_bytes,
+                "error": type(error).__name__ if error else "",
+            },
+        )
+
     def _stop_counting(self) -> None:
         """Removes the answer from the count of pending bytes."""
         self._pending.size_bytes -= self._pending_bytes
@@ -278,6 +298,23 @@
             idle.rotate(1)
 
 
+def _pending_error(
+    transport: asyncio.BaseTransport | None,
+) -> OSError | None:
+    """Returns the error that the system holds for a socket, or None.
+
+    uvloop reports a connection that was reset after its last bytes as closed
+    by the peer, without reading this error.
+    """
+    if transport is None:
+        return None
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return None
+    number = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
+
+
 def _idle_ms(keep_alive: str) -> float:
     """Returns the maximum idle time that a Keep-Alive header allows."""
     found = _TIMEOUT.search(keep_alive)
