Fail answers whose connection was reset after their last bytes

Cause: an answer without length or chunks ends with its connection. When data and a reset wait at the socket together, uvloop's libuv reads the data, then reports a closed connection by the poll flags alone, without reading the error; the library's parser takes that for the end of the answer. Class of fault: an end that is inferred from the absence of an error which nobody asked for.

The error stays at the socket, so it is read (SO_ERROR) as the end is reported, and fails the body that is not complete yet. An answer with a length or a last chunk stays whole whatever comes after it. Before, the check looked at the connection after the answer had ended, which also failed whole answers that a reset followed, and could miss a connection that had been released.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -125,7 +125,11 @@
         error = exc or self._socket_error
         if self._has_head and not self._is_complete:
             self._log_end_with_connection(error)
-        super().connection_lost(exc)
+            if error is not None:
+                # The library ends a body without a length in the same way
+                # whether its connection was closed or reset.
+                self._fail_body(_truncated(error))
+        super().connection_lost(error)
 
     @property
     def _is_complete(self) -> bool:
@@ -315,6 +319,10 @@
     return OSError(number, os.strerror(number)) if number else None
 
 
+def _truncated(error: BaseException) -> aiohttp.ClientPayloadError:
+    return aiohttp.ClientPayloadError(f"the answer is truncated: {error}")
+
+
 def _idle_ms(keep_alive: str) -> float:
     """Returns the maximum idle time that a Keep-Alive header allows."""
     found = _TIMEOUT.search(keep_alive)
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -10,7 +10,6 @@
 import aiohttp
 import multidict
 import yarl
-from aiohttp import http_exceptions
 
 from mangotally.entry import connections, model
 from mangotally.util import clock as clock_lib
@@ -114,9 +113,6 @@
         self._response = response
         self._clock = clock
         self._deadline_ms = deadline_ms
-        self._protocol = (
-            response.connection.protocol if response.connection else None
-        )
         self.failure: Broken | None = None
         self.is_done = False
 
@@ -141,7 +137,6 @@
             self.failure = Broken(type(error).__name__)
         else:
             self.is_done = True
-            self.failure = _reset_at_end(self._protocol)
         if self.failure is not None:
             self.close()
 
@@ -227,12 +222,7 @@
             request.on_headers(response.headers)
             if self._is_stream(response):
                 return Stream(response, self._clock, request.deadline_ms)
-            protocol = (
-                response.connection.protocol if response.connection else None
-            )
             body = await _read_body(response)
-            if (reset := _reset_at_end(protocol)) is not None:
-                return reset
             return self._classify(response, body)
         except BaseException:
             response.close()
@@ -275,23 +265,3 @@
         # Lets other tasks run while a large answer is read.
         await asyncio.sleep(0)
     return bytes(body)
-
-
-def _reset_at_end(
-    protocol: aiohttp.client_proto.ResponseHandler | None,
-) -> Broken | None:
-    """Returns a failure if the connection was reset instead of closed.
-
-    An answer without a length ends when its connection is closed, so a reset
-    means that it may be truncated. Parse errors are not failures: they come
-    from bytes after a complete answer, which belong to no request.
-    """
-    error = protocol.exception() if protocol is not None else None
-    if error is None:
-        return None
-    if isinstance(
-        error,
-        aiohttp.ServerDisconnectedError | http_exceptions.HttpProcessingError,
-    ):
-        return None
-    return Broken("reset-at-end")
