Tell a reset from a close in answers of the store and of services too

The check moves to util/resets.py, and every connection pool uses it; connections between hosts are gRPC, which frames its messages.

--- a/mangotally/application.py
+++ b/mangotally/application.py
@@ -48,7 +48,7 @@
 from mangotally.roster import http as http_roster
 from mangotally.services import client as service_client
 from mangotally.services import runner as service_runner
-from mangotally.util import certificates
+from mangotally.util import certificates, resets
 from mangotally.util import clock as clock_lib
 from mangotally.weights import http as http_weights
 
@@ -510,7 +510,7 @@
 
 
 def _client_session(ca_file: str | None) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
+    connector = resets.Connector(
         limit=0,
         use_dns_cache=False,
         ssl=certificates.client_context(ca_file) or True,
--- a/mangotally/engines/channels.py
+++ b/mangotally/engines/channels.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from mangotally.util import clock as clock_lib
+from mangotally.util import resets
 
 if TYPE_CHECKING:
     import ssl
@@ -116,13 +117,13 @@
     def _session(self, reuse: bool) -> aiohttp.ClientSession:
         tls = self._tls if self._tls is not None else True
         if reuse:
-            connector = aiohttp.TCPConnector(
+            connector = resets.Connector(
                 limit=0,
                 ssl=tls,
                 keepalive_timeout=clock_lib.to_seconds(KEEPALIVE_MS),
             )
         else:
-            connector = aiohttp.TCPConnector(limit=0, ssl=tls, force_close=True)
+            connector = resets.Connector(limit=0, ssl=tls, force_close=True)
         return aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -5,7 +5,6 @@
 import dataclasses
 import functools
 import logging
-import os
 import re
 import socket
 from typing import TYPE_CHECKING, Any
@@ -14,6 +13,7 @@
 from aiohttp import client_proto, client_reqrep, http_exceptions
 
 from mangotally.util import clock as clock_lib
+from mangotally.util import resets
 
 if TYPE_CHECKING:
     import asyncio
@@ -61,7 +61,7 @@
     size_bytes: int = 0
 
 
-class AnswerHandler(client_proto.ResponseHandler):
+class AnswerHandler(resets.ResetAwareHandler):
     """Counts and limits the bytes of an answer before they are parsed.
 
     The library limits the length of single lines, but not what it skips:
@@ -88,7 +88,6 @@
         self._interim_answers = 0
         self._idle_ms = IDLE_CONNECTION_MS
         self._received_ms = 0.0
-        self._socket_error: OSError | None = None
 
     def is_connected(self) -> bool:
         """Whether a request may be sent; idle connections expire."""
@@ -114,22 +113,12 @@
         self._interim_answers = 0
         super().set_response_params(**params)
 
-    def eof_received(self) -> None:
-        """Reads the socket's error while the socket is still open."""
-        self._socket_error = _pending_error(self.transport)
-        super().eof_received()
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stops counting the answer: no more bytes will arrive."""
         self._stop_counting()
-        error = exc or self._socket_error
         if self._has_head and not self._is_complete:
-            self._log_end_with_connection(error)
-            if error is not None:
-                # The library ends a body without a length in the same way
-                # whether its connection was closed or reset.
-                self._fail_body(_truncated(error))
-        super().connection_lost(error)
+            self._log_end_with_connection(exc or self._socket_error)
+        super().connection_lost(exc)
 
     @property
     def _is_complete(self) -> bool:
@@ -208,7 +197,7 @@
     def _after_parsing(self) -> None:
         error = self._exception
         if isinstance(error, http_exceptions.HttpProcessingError):
-            self._fail_body(aiohttp.ClientPayloadError(str(error)))
+            self.fail_body(aiohttp.ClientPayloadError(str(error)))
         if self._is_stream or self._is_complete:
             self._stop_counting()
 
@@ -238,25 +227,17 @@
         self._pending.size_bytes -= self._pending_bytes
         self._pending_bytes = 0
 
-    def _fail_body(self, error: BaseException) -> None:
-        """Wakes the reader of a body that can't become complete.
-
-        The library reports errors only to code that awaits a head.
-        """
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-
     def _fail_oversize(self) -> None:
         """Closes the connection; its request gets no complete answer."""
         error = OversizeAnswerError("the answer is larger than the limit")
         self._buffer.clear()
         self.set_exception(error)
-        self._fail_body(error)
+        self.fail_body(error)
         if self.transport is not None:
             self.transport.abort()
 
 
-class Connector(aiohttp.TCPConnector):
+class Connector(resets.Connector):
     """Connection pool whose connections limit the size of answers."""
 
     def __init__(self, **options: Any) -> None:
@@ -302,27 +283,6 @@
             idle.rotate(1)
 
 
-def _pending_error(
-    transport: asyncio.BaseTransport | None,
-) -> OSError | None:
-    """Returns the error that the system holds for a socket, or None.
-
-    uvloop reports a connection that was reset after its last bytes as closed
-    by the peer, without reading this error.
-    """
-    if transport is None:
-        return None
-    connection = transport.get_extra_info("socket")
-    if connection is None:
-        return None
-    number = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return OSError(number, os.strerror(number)) if number else None
-
-
-def _truncated(error: BaseException) -> aiohttp.ClientPayloadError:
-    return aiohttp.ClientPayloadError(f"the answer is truncated: {error}")
-
-
 def _idle_ms(keep_alive: str) -> float:
     """Returns the maximum idle time that a Keep-Alive header allows."""
     found = _TIMEOUT.search(keep_alive)
--- a/mangotally/platform/http.py
+++ b/mangotally/platform/http.py
@@ -9,7 +9,7 @@
 
 from mangotally.platform import store
 from mangotally.util import clock as clock_lib
-from mangotally.util import responses
+from mangotally.util import resets, responses
 
 CONNECT_TIMEOUT_MS = 400
 IDLE_CONNECTION_MS = 20_000
@@ -37,7 +37,7 @@
     async def __aenter__(self) -> Self:
         """Opens the session."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=resets.Connector(
                 limit=MAX_CONNECTIONS,
                 keepalive_timeout=clock_lib.to_seconds(IDLE_CONNECTION_MS),
                 use_dns_cache=False,
--- a/tests/test_entry/test_reset_answers.py
+++ b/tests/test_entry/test_reset_answers.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
-import threading
 import unittest
 from typing import TYPE_CHECKING
 
@@ -15,12 +12,12 @@
 from mangotally.entry import model, sending
 from mangotally.platform import headers
 from mangotally.util import clock as clock_lib
+from tests import blocking_target
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 DEADLINE_MS = 4000.0
-WAIT_S = 2.0
 REQUEST_ID = model.RequestId("r1")
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
 PLAIN = HEAD + b"\r\n" + b"x" * 100
@@ -28,53 +25,13 @@
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 WITH_LENGTH = HEAD + b"Content-Length: 2\r\n\r\nok"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class _Target(threading.Thread):
-    """Answers one request and ends the connection before the client reads.
-
-    The client's loop is blocked meanwhile, so that it finds the answer and
-    the end of the connection together.
-    """
-
-    def __init__(self, answer: bytes, resets: bool) -> None:
-        super().__init__(daemon=True)
-        self._answer = answer
-        self._resets = resets
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        host, port = self._listener.getsockname()
-        self.address = f"{host}:{port}"
-        self._loop = asyncio.get_running_loop()
-
-    def run(self) -> None:
-        """Serves one connection."""
-        with self._listener:
-            connection, _ = self._listener.accept()
-        is_blocked = threading.Event()
-        is_ended = threading.Event()
-
-        def block() -> None:
-            is_blocked.set()
-            is_ended.wait(WAIT_S)
-
-        with connection:
-            connection.recv(65_536)
-            self._loop.call_soon_threadsafe(block)
-            is_blocked.wait(WAIT_S)
-            connection.sendall(self._answer)
-            if self._resets:
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-        is_ended.set()
 
 
 async def _receive(answer: bytes, resets: bool) -> sending.Outcome:
     """Returns the outcome of a request, that of a stream after its end."""
     clock = clock_lib.SystemClock()
     async with sending.Sender(headers.NAMES, clock) as sender:
-        target = _Target(answer, resets)
+        target = blocking_target.BlockingTarget(answer, resets)
         target.start()
         request = sending.Outgoing(
             REQUEST_ID,
@@ -89,7 +46,7 @@
         if isinstance(outcome, sending.Stream):
             async for _ in outcome.chunks():
                 pass
-    target.join(WAIT_S)
+    target.join(blocking_target.WAIT_S)
     return outcome
 
 
