Fail streams that end without any event

A stream of no events proves nothing, whichever way its connection ended: it now counts as broken off, and may be tried again where its route allows that. A stream that a caller takes up may have nothing left to send, so it is not concerned.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -369,6 +369,8 @@
         failure = stream.failure
         if failure is None and splitter.has_partial_event:
             failure = sending.Broken("event-broken-off")
+        if failure is None and state.origin is None:
+            failure = sending.Broken("no-event")
         if failure is None:
             return StreamEnded()
         if state.sent_events and not self._can_resume(state):
--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -226,6 +226,15 @@
             await fleet.turn(CHAT)
         self.assertEqual(len(fleet.runs()), 1)
 
+    @with_fleet
+    async def test_a_stream_without_any_event_is_not_complete(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for worker in fleet.models:
+            worker.events = 0
+        status, _, _ = await fleet.turn(CHAT)
+        self.assertEqual(status, 502)
+
     @with_fleet
     async def test_stops_when_the_caller_disconnects(
         self, fleet: entry_fleet.EntryFleet
