--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -366,11 +366,7 @@
         finally:
             if stream.failure is not None or not stream.is_done:
                 stream.close()
-        failure = stream.failure
-        if failure is None and splitter.has_partial_event:
-            failure = sending.Broken("event-broken-off")
-        if failure is None and state.origin is None:
-            failure = sending.Broken("no-event")
+        failure = stream.failure or _truncation(splitter, state)
         if failure is None:
             return StreamEnded()
         if state.sent_events and not self._can_resume(state):
@@ -413,6 +409,17 @@
         )
 
 
+def _truncation(
+    splitter: events.EventSplitter, state: RequestState
+) -> sending.Broken | None:
+    """Returns a failure if a stream can't be complete where it ended."""
+    if splitter.has_partial_event:
+        return sending.Broken("event-broken-off")
+    if state.origin is None:
+        return sending.Broken("no-event")
+    return None
+
+
 def _new_events(
     received: list[events.Event], last: int | None
 ) -> list[events.Event]:
