Serve callers of hosts that reach no target through other hosts

Callers of hosts that had lost their paths to all targets got almost nothing, and those of the other hosts little more. Cause: an attempt that did not reach its target was reported as a fault of the target, so the home of the service paused every target for all hosts; and a host had no way but its own. Class of fault: a verdict for all from one witness who can't tell its own fault from the other's.

After a failure that may be one of the path, a host tries to connect to up to three targets. While none accepts, its failures say nothing of their targets, and another host sends its requests and streams the answers back. A host that can't be connected to, or says that it is unable to send, leaves the request not run; all else may have run.

Not covered: hosts that are no homes are not asked, since they are listed nowhere; a host that reaches some of the targets counts as sound.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -18,6 +18,7 @@
     budgets,
     configuration_cache,
     directory,
+    forwarding,
     handler,
     history,
     homes,
@@ -32,6 +33,8 @@
     server,
     slots,
     stream_origins,
+    target_client,
+    target_paths,
 )
 from mangotally.platform import (
     failover,
@@ -47,7 +50,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import AsyncGenerator, Coroutine
 
     from mangotally.entry import entry_pb2
     from mangotally.settings import entry as settings_lib
@@ -111,6 +114,7 @@
             self._slot_allocator.run_timers,
             self._budgets.run,
             self._isolation.run,
+            self._paths.run,
             self._loop_lag.run,
         )
         tasks.start()
@@ -124,6 +128,7 @@
         """Drains active requests, then closes."""
         logger.info("stop", extra={"under_way": self._handler.active_requests})
         self._handler.is_draining = True
+        self._forwarder.is_draining = True
         stop_ms = self._clock.now_ms()
         end_ms = (
             stop_ms
@@ -134,7 +139,7 @@
         await _run_with_timeout(RETURN_TOKENS_MS, self._budgets.return_unused())
         drained_ms = stop_ms + min(DRAIN_MS, (end_ms - stop_ms) / 2)
         while self._clock.now_ms() < end_ms:
-            is_idle = not self._handler.active_requests
+            is_idle = not self._active_requests
             if is_idle and self._clock.now_ms() > drained_ms:
                 break
             await asyncio.sleep(clock_lib.to_seconds(DRAIN_POLL_MS))
@@ -181,6 +186,12 @@
         """Processes another host's report on slots."""
         return await self._slot_allocator.handle_slot_report(request)
 
+    def forward(
+        self, request: entry_pb2.ForwardRequest
+    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
+        """Sends a request to a target for another host."""
+        return self._forwarder.forward(request)
+
     def _wire_store_access(self, peer_client: peers.PeerClient) -> None:
         settings, clock = self._settings, self._clock
         # This id stays the same across restarts, so that a restarted host is
@@ -218,9 +229,8 @@
         settings, clock = self._settings, self._clock
         domain = ids.FailureDomainId(settings.failure_domain)
         partitions = settings.store.partitions
-        sender = await self._stack.enter_async_context(
-            sending.Sender(headers.NAMES, clock)
-        )
+        self._monitor = monitor.Monitor(clock)
+        client = await self._wire_targets(peer_client)
         self._slot_allocator = slots.SlotAllocator(
             self._host, self._member, peer_client, self._directory, clock
         )
@@ -234,7 +244,6 @@
             self._member, self._configuration_cache, rate_bounds, clock
         )
         origins = stream_origins.StreamOrigins(self._store, partitions, clock)
-        self._monitor = monitor.Monitor(clock)
         self._budgets = self._wire_budgets(peer_client)
         dependencies = handler.Dependencies(
             access=access.AccessControl(
@@ -249,7 +258,7 @@
                 self._host,
                 domain,
                 self._slot_allocator,
-                sender,
+                client,
                 self._directory,
                 origins,
                 headers.NAMES,
@@ -264,6 +273,25 @@
         )
         self._handler = handler.Handler(dependencies)
 
+    async def _wire_targets(
+        self, peer_client: peers.PeerClient
+    ) -> target_client.TargetClient:
+        self._sender = await self._stack.enter_async_context(
+            sending.Sender(headers.NAMES, self._clock)
+        )
+        self._paths = target_paths.TargetPaths(
+            self._directory, target_paths.open_and_close, self._clock
+        )
+        relays = forwarding.Relays(peer_client, self._member, self._clock)
+        self._monitor.forwarded = relays.outcomes
+        client = target_client.TargetClient(
+            self._sender, self._paths, relays, self._clock
+        )
+        self._forwarder = forwarding.Forwarder(
+            client, self._directory, self._clock
+        )
+        return client
+
     def _wire_budgets(
         self, peer_client: peers.PeerClient
     ) -> budgets.BudgetClient:
@@ -294,6 +322,11 @@
             self._clock,
         )
 
+    @property
+    def _active_requests(self) -> int:
+        """Requests of callers, and those of other hosts at targets."""
+        return self._handler.active_requests + self._forwarder.active_requests
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections here."""
@@ -312,6 +345,7 @@
         self._monitor.gauges["requests_under_way"] = (
             self._handler.active_requests
         )
+        self._monitor.gauges["targets_lost"] = self._paths.is_cut_off
         self._monitor.gauges["proof_age_ms"] = self._configuration_cache.age_ms
         self._monitor.gauges["most_late_ms"] = self._loop_lag.take_max_lag_ms()
         return web.Response(
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
+    from mangotally.entry import target_client
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -132,9 +133,12 @@
 
     Attributes:
         reason: What went wrong.
+        is_path_lost: Whether this host reaches no target, so that the outcome
+            says nothing about this one.
     """
 
     reason: str
+    is_path_lost: bool = False
 
 
 AttemptOutcome: TypeAlias = (
@@ -151,7 +155,7 @@
         host: ids.HostId,
         failure_domain: ids.FailureDomainId,
         allocator: slots.SlotAllocator,
-        sender: sending.Sender,
+        client: target_client.TargetClient,
         directory: directory_lib.TargetDirectory,
         origins: stream_origins.StreamOrigins,
         names: headers_lib.HeaderNames,
@@ -163,7 +167,7 @@
             host: Id of this host, with a suffix for this run of the process.
             failure_domain: Failure domain of this host.
             allocator: Assigns slots at targets.
-            sender: HTTP client for the targets.
+            client: Sends requests to the targets.
             directory: Lists the targets.
             origins: Records what began each stream.
             names: Names of headers.
@@ -172,7 +176,7 @@
         self._host = host
         self._failure_domain = failure_domain
         self._allocator = allocator
-        self._sender = sender
+        self._client = client
         self._directory = directory
         self._origins = origins
         self._names = names
@@ -267,7 +271,7 @@
         return frozenset(
             target.id
             for target in self._directory.of_service(service)
-            if self._sender.connections.is_idle(target.address)
+            if self._client.is_idle(target.address)
         )
 
     async def _run_attempt(
@@ -328,7 +332,9 @@
             state.deadline_ms,
             observe,
         )
-        outcome = await self._sender.send(target.address, request)
+        outcome = await self._client.send(
+            target, request, state.route.is_repeatable
+        )
         if isinstance(outcome, sending.Stream):
             state.first_event_ms = None
             return await self._forward_stream(
@@ -370,7 +376,7 @@
         if failure is None:
             return StreamEnded()
         if state.sent_events and not self._can_resume(state):
-            return StreamBroken(failure.reason)
+            return StreamBroken(failure.reason, failure.is_path_lost)
         return failure
 
     def _record_origin(self, state: RequestState, target: model.Target) -> None:
@@ -456,6 +462,10 @@
             return dispatch.EndReason.REJECTED
         case sending.Broken() if outcome.is_timeout:
             return dispatch.EndReason.CANCELLED
+        case sending.NotRun() | sending.Broken() | StreamBroken() if (
+            outcome.is_path_lost
+        ):
+            return dispatch.EndReason.CANCELLED
         case _:
             return dispatch.EndReason.FAILED
 
--- a/mangotally/entry/directory.py
+++ b/mangotally/entry/directory.py
@@ -4,13 +4,15 @@
 
 import logging
 import math
+import random
 from typing import TYPE_CHECKING
 
+from mangotally.entry import model
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from mangotally import ids
-    from mangotally.entry import model
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -54,6 +56,15 @@
             each for each in self._targets.values() if each.service == service
         ]
 
+    def sample_addresses(self, count: int) -> list[str]:
+        """Returns the addresses of some random targets that are ready."""
+        addresses = [
+            each.address
+            for each in self._targets.values()
+            if each.state is model.TargetState.READY
+        ]
+        return random.sample(addresses, min(count, len(addresses)))
+
     def only_version(
         self, service: ids.ServiceId, since_ms: float
     ) -> ids.SoftwareVersion | None:
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -51,6 +51,14 @@
         for outcome, count in sorted(monitor.resumption_outcomes.items()):
             resumptions.add_metric([outcome], count)
         yield resumptions
+        forwarded = metrics_core.CounterMetricFamily(
+            "mangotally_forwarded_requests",
+            "Requests sent to targets through other hosts, by outcome.",
+            labels=["outcome"],
+        )
+        for outcome, count in sorted(monitor.forwarded.items()):
+            forwarded.add_metric([outcome], count)
+        yield forwarded
         for name, value in sorted(monitor.gauges.items()):
             yield metrics_core.GaugeMetricFamily(
                 f"mangotally_{name}", name.replace("_", " "), value
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -10,6 +10,8 @@
 from mangotally.metrics import histograms
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from mangotally.entry import access_log, resumptions
     from mangotally.util import clock as clock_lib
 
@@ -21,6 +23,7 @@
 
     Attributes:
         gauges: Values of gauges by name, without the common prefix.
+        forwarded: Number of requests sent through other hosts, by outcome.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -30,6 +33,7 @@
         self._resumptions: collections.Counter[str] = collections.Counter()
         self._latency: dict[str, histograms.LatencyHistogram] = {}
         self.gauges: dict[str, float] = {}
+        self.forwarded: Mapping[str, int] = {}
 
     def record(
         self, entry: access_log.AccessLogEntry, answer: attempts.Result | None
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import math
@@ -14,7 +15,12 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import (
+        AsyncGenerator,
+        AsyncIterator,
+        Awaitable,
+        Callable,
+    )
 
     from mangotally.entry import homes as homes_lib
 
@@ -28,6 +34,8 @@
 CONNECT_TIMEOUT_MS = 1000
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 200
+# A forwarded request: the largest body and head.
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 # Limits of the back-off before a host that did not answer is called again.
 MIN_BACKOFF_MS = 150.0
 MAX_BACKOFF_MS = 1000.0
@@ -48,6 +56,7 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
 )
 
 
@@ -84,6 +93,11 @@
     ) -> entry_pb2.ReportReply:
         """Processes a report on slots."""
 
+    def forward(
+        self, request: entry_pb2.ForwardRequest
+    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
+        """Sends a request to a target, and yields the answer."""
+
 
 @dataclasses.dataclass
 class _Backoff:
@@ -106,6 +120,48 @@
     stub: entry_pb2_grpc.EntryStub
 
 
+class ForwardCall:
+    """A request that another host sends to a target for this one."""
+
+    def __init__(
+        self,
+        call: Any,
+        on_answer: Callable[[], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        """Takes over a call that has been started.
+
+        Args:
+            call: The call.
+            on_answer: Called when the host has answered.
+            on_failure: Called with the reason if the call fails.
+        """
+        self._call = call
+        self._on_answer = on_answer
+        self._on_failure = on_failure
+
+    async def read(self) -> entry_pb2.ForwardPart | None:
+        """Returns the next part of the answer; None if the host is lost."""
+        try:
+            part = await self._call.read()
+        except grpc.aio.AioRpcError as error:
+            self._on_failure(error.code().name)
+            return None
+        if part is grpc.aio.EOF:
+            return None
+        self._on_answer()
+        return part
+
+    def abandon(self) -> None:
+        """Ends the call; the host has not answered in time."""
+        self._on_failure("no-answer")
+        self.cancel()
+
+    def cancel(self) -> None:
+        """Ends the call, so that the target stops working on the request."""
+        self._call.cancel()
+
+
 class PeerClient:
     """Calls other hosts; a connection is opened on first use.
 
@@ -195,6 +251,41 @@
         """Reports slots to a service's home; None if it does not answer."""
         return await self._call(address, "Report", request, timeout_ms)
 
+    async def connect(self, address: str, timeout_ms: float) -> bool:
+        """Returns whether there is a connection to a host within a time.
+
+        A request whose connection can't be established has not been sent.
+        """
+        channel = self._connection(address).channel
+        ready = grpc.ChannelConnectivity.READY
+        try:
+            async with asyncio.timeout(clock_lib.to_seconds(timeout_ms)):
+                state = channel.get_state(try_to_connect=True)
+                while state is not ready:
+                    await channel.wait_for_state_change(state)
+                    state = channel.get_state(try_to_connect=True)
+        except TimeoutError:
+            self._back_off(address, "connect", "no-connection")
+            return False
+        return True
+
+    def forward(
+        self,
+        address: str,
+        request: entry_pb2.ForwardRequest,
+        timeout_ms: float,
+    ) -> ForwardCall:
+        """Begins to send a request to a target through another host."""
+        stub = self._connection(address).stub
+        sent_ms = self._clock.now_ms()
+        return ForwardCall(
+            stub.Forward(request, timeout=clock_lib.to_seconds(timeout_ms)),
+            lambda: self._record_answer(address),
+            lambda reason: self._handle_failure(
+                address, "Forward", reason, sent_ms
+            ),
+        )
+
     async def _call_home(
         self, address: str, method: str, request: Any, timeout_ms: float
     ) -> Any:
@@ -216,10 +307,13 @@
         except grpc.aio.AioRpcError as error:
             self._handle_failure(address, method, error.code().name, sent_ms)
             return None
+        self._record_answer(address)
+        return reply
+
+    def _record_answer(self, address: str) -> None:
         self._answered_ms[address] = self._clock.now_ms()
         if self._backoffs.pop(address, None) is not None:
             logger.info("host_regained", extra={"address": address})
-        return reply
 
     def _connection(self, address: str) -> _Connection:
         connection = self._connections.get(address)
@@ -307,6 +401,7 @@
         self.Settle = _unary(handlers.settle, count)
         self.Place = _unary(handlers.place, count)
         self.Report = _unary(handlers.report, count)
+        self.Forward = _streaming(handlers.forward, count)
 
 
 def _unary(
@@ -320,3 +415,18 @@
         return await handler(request)
 
     return handle
+
+
+def _streaming(
+    handler: Callable[[Any], AsyncGenerator[Any, None]],
+    count: Callable[[str], None],
+) -> Callable[[Any, Any], AsyncIterator[Any]]:
+    name = handler.__name__
+
+    async def handle(request: Any, _context: Any) -> AsyncIterator[Any]:
+        count(name)
+        async with contextlib.aclosing(handler(request)) as parts:
+            async for part in parts:
+                yield part
+
+    return handle
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import dataclasses
 from collections.abc import Callable
@@ -74,11 +75,14 @@
         reason: Why, for logs.
         status: HTTP status of the target, or 0 if there was no answer.
         is_reached: Whether the target answered at all.
+        is_path_lost: Whether this host reaches no target, so that the outcome
+            says nothing about this one.
     """
 
     reason: str
     status: int = 0
     is_reached: bool = True
+    is_path_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,60 +92,98 @@
     Attributes:
         reason: What went wrong, for logs.
         is_timeout: Whether the deadline passed.
+        is_path_lost: Whether this host reaches no target, so that the outcome
+            says nothing about this one.
     """
 
     reason: str
     is_timeout: bool = False
+    is_path_lost: bool = False
 
 
-class Stream:
+class PathLostError(aiohttp.ClientError):
+    """An answer is broken off because this host reaches no target."""
+
+
+class Stream(abc.ABC):
     """A streaming response."""
 
     def __init__(
         self,
-        response: aiohttp.ClientResponse,
+        headers: multidict.CIMultiDictProxy[str],
         clock: clock_lib.Clock,
         deadline_ms: float,
     ) -> None:
         """Takes over a response whose headers have been received.
 
         Args:
-            response: The response.
+            headers: Headers of the answer.
             clock: Source of the current time.
             deadline_ms: When its caller stops waiting.
         """
-        self._response = response
+        self.headers = headers
         self._clock = clock
         self._deadline_ms = deadline_ms
         self.failure: Broken | None = None
         self.is_done = False
 
-    @property
-    def headers(self) -> multidict.CIMultiDictProxy[str]:
-        """Headers of the answer."""
-        return self._response.headers
-
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields received bytes; afterwards, `failure` holds any failure."""
         try:
             while True:
                 remaining_ms = self._deadline_ms - self._clock.now_ms()
                 async with asyncio.timeout(clock_lib.to_seconds(remaining_ms)):
-                    chunk = await self._response.content.readany()
+                    chunk = await self.read()
                 if not chunk:
                     break
                 yield chunk
         except TimeoutError:
             self.failure = Broken("timeout", is_timeout=True)
         except (aiohttp.ClientError, OSError) as error:
-            self.failure = Broken(type(error).__name__)
+            is_path_lost = isinstance(error, PathLostError)
+            self.failure = Broken(
+                type(error).__name__, is_path_lost=is_path_lost
+            )
         else:
             self.is_done = True
         if self.failure is not None:
             self.close()
 
+    @abc.abstractmethod
+    async def read(self) -> bytes:
+        """Returns the next bytes; none if the stream is complete.
+
+        Raises:
+            aiohttp.ClientError, OSError: The stream is broken off.
+        """
+
+    @abc.abstractmethod
     def close(self) -> None:
         """Closes the connection, so that the target stops generating."""
+
+
+class DirectStream(Stream):
+    """A streaming response over a connection to its target."""
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        clock: clock_lib.Clock,
+        deadline_ms: float,
+    ) -> None:
+        """Takes over a response; see `Stream`."""
+        super().__init__(response.headers, clock, deadline_ms)
+        self._response = response
+
+    async def read(self) -> bytes:
+        """Returns the next bytes; see `Stream`.
+
+        It may be cancelled and called again without a loss of bytes.
+        """
+        return await self._response.content.readany()
+
+    def close(self) -> None:
+        """Closes the connection."""
         self._response.close()
 
 
@@ -221,7 +263,7 @@
                 return failure
             request.on_headers(response.headers)
             if self._is_stream(response):
-                return Stream(response, self._clock, request.deadline_ms)
+                return DirectStream(response, self._clock, request.deadline_ms)
             body = await _read_body(response)
             return self._classify(response, body)
         except BaseException:
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -144,6 +144,10 @@
         self.urls.append(f"http://{settings.listen.callers}")
         return host
 
+    async def stop_host(self, number: int) -> None:
+        """Stops a host as planned; it stays in the list of hosts."""
+        await self._stacks[number].aclose()
+
     async def wait_until_ready(self) -> None:
         """Waits until every key has a home and every host is ready."""
         await wait_for(lambda: all(host.is_ready for host in self.hosts))
--- a/tests/test_entry/test_peers.py
+++ b/tests/test_entry/test_peers.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
 
 from mangotally.entry import entry_pb2, peers
 from mangotally.util import clock as clock_lib
 from tests import entry_fleet
 from tests.soak import proxy
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
 TIMEOUT_MS = 100
 ANSWER_MS = 1000
 
@@ -39,6 +43,12 @@
 
     call_store = take_tokens = settle = _unused
 
+    async def forward(
+        self, _request: entry_pb2.ForwardRequest
+    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
+        raise AssertionError
+        yield entry_pb2.ForwardPart()
+
 
 class BackoffTest(unittest.IsolatedAsyncioTestCase):
     """Which hosts are not called again until their back-off ends."""
--- a/tests/test_entry/test_stale_homes.py
+++ b/tests/test_entry/test_stale_homes.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
 from mangotally.entry import entry_pb2, peers
 from mangotally.util import clock as clock_lib
 from tests import entry_fleet
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
 TIMEOUT_MS = 1000
 
 
@@ -34,6 +38,12 @@
 
     call_store = settle = report = _unused
 
+    async def forward(
+        self, _request: entry_pb2.ForwardRequest
+    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
+        raise AssertionError
+        yield entry_pb2.ForwardPart()
+
 
 class StaleHomesTest(unittest.IsolatedAsyncioTestCase):
     """The listener is notified when the homes may have changed."""
