Refuse entries of targets whose numbers or addresses are out of range

An entry with a slot count of 10^400 stopped the placement of all requests of its service (500: the test of the fleet failed), a start time beyond 64 bits could not be written into messages between hosts, a port out of range raised an error that no caller of it expects, and a record shorter than its key ended the read of the list, again and again. Deep nesting was refused already. Cause: the decoder checked types, not ranges.

--- a/mangotally/platform/fields.py
+++ b/mangotally/platform/fields.py
@@ -5,6 +5,8 @@
 import math
 from typing import Any
 
+MAX_TIME_MS = 2**63 - 1
+
 
 class FieldError(ValueError):
     """A field is missing, or its value has the wrong type or range."""
@@ -37,6 +39,10 @@
         value = self._get(name)
         if not isinstance(value, str):
             raise self._error(name, "not a text")
+        try:
+            value.encode()
+        except UnicodeEncodeError as error:
+            raise self._error(name, "not valid Unicode") from error
         return value
 
     def flag(self, name: str) -> bool:
@@ -60,6 +66,20 @@
             raise self._error(name, "below 0")
         return value
 
+    def bounded_count(self, name: str, maximum: int) -> int:
+        """Returns an integer from 0 to a maximum."""
+        value = self.count(name)
+        if value > maximum:
+            raise self._error(name, "too large")
+        return value
+
+    def time_ms(self, name: str) -> int:
+        """Returns a time in Unix milliseconds, which fits in 64 bits."""
+        value = self.integer(name)
+        if abs(value) > MAX_TIME_MS:
+            raise self._error(name, "out of range")
+        return value
+
     def amount(self, name: str) -> float:
         """Returns a number of at least 0."""
         value = self._get(name)
--- a/mangotally/platform/store.py
+++ b/mangotally/platform/store.py
@@ -278,8 +278,13 @@
 
 
 def keyed(record: bytes) -> KeyedRecord:
-    """Decodes a record of a keyed topic."""
-    key_end = 1 + record[0]
+    """Decodes a record of a keyed topic.
+
+    A record that is too short for its key decodes to an empty key.
+    """
+    key_end = 1 + record[0] if record else 1
+    if len(record) < key_end:
+        return KeyedRecord("", b"")
     return KeyedRecord(
         record[1:key_end].decode(errors="replace"), record[key_end:]
     )
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from typing import Any
 
@@ -13,6 +14,10 @@
 from mangotally.util import clock as clock_lib
 
 MAX_BODY_BYTES = 4_194_304
+# More than any target runs at once; far larger numbers break arithmetic.
+MAX_SLOTS = 1_000_000
+_PORT_DIGITS = 5
+_MAX_PORT = 65_535
 
 _KINDS = {
     "idempotent": model.RouteKind.IDEMPOTENT,
@@ -61,11 +66,11 @@
                 ids.TargetId(key),
                 # Start time of the process, not of the record, in Unix
                 # milliseconds; some old entries lack it.
-                found.integer("born") if found.has("born") else 0,
+                found.time_ms("born") if found.has("born") else 0,
                 ids.ServiceId(found.text("Service")),
                 _check_address(found.text("Address")),
                 ids.FailureDomainId(found.text("Zone")),
-                max(1, found.count("Slots")),
+                max(1, found.bounded_count("Slots", MAX_SLOTS)),
                 _STATES[found.text("State")],
                 ids.SoftwareVersion(found.text("Version")),
             )
@@ -84,8 +89,11 @@
 
 def _check_address(address: str) -> str:
     host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"the address {address!r} has no port")
+    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    if not (port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS):
+        raise ValueError(f"the address {address[:80]!r} has no port")
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"the port of {address!r} is out of range")
     return address
 
 
--- a/tests/test_entry/test_path.py
+++ b/tests/test_entry/test_path.py
@@ -441,7 +441,15 @@
     ) -> None:
         fleet.store.put("keyed.servers", "bad", {"Service": 7})
         fleet.store.put("keyed.servers", "list", [1])
+        odd = fleet.desks[0].registration()
+        fleet.store.put("keyed.servers", "slots", odd | {"Slots": 10**400})
+        fleet.store.put("keyed.servers", "born", odd | {"born": 10**30})
+        for port in ("99999", "0"):
+            address = odd | {"Address": f"127.0.0.1:{port}"}
+            fleet.store.put("keyed.servers", f"port{port}", address)
         await asyncio.sleep(0.7)
+        for _ in range(8):
+            self.assertEqual((await fleet.call(PAY))[0], 200)
         self.assertEqual((await fleet.call(LOOKUP))[0], 200)
 
 
--- a/tests/test_platform/test_wire.py
+++ b/tests/test_platform/test_wire.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from mangotally.entry import model
-from mangotally.platform import wire
+from mangotally.platform import store, wire
 from tests import entry_fleet, stateful
 
 JSON = strategies.recursive(
@@ -95,6 +95,34 @@
 class ForeignWriterTest(unittest.TestCase):
     """Records of other writers are decoded or refused, whatever they hold."""
 
+    def test_odd_values_of_a_target(self) -> None:
+        """A number too large stopped the placement of all requests."""
+        odd = {
+            "Slots": (10**400, 2**63, 1e300),
+            "born": (10**400, 2**63, -(2**64)),
+            "Address": (
+                "10.0.0.1:99999",
+                "10.0.0.1:0",
+                "10.0.0.1:" + "9" * 5000,
+                "10.0.0.1:\u0663",
+                "example:80",
+                "10.0.0.256:80",
+            ),
+            "Zone": ("\ud800",),
+        }
+        for name, values in odd.items():
+            for value in values:
+                with self.subTest(name=name, value=str(value)[:30]):
+                    found = wire.decode_target(
+                        "t1", _target_record(**{name: value})
+                    )
+                    self.assertIsInstance(found, result.Failure)
+
+    def test_record_shorter_than_its_key(self) -> None:
+        for record in (b"", b"\x05", b"\x05ab"):
+            self.assertEqual(store.keyed(record).key, "")
+        self.assertEqual(store.keyed(b"\x02abc"), store.KeyedRecord("ab", b"c"))
+
     def test_deeply_nested(self) -> None:
         for opening in (b"[", b'{"a":'):
             found = wire.decode_target("i", opening * 100_000)
