Close connections to targets after answers that name no request

With an id the copy is told apart, as before. An answer without an id can't be, so its connection is not used again; what comes after it belongs to nobody.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -70,16 +70,22 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, pending: PendingAnswers
+        self,
+        loop: asyncio.AbstractEventLoop,
+        pending: PendingAnswers,
+        id_header: str,
     ) -> None:
         """Initialises the handler of one connection.
 
         Args:
             loop: The event loop.
             pending: Counts pending answers over all connections.
+            id_header: Name of the header that tells which request an answer
+                belongs to.
         """
         super().__init__(loop)
         self._pending = pending
+        self._id_header = id_header
         self._size_bytes = 0
         self._pending_bytes = 0
         self._limit_bytes = MAX_HEAD_BYTES
@@ -161,6 +167,10 @@
             )
             self._limit_bytes = MAX_HEAD_BYTES + limit_bytes
             self._idle_ms = _idle_ms(message.headers.get("Keep-Alive", ""))
+            if self._id_header not in message.headers:
+                # A second copy could be taken for the answer to the next
+                # request on this connection.
+                self.force_close()
             _limit_unread_chunks(body)
         super().feed_data(data, size)
 
@@ -240,10 +250,12 @@
 class Connector(resets.Connector):
     """Connection pool whose connections limit the size of answers."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, id_header: str, **options: Any) -> None:
         """Initialises the pool without connections.
 
         Args:
+            id_header: Name of the header that tells which request an answer
+                belongs to.
             options: Options of the library's connector.
         """
         super().__init__(
@@ -253,7 +265,10 @@
         )
         self._keys: dict[str, client_reqrep.ConnectionKey] = {}
         self._factory = functools.partial(
-            _make_handler, loop=self._loop, pending=PendingAnswers()
+            _make_handler,
+            loop=self._loop,
+            pending=PendingAnswers(),
+            id_header=id_header,
         )
 
     def is_idle(self, address: str) -> bool:
@@ -310,9 +325,9 @@
 
 
 def _make_handler(
-    loop: asyncio.AbstractEventLoop, pending: PendingAnswers
+    loop: asyncio.AbstractEventLoop, pending: PendingAnswers, id_header: str
 ) -> client_proto.ResponseHandler:
-    return AnswerHandler(loop, pending)
+    return AnswerHandler(loop, pending, id_header)
 
 
 def _make_socket(address: aiohttp.AddrInfoType) -> socket.socket:
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -209,7 +209,9 @@
 
     async def __aenter__(self) -> Self:
         """Opens the connection pool."""
-        self.connections = connections.Connector(limit=0, use_dns_cache=False)
+        self.connections = connections.Connector(
+            self._names.request_id, limit=0, use_dns_cache=False
+        )
         self._session = aiohttp.ClientSession(
             connector=self.connections,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -411,6 +411,55 @@
         self.assertLess(server.sent_bytes, BUFFERED_BYTES)
 
 
+class RepeatedRefusalTest(SendingTest):
+    """A refusal that is written again says nothing of the next request."""
+
+    async def _check(self, refusal: bytes) -> sending.Outcome:
+        """Returns the outcome of the request after a refused one.
+
+        A connection answers its first request with the refusal, and writes
+        that again before the answer to the next request.
+        """
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            is_first_connection = server.connections == 1
+            await server.read_request(reader)
+            writer.write(refusal if is_first_connection else ANSWER)
+            await server.read_request(reader)
+            writer.write(refusal + ANSWER)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        self.assertIsInstance(await self.send(server), sending.NotRun)
+        return await self.send(server)
+
+    async def test_without_an_id(self) -> None:
+        for head in (
+            b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+            b"HTTP/1.1 421 Misdirected Request\r\n",
+        ):
+            refusal = head + b"Content-Length: 0\r\n\r\n"
+            self.assertIsInstance(await self._check(refusal), sending.Whole)
+
+    async def test_with_the_id_of_another_request(self) -> None:
+        head = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+        refusal = head + b"Request-Id: r0\r\nContent-Length: 0\r\n\r\n"
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(refusal)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        self.assertIsInstance(await self.send(server), sending.Broken)
+
+
 class IdleConnectionTest(SendingTest):
     """Which idle connections are reused, and for how long."""
 
