Read the list of targets before a stream goes on at the only version

Callers who name what they take up are safe here: the version is in the record of the stream, and what has no record is refused. The list must now have been read after the request arrived; otherwise the host reads it, or refuses with 503 (targets-outdated) while the store does not answer.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -265,7 +265,7 @@
                 clock,
             ),
             resumptions=resumptions.Resumptions(
-                origins, self._directory, clock
+                origins, self._directory, self._targets.read_now, clock
             ),
             names=headers.NAMES,
             monitor=self._monitor,
--- a/mangotally/entry/directory.py
+++ b/mangotally/entry/directory.py
@@ -30,6 +30,7 @@
         self._removal_due_ms: dict[ids.TargetId, float] = {}
         self._listeners: list[Callable[[ids.TargetId], None]] = []
         self._followed_since_ms = math.inf
+        self._current_ms = -math.inf
         # When the last target of a service and version ended.
         self._ended_ms: dict[
             tuple[ids.ServiceId, ids.SoftwareVersion], float
@@ -39,6 +40,15 @@
         """Registers a function to call with the id of each changed target."""
         self._listeners.append(listener)
 
+    @property
+    def current_ms(self) -> float:
+        """Time up to which every change of the list is known here."""
+        return self._current_ms
+
+    def confirm_current(self, at_ms: float) -> None:
+        """Records that every change before a time has been read."""
+        self._current_ms = max(self._current_ms, at_ms)
+
     def find(self, target: ids.TargetId) -> model.Target | None:
         """Returns a target, or None if it is not listed."""
         return self._targets.get(target)
--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
 import math
 from typing import TYPE_CHECKING
@@ -10,11 +12,13 @@
 from mangotally.entry import answers, model, stream_origins
 from mangotally.entry import log as log_lib
 from mangotally.policy import resumption
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from mangotally.entry import attempts, requests
     from mangotally.entry import directory as directory_lib
-    from mangotally.util import clock as clock_lib
 
 # Retry-After while the store is unavailable. An outage may end before the
 # deadline of the caller.
@@ -52,6 +56,7 @@
         self,
         origins: stream_origins.StreamOrigins,
         directory: directory_lib.TargetDirectory,
+        read_targets: Callable[[], Awaitable[bool]],
         clock: clock_lib.Clock,
     ) -> None:
         """Initialises the lookup.
@@ -59,10 +64,12 @@
         Args:
             origins: Records of the streams.
             directory: Lists the targets.
+            read_targets: Reads pending changes of that list.
             clock: Source of the current time.
         """
         self._origins = origins
         self._directory = directory
+        self._read_targets = read_targets
         self._clock = clock
 
     async def prepare(
@@ -80,9 +87,14 @@
             What is known of the stream, and the refusal if it can't be
             continued.
         """
+        until_ms = received.arrived_ms + state.route.objective_ms
         if received.resumes is None:
+            is_current = await self._update_targets(
+                received.arrived_ms, min(until_ms, state.deadline_ms)
+            )
+            if not is_current:
+                return _refuse(None, "targets-outdated", STORE_RETRY_MS)
             return self._apply_only_version(state)
-        until_ms = received.arrived_ms + state.route.objective_ms
         found = await self._origins.look_up(
             stream_origins.StreamId(state.organisation, received.resumes),
             min(until_ms, state.deadline_ms),
@@ -96,6 +108,19 @@
                 return _refuse(received.resumes, "not-recorded")
         return self._apply(received.resumes, found, state)
 
+    async def _update_targets(self, since_ms: float, until_ms: float) -> bool:
+        """Returns whether the list of targets is as it was at a time, or later.
+
+        A host that is out of step does not know a version that has joined
+        since, and that may have begun the stream.
+        """
+        if self._directory.current_ms < since_ms:
+            left_ms = until_ms - self._clock.now_ms()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(clock_lib.to_seconds(left_ms)):
+                    await self._read_targets()
+        return self._directory.current_ms >= since_ms
+
     def _apply(
         self,
         resumes: model.RequestId,
--- a/mangotally/platform/followers.py
+++ b/mangotally/platform/followers.py
@@ -232,4 +232,5 @@
         return None
 
     def _confirm_current(self, sent_ms: float) -> None:
+        self._directory.confirm_current(sent_ms)
         self._directory.remove_expired()
--- a/tests/test_entry/test_stream_versions.py
+++ b/tests/test_entry/test_stream_versions.py
@@ -125,7 +125,7 @@
         await entry_fleet.wait_for(
             lambda: all(
                 listed is not None and listed.state.value == state
-                for listed in self._listed(worker)
+                for listed in self.listed(worker)
             )
         )
 
@@ -133,12 +133,13 @@
         """Removes the entry of a target, and waits until all hosts know."""
         self.store.put("keyed.servers", worker.name, None)
         await entry_fleet.wait_for(
-            lambda: not any(each for each in self._listed(worker))
+            lambda: not any(each for each in self.listed(worker))
         )
 
-    def _listed(
+    def listed(
         self, worker: standin_worker.StandInWorker
     ) -> list[model.Target | None]:
+        """Returns a target as each host knows it."""
         target = ids.TargetId(worker.name)
         return [host._directory.find(target) for host in self.hosts]
 
@@ -314,6 +315,37 @@
             answer = await fleet.stream("c", 1, Last_Event_Id="2")
             self.assertEqual(answer.body, _events(3, EVENTS, "v1"))
 
+    async def test_unnamed_is_not_joined_at_a_host_that_is_out_of_step(
+        self,
+    ) -> None:
+        """A version has joined that the host does not know yet."""
+        async with _Versions(("v1", NEW)) as fleet:
+            await fleet.remove(fleet.models[1])
+            for host in fleet.hosts:
+                host._directory._ended_ms.clear()
+                host._directory._followed_since_ms = 0.0
+            late = fleet.hosts[0]
+            late._targets._pause_ms = 60_000.0
+            # The last change that the host reads; it pauses afterwards.
+            record = fleet.models[0].registration() | {"Slots": 3}
+            fleet.store.put("keyed.servers", fleet.models[0].name, record)
+            await entry_fleet.wait_for(
+                lambda: all(
+                    each is not None and each.slots == 3
+                    for each in fleet.listed(fleet.models[0])
+                )
+            )
+            joined = fleet.models[1]
+            fleet.store.put("keyed.servers", joined.name, joined.registration())
+            others = fleet.hosts[1]._directory
+            await entry_fleet.wait_for(
+                lambda: others.find(ids.TargetId(joined.name))
+            )
+            self.assertIsNone(late._directory.find(ids.TargetId(joined.name)))
+            answer = await fleet.stream("b", 0, Last_Event_Id="2")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(fleet.runs(), [])
+
     async def test_an_answer_that_brought_no_event_is_not_resumed(
         self,
     ) -> None:
