Count only bytes of a target as a sign of a sound path

A request that ended with a time-out, so without a byte of its target, counted as heard, and delayed the check of the paths of a host that was cut off by up to 500 ms.

--- a/mangotally/entry/target_client.py
+++ b/mangotally/entry/target_client.py
@@ -134,12 +134,14 @@
         """Sends a request without another host; see `send`."""
         outcome = await self._send_watched(target, request, is_repeatable)
         match outcome:
-            case sending.NotRun() if not outcome.is_reached:
-                is_path_lost = await self._paths.check()
-                return dataclasses.replace(outcome, is_path_lost=is_path_lost)
-            case sending.Broken() if not outcome.is_timeout:
+            case (
+                sending.NotRun(is_reached=False)
+                | sending.Broken(is_timeout=False)
+            ):
                 is_path_lost = await self._paths.check()
                 return dataclasses.replace(outcome, is_path_lost=is_path_lost)
+            case sending.Broken():
+                return outcome
         self._paths.record_answer()
         if isinstance(outcome, sending.Stream):
             return WatchedStream(
