Treat hosts that do not know forwarded requests as unable to send them

While hosts of the version before serve beside this one, a request handed to one of them ended 502, and that host was not called for a moment, though it had answered at once that it does not know the call: nothing has run. Found while reading; the test fails without this (the part is None).

--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -120,6 +120,12 @@
     stub: entry_pb2_grpc.EntryStub
 
 
+# Answer of hosts of earlier versions, which do not know the call.
+_UNABLE = entry_pb2.ForwardPart(
+    end=entry_pb2.ForwardEnd(outcome=entry_pb2.ForwardEnd.UNABLE)
+)
+
+
 class ForwardCall:
     """A request that another host sends to a target for this one."""
 
@@ -145,6 +151,8 @@
         try:
             part = await self._call.read()
         except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.UNIMPLEMENTED:
+                return _UNABLE
             self._on_failure(error.code().name)
             return None
         if part is grpc.aio.EOF:
--- a/tests/test_entry/test_peers.py
+++ b/tests/test_entry/test_peers.py
@@ -6,6 +6,8 @@
 import unittest
 from typing import TYPE_CHECKING
 
+import grpc
+
 from mangotally.entry import entry_pb2, peers
 from mangotally.util import clock as clock_lib
 from tests import entry_fleet
@@ -133,3 +135,23 @@
                 return
             await asyncio.sleep(0.1)
         self.fail("no connection was made")
+
+
+class EarlierVersionTest(unittest.IsolatedAsyncioTestCase):
+    """A host of a version without the call has not sent the request."""
+
+    async def test_forward(self) -> None:
+        server = grpc.aio.server()
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        self.addAsyncCleanup(server.stop, 0)
+        address = f"127.0.0.1:{port}"
+        client = await self.enterAsyncContext(
+            peers.PeerClient(clock_lib.SystemClock())
+        )
+        self.assertTrue(await client.connect(address, ANSWER_MS))
+        call = client.forward(address, entry_pb2.ForwardRequest(), ANSWER_MS)
+        part = await call.read()
+        assert part is not None
+        self.assertEqual(part.end.outcome, entry_pb2.ForwardEnd.UNABLE)
+        self.assertTrue(client.is_available(address))
