--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -18,6 +18,7 @@
     budgets,
     configuration_cache,
     directory,
+    forwarder,
     forwarding,
     handler,
     history,
@@ -289,7 +290,7 @@
         client = target_client.TargetClient(
             self._sender, self._paths, relays, self._clock
         )
-        self._forwarder = forwarding.Forwarder(
+        self._forwarder = forwarder.Forwarder(
             client, self._directory, self._clock
         )
         return client
--- a/mangotally/entry/forwarding.py
+++ b/mangotally/entry/forwarding.py
@@ -1,4 +1,4 @@
-"""Requests that a host sends to a target for a host that can't reach it.
+"""Sends requests to targets through other hosts.
 
 Load pattern: some hosts lose their paths to all targets for seconds, while
 callers and the other hosts still reach them. Their callers are served through
@@ -9,26 +9,28 @@
 
 import asyncio
 import collections
-import contextlib
 import logging
 import random
 from typing import TYPE_CHECKING
 
 import aiohttp
-import multidict
 
-from mangotally import ids
-from mangotally.entry import entry_pb2, model, sending, target_paths
+from mangotally.entry import (
+    entry_pb2,
+    forward_messages,
+    sending,
+    target_paths,
+)
 from mangotally.policy import relay_choice
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, Iterable
+    import multidict
 
-    from mangotally.entry import directory as directory_lib
+    from mangotally import ids
     from mangotally.entry import headers as headers_lib
     from mangotally.entry import homes as homes_lib
-    from mangotally.entry import peers, target_client
+    from mangotally.entry import peers
 
 logger = logging.getLogger(__name__)
 
@@ -41,8 +43,6 @@
 CALL_MARGIN_MS = 200.0
 # Hosts that are asked for one request.
 MAX_ASKED_HOSTS = 4
-_ENCODING = "utf-8"
-_ERRORS = "surrogateescape"
 
 
 class ForwardedStream(sending.Stream):
@@ -176,14 +176,8 @@
         headers = request.headers.copy()
         # Time has passed since the headers were made.
         headers[self._names.time_left] = str(int(remaining_ms))
-        return entry_pb2.ForwardRequest(
-            target=target,
-            request=request.id,
-            method=request.method,
-            path=request.path.encode(_ENCODING, _ERRORS),
-            headers=_header_messages(headers.items()),
-            body=request.body,
-            deadline_in_ms=remaining_ms,
+        return forward_messages.forward_request(
+            target, request, headers, remaining_ms
         )
 
     async def _receive(
@@ -200,8 +194,8 @@
         if part is None:
             return _lost()
         if part.WhichOneof("part") == "end":
-            return _failure(part.end)
-        headers = _read_headers(part.head.headers)
+            return forward_messages.failure(part.end)
+        headers = forward_messages.read_headers(part.head.headers)
         request.on_headers(headers)
         if part.head.is_stream:
             return ForwardedStream(
@@ -210,100 +204,6 @@
         return await _receive_body(call, part.head.status, headers)
 
 
-class Forwarder:
-    """Sends requests to targets for hosts that can't reach them."""
-
-    def __init__(
-        self,
-        client: target_client.TargetClient,
-        directory: directory_lib.TargetDirectory,
-        clock: clock_lib.Clock,
-    ) -> None:
-        """Initialises the forwarder.
-
-        Args:
-            client: Sends requests to targets.
-            directory: Lists the targets.
-            clock: Source of the current time.
-        """
-        self._client = client
-        self._directory = directory
-        self._clock = clock
-        self.is_draining = False
-        self.active_requests = 0
-
-    async def forward(
-        self, request: entry_pb2.ForwardRequest
-    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
-        """Sends a request to its target, and yields the parts of the answer."""
-        target = self._directory.find(ids.TargetId(request.target))
-        is_able = target is not None and not self.is_draining
-        if not is_able or not await self._client.can_forward():
-            yield _end(entry_pb2.ForwardEnd.UNABLE)
-            return
-        assert target is not None
-        self.active_requests += 1
-        try:
-            yield entry_pb2.ForwardPart(accepted=entry_pb2.ForwardAccepted())
-            async with contextlib.aclosing(
-                self._send(target, request)
-            ) as parts:
-                async for part in parts:
-                    yield part
-        finally:
-            self.active_requests -= 1
-
-    async def _send(
-        self, target: model.Target, request: entry_pb2.ForwardRequest
-    ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
-        received: list[multidict.CIMultiDictProxy[str]] = []
-        outgoing = sending.Outgoing(
-            model.RequestId(request.request),
-            request.method,
-            request.path.decode(_ENCODING, _ERRORS),
-            multidict.CIMultiDict(_read_headers(request.headers)),
-            request.body,
-            self._clock.now_ms() + request.deadline_in_ms,
-            received.append,
-        )
-        outcome = await self._client.send_directly(
-            target, outgoing, is_repeatable=False
-        )
-        if isinstance(outcome, sending.Stream):
-            async with contextlib.aclosing(_stream_parts(outcome)) as parts:
-                async for part in parts:
-                    yield part
-            return
-        for headers in received:
-            yield _head(outcome, headers)
-        match outcome:
-            case sending.Whole():
-                yield entry_pb2.ForwardPart(data=outcome.body)
-                yield _end(entry_pb2.ForwardEnd.COMPLETE)
-            case sending.NotRun():
-                yield _end_not_run(outcome)
-            case sending.Broken():
-                yield _end_broken(outcome)
-
-
-async def _stream_parts(
-    stream: sending.Stream,
-) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
-    """Yields the parts of a stream, and closes it if that is broken off."""
-    try:
-        yield _head(stream, stream.headers)
-        async with contextlib.aclosing(stream.chunks()) as chunks:
-            async for chunk in chunks:
-                yield entry_pb2.ForwardPart(data=chunk)
-    finally:
-        if not stream.is_done:
-            stream.close()
-    if stream.failure is not None:
-        yield _end_broken(stream.failure)
-    else:
-        yield _end(entry_pb2.ForwardEnd.COMPLETE)
-
-
 async def _receive_body(
     call: peers.ForwardCall,
     status: int,
@@ -319,83 +219,8 @@
         elif part.end.outcome == entry_pb2.ForwardEnd.COMPLETE:
             return sending.Whole(status, headers, bytes(body))
         else:
-            return _failure(part.end)
-
-
-def _header_messages(
-    headers: Iterable[tuple[str, str]],
-) -> list[entry_pb2.Header]:
-    return [
-        entry_pb2.Header(name=name, value=value.encode(_ENCODING, _ERRORS))
-        for name, value in headers
-    ]
-
-
-def _read_headers(
-    messages: Iterable[entry_pb2.Header],
-) -> multidict.CIMultiDictProxy[str]:
-    return multidict.CIMultiDictProxy(
-        multidict.CIMultiDict(
-            (each.name, each.value.decode(_ENCODING, _ERRORS))
-            for each in messages
-        )
-    )
+            return forward_messages.failure(part.end)
 
 
 def _lost() -> sending.Broken:
     return sending.Broken("relay-lost", is_path_lost=True)
-
-
-def _failure(
-    end: entry_pb2.ForwardEnd,
-) -> sending.NotRun | sending.Broken | None:
-    match end.outcome:
-        case entry_pb2.ForwardEnd.UNABLE:
-            return None
-        case entry_pb2.ForwardEnd.NOT_RUN:
-            return sending.NotRun(end.reason, end.status, end.is_reached)
-        case _:
-            return sending.Broken(end.reason, end.is_timeout, end.is_path_lost)
-
-
-def _head(
-    outcome: sending.Outcome, headers: multidict.CIMultiDictProxy[str]
-) -> entry_pb2.ForwardPart:
-    status = outcome.status if isinstance(outcome, sending.Whole) else 0
-    return entry_pb2.ForwardPart(
-        head=entry_pb2.ForwardHead(
-            status=status,
-            headers=_header_messages(headers.items()),
-            is_stream=isinstance(outcome, sending.Stream),
-        )
-    )
-
-
-def _end(
-    outcome: entry_pb2.ForwardEnd.Outcome.ValueType,
-) -> entry_pb2.ForwardPart:
-    return entry_pb2.ForwardPart(end=entry_pb2.ForwardEnd(outcome=outcome))
-
-
-def _end_not_run(outcome: sending.NotRun) -> entry_pb2.ForwardPart:
-    if outcome.is_path_lost:
-        return _end(entry_pb2.ForwardEnd.UNABLE)
-    return entry_pb2.ForwardPart(
-        end=entry_pb2.ForwardEnd(
-            outcome=entry_pb2.ForwardEnd.NOT_RUN,
-            reason=outcome.reason,
-            status=outcome.status,
-            is_reached=outcome.is_reached,
-        )
-    )
-
-
-def _end_broken(outcome: sending.Broken) -> entry_pb2.ForwardPart:
-    return entry_pb2.ForwardPart(
-        end=entry_pb2.ForwardEnd(
-            outcome=entry_pb2.ForwardEnd.BROKEN,
-            reason=outcome.reason,
-            is_timeout=outcome.is_timeout,
-            is_path_lost=outcome.is_path_lost,
-        )
-    )
--- a/mangotally/policy/relay_choice.py
+++ b/mangotally/policy/relay_choice.py
@@ -10,8 +10,9 @@
     """Prefers hosts that were able to send, and avoids those that were not.
 
     Hosts of which nothing is known come between them: when many hosts lose
-    their paths at once, the remaining ones are found within a few calls. More
-    than one host is preferred, so that the load is spread.
+    their paths at once, the remaining ones are found within a few calls. A
+    host stays with the first one that it found; the load is spread because
+    each finds another one first.
     """
 
     def __init__(self) -> None:
