Review, case 3: the home may also change because its machine is stopped

Cause: the case showed a reassignment by the store only; a planned stop of the home is more common.

Done: HOW=stop stops the home by SIGTERM in place of the reassignment. New connections go to a stopped machine for 2 s at most.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,22 @@
-"""One tenant sends many times its usual while homes of keys are dealt anew."""
+"""One tenant sends many times its usual while the home of its key changes.
+
+HOW=deal (default): the store deals all partitions anew. HOW=stop: the machine
+that is the home gets SIGTERM, as in a restart of all machines in turn.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
+import signal
 
 import kit
 
+from mangotally import ids
+from mangotally.entry import rates
+from mangotally.policy import rendezvous
+
 SERVICE = "field-app"
 RATE_PER_S = 119
 BURST = 119
@@ -22,7 +32,10 @@
 USUAL_PER_S = 20
 USUAL_S = 5.0
 HOT_S = 6.0
-DEAL_AFTER_S = 2.0
+CHANGE_AFTER_S = 2.0
+HOW = os.environ.get("HOW", "deal")
+# The platform sends no new connections after two misses of a readiness check.
+IN_ROTATION_S = 2.0
 WINDOW_S = kit.BOUNDS["QuotaWindowS"]
 ALLOWED = (RATE_PER_S * WINDOW_S + BURST) * (
     1 + kit.BOUNDS["QuotaOvershoot"]
@@ -37,6 +50,33 @@
         self.sent_s: dict[str, float] = {}
         self.run_s: list[tuple[float, float]] = []
         self.statuses: dict[int, int] = {}
+        self.stopped: kit.Host | None = None
+        self.stopped_s = 0.0
+
+    def home(self) -> kit.Host:
+        """Returns the machine that is the home of the tenant's key."""
+        key = rates.home_key(ids.OrganisationId(kit.TENANT))
+        number = rendezvous.partition_of_key(key, kit.PARTITIONS)
+        name = self.fleet.store.group_owners()[number]
+        return next(each for each in self.fleet.hosts if each.name == name)
+
+    def change_home(self) -> None:
+        """Stops the home, or lets the store deal all partitions anew."""
+        before = self.home().name
+        if HOW == "deal":
+            self.fleet.store.deal_anew()
+            self.fleet.record(f"the home was {before}, is {self.home().name}")
+            return
+        self.stopped, self.stopped_s = self.home(), kit.now_s()
+        self.stopped.signal(signal.SIGTERM)
+        self.fleet.record(f"SIGTERM to the home, {before}")
+
+    def choose_host(self, number: int) -> kit.Host:
+        """Returns the machine that gets a new connection."""
+        hosts = list(self.fleet.hosts)
+        if kit.now_s() > self.stopped_s + IN_ROTATION_S and self.stopped:
+            hosts.remove(self.stopped)
+        return hosts[number % len(hosts)]
 
     async def serve(
         self, worker: kit.Worker, request: kit.Received, reply: kit.Reply
@@ -51,7 +91,7 @@
     async def look_up(self, number: int) -> None:
         """Sends one lookup of the tenant."""
         name = f"r{number}"
-        host = self.fleet.hosts[number % HOSTS]
+        host = self.choose_host(number)
         program = number % PROGRAMS
         headers = kit.request_headers(
             name,
@@ -113,12 +153,11 @@
         fleet.record("the tenant sends many times its usual")
         begin_s = kit.now_s()
         usual = number
-        is_dealt = not kit.HAS_TROUBLE
+        is_changed = not kit.HAS_TROUBLE
         while (passed_s := kit.now_s() - begin_s) < HOT_S:
-            if passed_s >= DEAL_AFTER_S and not is_dealt:
-                is_dealt = True
-                fleet.store.deal_anew()
-                fleet.record(f"dealt anew: {fleet.store.group_owners()}")
+            if passed_s >= CHANGE_AFTER_S and not is_changed:
+                is_changed = True
+                state.change_home()
             while number < usual + passed_s * SENT_PER_S:
                 tasks.add(asyncio.create_task(state.look_up(number)))
                 number += 1
--- a/review/kit.py
+++ b/review/kit.py
@@ -514,8 +514,10 @@
         self._store.put("keyed.servers", target, None)
 
     def register(self) -> None:
-        """Writes the entry in the store."""
+        """Writes the entry in the store, if that is not down."""
         self._seq += 1
+        if self._store.faults.refuse:
+            return
         self._store.put(
             "keyed.servers",
             self.id,
