Review: a case that can't run exits with 2, and a stopped one ends its hosts

Cause: Python ends with 1 by itself, for example when target/deps is missing, and run.sh passed that on: it looked like a broken rule. A script that was stopped left its hosts running.

Done: a broken rule has a code of its own, which run.sh turns into 1; anything else is 2. SIGTERM, SIGINT and 115 s end a case and its processes.

Result: without target/deps exit 2 (was 1); after SIGTERM exit 2, no host left.

--- a/review/kit.py
+++ b/review/kit.py
@@ -29,7 +29,11 @@
 
 from tests.soak import store as soak_store  # noqa: E402
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# `run.sh` turns these into its own exit codes: Python ends with 1 by itself, as
+# when a library is missing, and that must not look like a broken rule.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+# A script runs for 120 s at most.
+LONGEST_S = 115.0
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
 STABLE_S = 3.0
@@ -799,17 +803,28 @@
 
 
 def main(folder: str, case: Callable[[pathlib.Path], Awaitable[bool]]) -> None:
-    """Runs a case; it returns whether the rule held.
+    """Runs a case, which returns whether the rule held, and exits.
 
-    Exits with 0 if it held, 1 if it was broken, 2 if the case couldn't run.
+    SIGTERM and SIGINT end the case and all processes that it started.
     """
     path = pathlib.Path(folder).resolve()
     try:
-        is_held = asyncio.run(case(path))
-    except Exception as error:
+        is_held = asyncio.run(_run_case(path, case))
+    except (Exception, asyncio.CancelledError) as error:
         with (path / "record.txt").open("a") as file:
             file.write(f"could not run: {error!r}\n")
         print(f"could not run: {error!r}")
         raise SystemExit(NOT_RUN) from error
     print("held" if is_held else "broken")
     raise SystemExit(HELD if is_held else BROKEN)
+
+
+async def _run_case(
+    path: pathlib.Path, case: Callable[[pathlib.Path], Awaitable[bool]]
+) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(LONGEST_S):
+        return await case(path)
