Refuse requests that come late in a planned stop

Callers saw: requests of kept connections that reached a stopping host late in its grace period ran at a target, and were cut by SIGKILL without an answer.

Cause: the host took requests for as long as any was under way; each kept it alive for the next. The time-out for closing the callers' server was 0, which the library takes for none.

Now idle connections are closed 2.6 s after SIGTERM, when the load balancer has seen the readiness twice, and later requests get 503, not run. Requests end 0.7 s before SIGKILL, with an answer. Leaving the homes runs beside this, so a store that does not answer delays nothing.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -7,7 +7,7 @@
 import logging
 import secrets
 import signal
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
 
@@ -18,6 +18,7 @@
     budgets,
     configuration_cache,
     directory,
+    draining,
     forwarder,
     forwarding,
     handler,
@@ -51,7 +52,7 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, Coroutine
+    from collections.abc import AsyncGenerator, Awaitable
 
     from mangotally.entry import entry_pb2
     from mangotally.settings import entry as settings_lib
@@ -63,6 +64,8 @@
 DRAIN_MS = 2600
 # Time reserved at the end of the grace period for closing connections.
 CLOSE_RESERVE_MS = 500
+# Time reserved before that for the last answers.
+ANSWER_RESERVE_MS = 200
 DRAIN_POLL_MS = 50
 # Time-out of each step that returns unused tokens. The last two steps share
 # the time reserved for closing; homes or the store may be unavailable.
@@ -106,7 +109,9 @@
         listen = settings.listen
         await enter(server.HttpServer(listen.metrics, self._serve_metrics))
         await enter(server.HttpServer(listen.readiness, self._serve_ready))
-        await enter(server.HttpServer(listen.callers, self._handler.handle))
+        self._callers = await enter(
+            server.HttpServer(listen.callers, self._handler.handle)
+        )
         tasks = background.BackgroundTasks(
             self._configuration.run,
             self._targets.run,
@@ -128,22 +133,25 @@
     async def __aexit__(self, *_exc: object) -> None:
         """Drains active requests, then closes."""
         logger.info("stop", extra={"under_way": self._handler.active_requests})
-        self._handler.is_draining = True
-        self._forwarder.is_draining = True
         stop_ms = self._clock.now_ms()
-        end_ms = (
-            stop_ms
-            + self._settings.bounds.grace_s * clock_lib.MS_PER_S
-            - CLOSE_RESERVE_MS
-        )
-        await self._member.leave()
-        await _run_with_timeout(RETURN_TOKENS_MS, self._budgets.return_unused())
-        drained_ms = stop_ms + min(DRAIN_MS, (end_ms - stop_ms) / 2)
+        grace_ms = self._settings.bounds.grace_s * clock_lib.MS_PER_S
+        end_ms = stop_ms + grace_ms - CLOSE_RESERVE_MS
+        self._forwarder.is_draining = True
+        self._drain.start(end_ms - ANSWER_RESERVE_MS)
+        leaving = asyncio.create_task(self._leave_homes())
+        # Requests are taken as long as the load balancer sends some here. Later
+        # ones might still be under way when the process is killed.
+        drain_ms = min(DRAIN_MS, (end_ms - stop_ms) / 2)
+        await asyncio.sleep(clock_lib.to_seconds(drain_ms))
+        self._drain.refuse_new()
+        self._callers.close_idle_connections()
         while self._clock.now_ms() < end_ms:
-            is_idle = not self._active_requests
-            if is_idle and self._clock.now_ms() > drained_ms:
+            if not self._active_requests:
                 break
             await asyncio.sleep(clock_lib.to_seconds(DRAIN_POLL_MS))
+        await _run_with_timeout(
+            max(0.0, end_ms - self._clock.now_ms()), leaving
+        )
         await _run_with_timeout(RETURN_TOKENS_MS, self._budgets.wait_idle())
         await _run_with_timeout(RETURN_TOKENS_MS, self._budgets.return_unused())
         await self._stack.aclose()
@@ -193,6 +201,11 @@
         """Sends a request to a target for another host."""
         return self._forwarder.forward(request)
 
+    async def _leave_homes(self) -> None:
+        """Hands over the keys of this host, and returns unused tokens."""
+        await self._member.leave()
+        await _run_with_timeout(RETURN_TOKENS_MS, self._budgets.return_unused())
+
     def _wire_store_access(self, peer_client: peers.PeerClient) -> None:
         settings, clock = self._settings, self._clock
         # This id stays the same across restarts, so that a restarted host is
@@ -231,6 +244,7 @@
         domain = ids.FailureDomainId(settings.failure_domain)
         partitions = settings.store.partitions
         self._monitor = monitor.Monitor(clock)
+        self._drain = draining.Drain(clock)
         client = await self._wire_targets(peer_client)
         self._slot_allocator = slots.SlotAllocator(
             self._host, self._member, peer_client, self._directory, clock
@@ -270,6 +284,7 @@
             ),
             names=headers.NAMES,
             monitor=self._monitor,
+            drain=self._drain,
             clock=clock,
         )
         self._handler = handler.Handler(dependencies)
@@ -334,7 +349,7 @@
     def is_ready(self) -> bool:
         """Whether the load balancer should send new connections here."""
         return (
-            not self._handler.is_draining
+            not self._drain.is_draining
             and not self._isolation.is_isolated
             and self._targets.has_snapshot
             and self._configuration_cache.configuration is not None
@@ -361,9 +376,7 @@
         logger.info("reload", extra={"changed": "nothing"})
 
 
-async def _run_with_timeout(
-    timeout_ms: float, coroutine: Coroutine[Any, Any, None]
-) -> None:
-    """Awaits a coroutine, and cancels it after the time-out."""
+async def _run_with_timeout(timeout_ms: float, work: Awaitable[None]) -> None:
+    """Awaits work, and cancels it after the time-out."""
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(coroutine, clock_lib.to_seconds(timeout_ms))
+        await asyncio.wait_for(work, clock_lib.to_seconds(timeout_ms))
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -16,6 +16,7 @@
     answers,
     attempts,
     budgets,
+    draining,
     headers,
     history,
     model,
@@ -59,6 +60,7 @@
         attempts: Runs requests at targets.
         names: Names of headers.
         monitor: Counts and logs requests.
+        drain: Ends requests when this host stops.
         clock: A clock that also advances while the machine is suspended.
     """
 
@@ -70,6 +72,7 @@
     attempts: attempts.AttemptRunner
     names: headers.HeaderNames
     monitor: monitor_lib.Monitor
+    drain: draining.Drain
     clock: clock_lib.Clock
 
 
@@ -83,7 +86,6 @@
             dependencies: Components that it uses.
         """
         self._dependencies = dependencies
-        self.is_draining = False
         self.active_requests = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -102,7 +104,9 @@
         )
         answer: attempts.Result | None = None
         try:
-            answer = await self._answer(request, received, sink, log_entry)
+            answer = await self._answer_until_stop(
+                request, received, sink, log_entry
+            )
             return await self._respond(answer, request, received, sink)
         except asyncio.CancelledError:
             log_entry.outcome = "caller-left"
@@ -113,9 +117,23 @@
 
     def close_if_draining(self, response: web.StreamResponse) -> None:
         """Closes the connection after the answer if this host is draining."""
-        if self.is_draining:
+        if self._dependencies.drain.is_draining:
             response.force_close()
 
+    async def _answer_until_stop(
+        self,
+        request: web.BaseRequest,
+        received: requests.CallerRequest,
+        sink: sink_lib.CallerSink,
+        log_entry: access_log_lib.AccessLogEntry,
+    ) -> attempts.Result:
+        """Answers a request; gives up if this host is about to end."""
+        try:
+            async with self._dependencies.drain.limit():
+                return await self._answer(request, received, sink, log_entry)
+        except TimeoutError:
+            return _end_at_stop(log_entry.state)
+
     async def _answer(
         self,
         request: web.BaseRequest,
@@ -132,6 +150,8 @@
             return answers.Refusal(answers.Cause.TOO_LARGE)
         if len(body) > access.configuration.max_body_bytes:
             return answers.Refusal(answers.Cause.TOO_LARGE)
+        if self._dependencies.drain.phase is draining.Phase.REFUSING:
+            return _refuse_at_stop()
         state = self._make_state(received, access, body)
         log_entry.state = state
         log_entry.organisation = access.organisation_id
@@ -465,6 +485,20 @@
         return response
 
 
+def _refuse_at_stop() -> answers.Refusal:
+    # The other hosts serve: the caller need not wait.
+    return answers.Refusal(answers.Cause.LEAVING, retry_after_ms=0.0)
+
+
+def _end_at_stop(state: attempts.RequestState | None) -> attempts.Result:
+    """Returns the end of a request that outlasts the grace period."""
+    if state is None or state.target is None:
+        return _refuse_at_stop()
+    if state.sent_events:
+        return attempts.StreamBroken("host-stopped")
+    return answers.Refusal(answers.Cause.TIMEOUT, "host-stopped")
+
+
 def _choose_service(route: model.Route) -> ids.ServiceId:
     weights = [each.weight for each in route.backends]
     if len(weights) == 1 or not sum(weights):
--- a/mangotally/entry/server.py
+++ b/mangotally/entry/server.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any, Self
 
-from aiohttp import web
+from aiohttp import web, web_protocol
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -19,6 +19,31 @@
 # connections.
 KEEP_ALIVE_TIMEOUT_S = 75.0
 BACKLOG = 1024
+# Answers are written by then; 0 would be no limit.
+SHUTDOWN_TIMEOUT_S = 0.1
+
+
+class _Connection(web_protocol.RequestHandler):
+    """A connection that can be closed while no request is under way."""
+
+    __slots__ = ()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request has been received."""
+        if self._waiter is not None and not self._waiter.done():
+            self.force_close()
+
+
+class _Connections(web.Server):
+    """Makes the connections of a server."""
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+    def close_idle(self) -> None:
+        for connection in self.connections:
+            assert isinstance(connection, _Connection)
+            connection.close_if_idle()
 
 
 class HttpServer:
@@ -37,12 +62,13 @@
         """
         self._address = address
         self._handle = handle
+        self._connections: _Connections
         self._runner: web.ServerRunner
         self._site: web.TCPSite
 
     async def __aenter__(self) -> Self:
         """Starts to listen."""
-        server = web.Server(
+        self._connections = _Connections(
             self._handle,
             request_factory=self._make_request,
             handler_cancellation=True,
@@ -54,7 +80,9 @@
             auto_decompress=False,
             lingering_time=0.0,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=0)
+        self._runner = web.ServerRunner(
+            self._connections, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
         self._site = web.TCPSite(self._runner, host, int(port), backlog=BACKLOG)
@@ -65,6 +93,14 @@
         """Closes all connections."""
         await self._runner.cleanup()
 
+    def close_idle_connections(self) -> None:
+        """Closes the connections that have no request under way.
+
+        A request that is on its way is not read; its caller can tell, and may
+        repeat it.
+        """
+        self._connections.close_idle()
+
     def _make_request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
--- /dev/null
+++ b/tests/test_entry/test_draining.py
@@ -0,0 +1,137 @@
+"""Integration tests of requests at a host that stops as planned."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests import entry_fleet
+from tests.entry_fleet import HOST, KEY, LOOKUP, PAY, with_fleet
+
+# Work that is under way at the stop, and keeps the host alive.
+HELD_MS = 1300.0
+# After the stop: later than a host serves new requests, and before it ends.
+LATE_S = 1.0
+# Longer than the grace period of the fleet.
+ENDLESS_MS = 5000.0
+
+
+class _KeptConnection:
+    """A caller's connection that is used for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(
+        cls, fleet: entry_fleet.EntryFleet, host: int
+    ) -> _KeptConnection:
+        address = fleet.urls[host].removeprefix("http://")
+        name, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(name, int(port)))
+
+    async def send(self, method: str, path: str, request_id: str) -> int | None:
+        """Returns the status of the answer, or None if it was cut."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Request-Id: {request_id}",
+            "Deadline-Ms: 6000",
+            f"Authorization: Bearer {KEY}",
+            "Content-Length: 0",
+            "\r\n",
+        ]
+        self._writer.write("\r\n".join(lines).encode())
+        try:
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            length = head.lower().partition(b"content-length:")[2].split()[0]
+            await self._reader.readexactly(int(length))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return int(head.split()[1])
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """No accepted request ends without an answer when a host stops."""
+
+    # Requests of kept connections were run until the process was killed, which
+    # cut those that came last (review/2).
+    @with_fleet
+    async def test_late_request_of_a_kept_connection_is_not_run_and_cut(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        kept = [await _KeptConnection.open(fleet, 0) for _ in range(5)]
+        for number, connection in enumerate(kept):
+            status = await connection.send("GET", LOOKUP, f"first{number}")
+            self.assertEqual(status, 200)
+        for desk in fleet.desks:
+            desk.event_ms = HELD_MS
+        held = asyncio.create_task(fleet.call(PAY))
+        await entry_fleet.wait_for(lambda: fleet.desks[0].running)
+        stopping = asyncio.create_task(fleet.stop_host(0))
+        await asyncio.sleep(LATE_S)
+        statuses = await asyncio.gather(
+            *(
+                connection.send("POST", PAY, f"late{number}")
+                for number, connection in enumerate(kept)
+            )
+        )
+        for connection in kept:
+            connection.close()
+        await stopping
+        self.assertEqual((await held)[0], 200)
+        self.assertLessEqual(set(statuses), {None, 503})
+        run = {each.request_id for each in fleet.runs()}
+        self.assertFalse(run & {f"late{number}" for number in range(5)})
+
+    # The load balancer may still send connections; see the test before.
+    @with_fleet
+    async def test_late_request_of_a_new_connection_is_refused(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for desk in fleet.desks:
+            desk.event_ms = HELD_MS
+        held = asyncio.create_task(fleet.call(PAY))
+        await entry_fleet.wait_for(lambda: fleet.desks[0].running)
+        stopping = asyncio.create_task(fleet.stop_host(0))
+        await asyncio.sleep(LATE_S)
+        status, body, headers = await fleet.call(PAY, Request_Id="late")
+        await stopping
+        await held
+        self.assertEqual(status, 503)
+        self.assertIn(b"leaving", body)
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual(float(headers["Retry-After"]), 0.0)
+        self.assertNotIn("late", {each.request_id for each in fleet.runs()})
+
+    # Connections were closed without an answer at the end of the grace period.
+    @with_fleet
+    async def test_request_that_outlasts_the_grace_period_is_answered(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        for desk in fleet.desks:
+            desk.event_ms = ENDLESS_MS
+        places = sum(desk.slots for desk in fleet.desks)
+        calls = [
+            asyncio.create_task(fleet.call(PAY, Deadline_Ms="6000"))
+            for _ in range(places)
+        ]
+        await entry_fleet.wait_for(lambda: len(fleet.runs()) == places)
+        waiting = asyncio.create_task(fleet.call(PAY, Request_Id="waiting"))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(fleet.bounds.grace_s):
+            await fleet.stop_host(0)
+        self.assertEqual({(await call)[0] for call in calls}, {504})
+        self.assertEqual((await waiting)[0], 503)
+        self.assertNotIn("waiting", {each.request_id for each in fleet.runs()})
+
+
+if __name__ == "__main__":
+    unittest.main()
