Keep a resumed turn with what earlier answers brought of it

Callers saw: after a kill they took turns up at other hosts and got the rest; the next turn ran without what had been said before the kill.

Cause: the host that ends a turn kept only the events that it had forwarded itself. A route with both fields, retained and resumable, was never tried.

Now the events of such routes are recorded in the log before they are forwarded, each with the event before it. A resumed turn is kept with them; a turn whose earlier text is not known is refused with 503 before it runs.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -35,6 +35,7 @@
     server,
     slots,
     stream_origins,
+    stream_texts,
     target_client,
     target_paths,
 )
@@ -259,6 +260,7 @@
             self._member, self._configuration_cache, rate_bounds, clock
         )
         origins = stream_origins.StreamOrigins(self._store, partitions, clock)
+        texts = stream_texts.StreamTexts(self._store, partitions, clock)
         self._budgets = self._wire_budgets(peer_client)
         dependencies = handler.Dependencies(
             access=access.AccessControl(
@@ -280,7 +282,7 @@
                 clock,
             ),
             resumptions=resumptions.Resumptions(
-                origins, self._directory, self._targets.read_now, clock
+                origins, texts, self._directory, self._targets.read_now, clock
             ),
             names=headers.NAMES,
             monitor=self._monitor,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -77,6 +77,8 @@
         event_limit: Number of events that may be sent to the caller so far.
         raise_event_limit: Raises `event_limit`; returns whether it could.
         last_event: Id of the last event sent to the caller, or None.
+        earlier_text: What an earlier answer brought of a turn that is resumed.
+        recorder: Records the events before they are forwarded, or None.
         origin: What began the stream; None before its first event. Only
             targets of the same version may continue it.
     """
@@ -104,6 +106,8 @@
     event_limit: float = math.inf
     raise_event_limit: Callable[[], Awaitable[bool]] | None = None
     last_event: int | None = None
+    earlier_text: bytes = b""
+    recorder: EventRecorder | None = None
     origin: resumption.Origin | None = None
 
     def record_first_event(self, after_ms: float) -> None:
@@ -112,6 +116,13 @@
             self.first_event_ms = after_ms
 
 
+class EventRecorder(Protocol):
+    """Records the events of a stream."""
+
+    async def record(self, new: list[events.Event]) -> None:
+        """Records events that will be forwarded."""
+
+
 class EventSink(Protocol):
     """Receives the events of a stream."""
 
@@ -364,6 +375,8 @@
                 if not await _may_send(state, len(new)):
                     return StreamBroken("tokens-used-up")
                 self._record_origin(state, target)
+                if state.recorder is not None:
+                    await state.recorder.record(new)
                 state.sent_events += len(new)
                 state.last_event = new[-1].number
                 await sink.send_events(new)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -158,6 +158,7 @@
         refusal = await self._prepare_resumption(received, state, log_entry)
         if refusal is not None:
             return refusal
+        self._dependencies.resumptions.record_events(received, state)
         if not received.is_turn:
             return await self._admit_and_run(
                 received, access, state, sink, log_entry
@@ -198,7 +199,7 @@
         The budget is checked before the rate limit: a program that has spent
         its budget must not use up the rate of its organisation.
         """
-        body = state.body
+        request_body = state.body
         with log_entry.measure_step("budget"):
             reserved = await self._reserve(received, access, state)
         if isinstance(reserved, answers.Refusal):
@@ -214,9 +215,8 @@
             answer, attempts.StreamEnded
         ):
             with log_entry.measure_step("keep"):
-                return await self._save_turn(
-                    received, access, body, sink, answer
-                )
+                content = request_body + state.earlier_text + sink.text
+                return await self._save_turn(received, access, content, answer)
         return answer
 
     async def _admit_and_run(
@@ -442,16 +442,14 @@
         self,
         received: requests.CallerRequest,
         access: access_lib.Access,
-        body: bytes,
-        sink: sink_lib.CallerSink,
+        content: bytes,
         answer: attempts.StreamEnded,
     ) -> attempts.Result:
-        data = b"".join(each + b"\n" for each in sink.data)
         turn = turns.Turn(
             model.TurnId(received.id),
             access.organisation_id,
             received.parent_turn,
-            body + data,
+            content,
         )
         until_ms = self._dependencies.clock.now_ms() + SAVE_TIMEOUT_MS
         if await self._dependencies.history.save(turn, until_ms):
--- a/mangotally/entry/requests.py
+++ b/mangotally/entry/requests.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+import re
 from typing import TYPE_CHECKING
 
 import multidict
@@ -16,6 +17,7 @@
 DEFAULT_MAX_TOKENS = 512
 # Larger numbers are reduced to this, which fits the messages between hosts.
 MAX_TOKENS = 2**53
+_EVENT_ID = re.compile(r"\d{1,18}", re.ASCII)
 # Ids of the last event that say that there was none.
 _NO_EVENTS = frozenset({"", "0"})
 
@@ -41,6 +43,8 @@
         parent_turn: The turn that it continues, or None.
         continues_stream: Whether its caller has received events of the stream
             from an earlier answer.
+        last_event: Id of the last of these events; 0 if there is none, None
+            if it can't be read.
         resumes: The request whose answer brought the first of them; None if
             the caller does not name it.
     """
@@ -60,6 +64,7 @@
     max_tokens: int
     parent_turn: model.TurnId | None
     continues_stream: bool
+    last_event: int | None
     resumes: model.RequestId | None
 
     @property
@@ -83,7 +88,8 @@
     """Parses a request; malformed numbers are treated as absent."""
     parent = headers.get(names.parent_turn)
     resumes = headers.get(names.resumes)
-    has_events = headers.get(names.last_event, "") not in _NO_EVENTS
+    last_event = headers.get(names.last_event, "")
+    has_events = last_event not in _NO_EVENTS
     return CallerRequest(
         id=model.RequestId(headers.get(names.request_id, "")),
         method=method,
@@ -100,6 +106,7 @@
         max_tokens=_max_tokens(headers.get(names.token_usage)),
         parent_turn=model.TurnId(parent) if parent else None,
         continues_stream=has_events or bool(resumes),
+        last_event=_event_id(last_event) if has_events else 0,
         resumes=model.RequestId(resumes) if resumes else None,
     )
 
@@ -109,6 +116,10 @@
     return key.strip() if scheme.lower() == "bearer" else None
 
 
+def _event_id(text: str) -> int | None:
+    return int(text) if _EVENT_ID.fullmatch(text) else None
+
+
 def _number(text: str | None) -> float | None:
     try:
         number = float(text) if text is not None else math.nan
--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import answers, model, stream_origins
+from mangotally.entry import answers, model, stream_origins, stream_texts
 from mangotally.entry import log as log_lib
 from mangotally.policy import resumption
 from mangotally.util import clock as clock_lib
@@ -55,6 +55,7 @@
     def __init__(
         self,
         origins: stream_origins.StreamOrigins,
+        texts: stream_texts.StreamTexts,
         directory: directory_lib.TargetDirectory,
         read_targets: Callable[[], Awaitable[bool]],
         clock: clock_lib.Clock,
@@ -63,11 +64,13 @@
 
         Args:
             origins: Records of the streams.
+            texts: Records of what resumable turns have generated.
             directory: Lists the targets.
             read_targets: Reads pending changes of that list.
             clock: Source of the current time.
         """
         self._origins = origins
+        self._texts = texts
         self._directory = directory
         self._read_targets = read_targets
         self._clock = clock
@@ -81,13 +84,16 @@
 
         Args:
             received: The request.
-            state: Its state; its origin and service are set here.
+            state: Its state; its origin, service and earlier text are set
+                here.
 
         Returns:
             What is known of the stream, and the refusal if it can't be
             continued.
         """
         until_ms = received.arrived_ms + state.route.objective_ms
+        if received.resumes is None and state.route.is_retained:
+            return _refuse(None, "not-named")
         if received.resumes is None:
             is_current = await self._update_targets(
                 received.arrived_ms, min(until_ms, state.deadline_ms)
@@ -106,7 +112,53 @@
                 )
             case stream_origins.NotRecorded():
                 return _refuse(received.resumes, "not-recorded")
-        return self._apply(received.resumes, found, state)
+        resumed, refusal = self._apply(received.resumes, found, state)
+        if refusal is None and state.route.is_retained:
+            refusal = await self._read_text(received, state, until_ms)
+        return resumed, refusal
+
+    def record_events(
+        self, received: requests.CallerRequest, state: attempts.RequestState
+    ) -> None:
+        """Has the events of a turn recorded if it can be resumed and kept."""
+        if not (state.route.is_retained and state.route.is_resumable):
+            return
+        request = received.resumes or received.id
+        if len(request) > stream_origins.MAX_ID_CHARS:
+            return
+        stream = stream_origins.StreamId(state.organisation, request)
+        after = received.last_event or None
+        state.recorder = self._texts.recorder(stream, after)
+
+    async def _read_text(
+        self,
+        received: requests.CallerRequest,
+        state: attempts.RequestState,
+        until_ms: float,
+    ) -> answers.Refusal | None:
+        """Reads the part of a turn that its caller has already.
+
+        A turn that is kept without it would be continued from a wrong text.
+        """
+        assert received.resumes is not None
+        if received.last_event is None:
+            return _refuse(received.resumes, "event-id-unreadable")[1]
+        if not received.last_event:
+            return None
+        text = await self._texts.look_up(
+            stream_origins.StreamId(state.organisation, received.resumes),
+            received.last_event,
+            min(until_ms, state.deadline_ms),
+        )
+        match text:
+            case log_lib.Unavailable():
+                return _refuse(
+                    received.resumes, "store-unavailable", STORE_RETRY_MS
+                )[1]
+            case stream_origins.NotRecorded():
+                return _refuse(received.resumes, "text-not-recorded")[1]
+        state.earlier_text = text
+        return None
 
     async def _update_targets(self, since_ms: float, until_ms: float) -> bool:
         """Returns whether the list of targets is as it was at a time, or later.
--- a/mangotally/entry/sink.py
+++ b/mangotally/entry/sink.py
@@ -33,7 +33,12 @@
         self._request = request
         self._before_headers = before_headers
         self._response: web.StreamResponse | None = None
-        self.data: list[bytes] = []
+        self._data: list[bytes] = []
+
+    @property
+    def text(self) -> bytes:
+        """Data of the events so far, each ended by a line feed."""
+        return b"".join(each + b"\n" for each in self._data)
 
     async def begin(self, received: multidict.CIMultiDictProxy[str]) -> None:
         """Receives the target's headers, before the first event."""
@@ -44,7 +49,7 @@
     async def send_events(self, complete: list[events.Event]) -> None:
         """Sends complete events."""
         response = await self._prepared_response()
-        self.data += [each.data for each in complete]
+        self._data += [each.data for each in complete]
         await response.write(b"".join(each.raw for each in complete))
 
     async def end(self) -> web.StreamResponse:
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -24,6 +24,7 @@
 ORGANISATION = "org-1"
 CHAT = "/chat/"
 QUERY = "/query/"
+TALK = "/talk/"
 LOOKUP = "/lookup/"
 PAY = "/pay/"
 MODEL = "model"
@@ -40,6 +41,9 @@
         "Routes": [
             _route("chat", CHAT, "streaming", MODEL, Retained=True),
             _route("query", QUERY, "streaming", MODEL, Resumable=True),
+            _route(
+                "talk", TALK, "streaming", MODEL, Retained=True, Resumable=True
+            ),
             _route("lookup", LOOKUP, "idempotent", DESK),
             _route("pay", PAY, "non_idempotent", DESK),
         ],
