Refuse requests that have crashed three targets, on the platform too

Callers saw: a request that crashes its targets was sent to targets for as long as it came; bookings of others that ran there were lost.

Cause: only the product's own interface remembered such requests.

Now a host checks, when a connection ends early, whether its target still listens, and counts the crash against the request (organisation, method, path, parent turn, body). Calls for slots and their replies carry what is known, so every host that meets the request again refuses it after the third crash, with 503, not run. A complete answer clears it.

--- a/mangotally/entry/answers.py
+++ b/mangotally/entry/answers.py
@@ -32,6 +32,7 @@
     NO_PLACE = "no-place"
     STREAM_UNKNOWN = "stream-unknown"
     VERSION_GONE = "version-gone"
+    CRASHES_TARGETS = "crashes-targets"
     NOT_RUN = "not-run"
     MAY_HAVE_RUN = "may-have-run"
     TIMEOUT = "timeout"
@@ -54,6 +55,7 @@
     Cause.NO_PLACE: 503,
     Cause.STREAM_UNKNOWN: 503,
     Cause.VERSION_GONE: 503,
+    Cause.CRASHES_TARGETS: 503,
     Cause.NOT_RUN: 503,
     Cause.MAY_HAVE_RUN: 502,
     Cause.TIMEOUT: 504,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -24,7 +24,12 @@
     slots,
     stream_origins,
 )
-from mangotally.policy import dispatch, resumption, run_times
+from mangotally.policy import (
+    crash_histories,
+    dispatch,
+    resumption,
+    run_times,
+)
 
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
@@ -64,6 +69,7 @@
         session: Requests with the same value share a cached prefix.
         due_ms: When its program should be finished.
         deadline_ms: When its caller no longer needs an answer.
+        digest: Identifies it if it is sent again under a new id.
         is_new: Whether it is the first request of a program.
         attempts: Number of targets that it was sent to.
         target: The last of these targets, or None.
@@ -95,6 +101,7 @@
     session: str
     due_ms: float
     deadline_ms: float
+    digest: crash_histories.RequestDigest
     is_new: bool = False
     attempts: int = 0
     target: ids.TargetId | None = None
@@ -146,10 +153,12 @@
         reason: What went wrong.
         is_path_lost: Whether this host reaches no target, so that the outcome
             says nothing about this one.
+        is_disconnected: Whether the target's connection ended early.
     """
 
     reason: str
     is_path_lost: bool = False
+    is_disconnected: bool = False
 
 
 AttemptOutcome: TypeAlias = (
@@ -267,6 +276,7 @@
             excluded=excluded,
             connected=self._idle_connected_targets(state.service),
             version=state.origin.version if state.origin else None,
+            digest=state.digest,
         )
         begin_ms = self._clock.now_ms()
         decision = await self._allocator.acquire(state.service, queued)
@@ -305,8 +315,26 @@
             self._allocator.release(slot, end, units)
         if end is not dispatch.EndReason.DONE:
             self._log_failure(state, slot, outcome)
+        await self._record_crash_or_answer(state, slot, outcome)
         return outcome
 
+    async def _record_crash_or_answer(
+        self, state: RequestState, slot: slots.Slot, outcome: AttemptOutcome
+    ) -> None:
+        """Records whether the target crashed while it ran the request."""
+        match outcome:
+            case sending.Whole() | StreamEnded():
+                self._allocator.record_answer(state.service, state.digest)
+            case sending.Broken() | StreamBroken():
+                target = self._directory.find(slot.target)
+                if (
+                    outcome.is_disconnected
+                    and not outcome.is_path_lost
+                    and target is not None
+                    and await self._client.has_crashed(target)
+                ):
+                    self._allocator.record_crash(state.digest, target)
+
     async def _send(
         self, state: RequestState, slot: slots.Slot, sink: EventSink
     ) -> AttemptOutcome:
@@ -389,7 +417,9 @@
         if failure is None:
             return StreamEnded()
         if state.sent_events and not self._can_resume(state):
-            return StreamBroken(failure.reason, failure.is_path_lost)
+            return StreamBroken(
+                failure.reason, failure.is_path_lost, failure.is_disconnected
+            )
         return failure
 
     def _record_origin(self, state: RequestState, target: model.Target) -> None:
@@ -487,6 +517,10 @@
     detail = f"{slot.reason} by {slot.source}"
     if slot.reason == dispatch.NO_TARGET_OF_VERSION:
         return answers.Refusal(answers.Cause.VERSION_GONE, detail)
+    if slot.reason == dispatch.CRASHES_TARGETS:
+        return answers.Refusal(
+            answers.Cause.CRASHES_TARGETS, detail, slot.retry_after_ms
+        )
     return answers.Refusal(answers.Cause.NO_PLACE, detail, slot.retry_after_ms)
 
 
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -28,6 +28,7 @@
 )
 from mangotally.entry import monitor as monitor_lib
 from mangotally.entry import sink as sink_lib
+from mangotally.policy import crash_histories
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -314,6 +315,13 @@
             session=received.session or received.program or "",
             due_ms=received.arrived_ms + due_ms,
             deadline_ms=received.arrived_ms + time_limit_ms,
+            digest=crash_histories.digest(
+                access.organisation_id,
+                received.method,
+                received.path,
+                received.parent_turn or "",
+                body,
+            ),
         )
 
     def _target_headers(
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -22,6 +22,12 @@
 
 CONNECT_TIMEOUT_MS = 500
 READ_BYTES = 16 * 1024
+# How the library reports that a target has closed its connection.
+_DISCONNECTIONS = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientPayloadError,
+    OSError,
+)
 _OK = 200
 _MISDIRECTED = 421
 _SKIPPED_AUTO_HEADERS = frozenset(
@@ -94,11 +100,13 @@
         is_timeout: Whether the deadline passed.
         is_path_lost: Whether this host reaches no target, so that the outcome
             says nothing about this one.
+        is_disconnected: Whether the connection ended early.
     """
 
     reason: str
     is_timeout: bool = False
     is_path_lost: bool = False
+    is_disconnected: bool = False
 
 
 class PathLostError(aiohttp.ClientError):
@@ -142,7 +150,9 @@
         except (aiohttp.ClientError, OSError) as error:
             is_path_lost = isinstance(error, PathLostError)
             self.failure = Broken(
-                type(error).__name__, is_path_lost=is_path_lost
+                type(error).__name__,
+                is_path_lost=is_path_lost,
+                is_disconnected=True,
             )
         else:
             self.is_done = True
@@ -254,7 +264,8 @@
         except TimeoutError:
             return Broken("timeout", is_timeout=True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Broken(type(error).__name__)
+            is_disconnected = isinstance(error, _DISCONNECTIONS)
+            return Broken(type(error).__name__, is_disconnected=is_disconnected)
 
     async def _receive(
         self, response: aiohttp.ClientResponse, request: Outgoing
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -6,7 +6,7 @@
 
 from mangotally import ids
 from mangotally.entry import entry_pb2
-from mangotally.policy import dispatch, target_limits
+from mangotally.policy import crash_histories, dispatch, target_limits
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -16,6 +16,7 @@
     service: ids.ServiceId,
     request: dispatch.QueuedRequest,
     limits: Iterable[entry_pb2.TargetLimit],
+    crash_history: entry_pb2.CrashHistory,
     now_ms: float,
 ) -> entry_pb2.PlaceRequest:
     """Returns the call for a slot; its times are relative to `now_ms`."""
@@ -33,6 +34,7 @@
         connected=sorted(request.connected),
         limits=limits,
         version=request.version,
+        crash_history=crash_history,
     )
 
 
@@ -56,6 +58,7 @@
             if request.HasField("version")
             else None
         ),
+        digest=crash_histories.RequestDigest(request.crash_history.digest),
     )
 
 
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -15,6 +15,7 @@
 from mangotally import ids
 from mangotally.entry import (
     entry_pb2,
+    known_crashes,
     known_limits,
     service_pool,
     slot_messages,
@@ -28,7 +29,8 @@
 
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import homes as homes_lib
-    from mangotally.entry import peers
+    from mangotally.entry import model, peers
+    from mangotally.policy import crash_histories
 
 # The home keeps a call for a slot open for this time at most. A request that
 # is still queued then asks again.
@@ -69,7 +71,8 @@
     Attributes:
         retry_after_ms: When a slot may be available.
         reason: Why the request was refused.
-        source: What refused it, `home` or `alone`.
+        source: What refused it, `home` or `alone`; `host` if the home was not
+            asked.
     """
 
     retry_after_ms: float
@@ -116,6 +119,7 @@
         self._limits = known_limits.KnownLimits(
             directory, self._update_pools, clock
         )
+        self._crashes = known_crashes.KnownCrashes(clock)
         directory.add_listener(self._update_target)
 
     async def acquire(
@@ -123,6 +127,9 @@
     ) -> Slot | SlotRefusal:
         """Waits until a request gets a slot or is refused."""
         while True:
+            refusal = self._refuse_if_crashing(request, "host")
+            if refusal is not None:
+                return refusal
             decision = await self._request_slot(service, request)
             if decision is not None:
                 return decision
@@ -151,10 +158,9 @@
         )
         pool = self._pool(slot.service)
         pool.finish(finished)
-        home = self._homes.home_of(pool_key(slot.service))
-        if home is None or self._homes.is_self(home):
-            return
-        self._reports.start(self._report_finished(home, slot.service, finished))
+        report = self._make_report(slot.service)
+        report.finished.append(slot_messages.finished_place(finished))
+        self._send_report(report)
 
     def observe_limit(
         self, slot: Slot, values: Sequence[str], sent_ms: float, is_run: bool
@@ -173,16 +179,22 @@
         is_changed = self._limits.observe_answer(
             slot.target, values, sent_ms, is_run
         )
-        home = self._homes.home_of(pool_key(slot.service))
-        if not is_changed or home is None or self._homes.is_self(home):
-            return
-        self._reports.start(
-            self._peer_client.report(
-                home.address,
-                self._make_report(slot.service),
-                REPORT_TIMEOUT_MS,
-            )
-        )
+        if is_changed:
+            self._send_report(self._make_report(slot.service))
+
+    def record_crash(
+        self, digest: crash_histories.RequestDigest, target: model.Target
+    ) -> None:
+        """Records that a target crashed while it ran a request."""
+        self._crashes.record_crash(digest, target)
+        self._report_crashes(target.service, digest)
+
+    def record_answer(
+        self, service: ids.ServiceId, digest: crash_histories.RequestDigest
+    ) -> None:
+        """Records that a target answered a request."""
+        if self._crashes.record_answer(digest):
+            self._report_crashes(service, digest)
 
     async def handle_slot_request(
         self, request: entry_pb2.PlaceRequest
@@ -192,11 +204,22 @@
         if self._homes.owned_since_ms(pool_key(service)) is None:
             return entry_pb2.PlaceReply()
         self._limits.merge(request.limits)
+        self._crashes.merge(request.crash_history)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
-        decision = await self._pool(service).request_slot(queued, WAIT_POLL_MS)
-        return slot_messages.place_reply(
+        refused_ms = self._crashes.refused_for_ms(queued.digest)
+        decision: dispatch.Placed | dispatch.Refused | None
+        if refused_ms is not None:
+            decision = dispatch.Refused(
+                queued.ticket, refused_ms, dispatch.CRASHES_TARGETS
+            )
+        else:
+            pool = self._pool(service)
+            decision = await pool.request_slot(queued, WAIT_POLL_MS)
+        reply = slot_messages.place_reply(
             decision, self._limits.messages(service)
         )
+        reply.crash_history.CopyFrom(self._crashes.message(queued.digest))
+        return reply
 
     async def handle_slot_report(
         self, request: entry_pb2.PlaceReport
@@ -207,6 +230,8 @@
             # A report without a service only checks that this host answers.
             return entry_pb2.ReportReply()
         self._limits.merge(request.limits)
+        for history in request.crash_histories:
+            self._crashes.merge(history)
         pool = self._pool(service)
         for each in request.finished:
             pool.finish(slot_messages.finished(each))
@@ -252,6 +277,7 @@
                 service,
                 request,
                 self._limits.messages(service),
+                self._crashes.message(request.digest),
                 self._clock.now_ms(),
             ),
             WAIT_POLL_MS + HOME_TIMEOUT_MS,
@@ -259,6 +285,7 @@
         if reply is None or reply.outcome == reply.NOT_HOME:
             return await self._acquire_alone(service, request)
         self._limits.merge(reply.limits)
+        self._crashes.merge(reply.crash_history)
         return self._read_reply(reply, service, request)
 
     def _read_reply(
@@ -353,15 +380,29 @@
         report.held.extend(held)
         await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
-    async def _report_finished(
-        self,
-        home: homes_lib.HostAddress,
-        service: ids.ServiceId,
-        finished: dispatch.Finished,
+    def _refuse_if_crashing(
+        self, request: dispatch.QueuedRequest, source: str
+    ) -> SlotRefusal | None:
+        refused_ms = self._crashes.refused_for_ms(request.digest)
+        if refused_ms is None:
+            return None
+        return SlotRefusal(refused_ms, dispatch.CRASHES_TARGETS, source)
+
+    def _report_crashes(
+        self, service: ids.ServiceId, digest: crash_histories.RequestDigest
     ) -> None:
         report = self._make_report(service)
-        report.finished.append(slot_messages.finished_place(finished))
-        await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
+        report.crash_histories.append(self._crashes.message(digest))
+        self._send_report(report)
+
+    def _send_report(self, report: entry_pb2.PlaceReport) -> None:
+        """Sends a report to the home of a service, unless that is this host."""
+        home = self._homes.home_of(pool_key(ids.ServiceId(report.service)))
+        if home is None or self._homes.is_self(home):
+            return
+        self._reports.start(
+            self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
+        )
 
     def _make_report(self, service: ids.ServiceId) -> entry_pb2.PlaceReport:
         return entry_pb2.PlaceReport(
--- a/mangotally/entry/target_client.py
+++ b/mangotally/entry/target_client.py
@@ -105,6 +105,15 @@
         """Returns whether there is an idle connection to an address."""
         return self._sender.connections.is_idle(address)
 
+    async def has_crashed(self, target: model.Target) -> bool:
+        """Returns whether the process of a target has ended.
+
+        False while this host reaches no target, as it can't tell.
+        """
+        if self._paths.is_cut_off:
+            return False
+        return await self._paths.is_refused(target.address)
+
     async def send(
         self,
         target: model.Target,
--- a/mangotally/entry/target_paths.py
+++ b/mangotally/entry/target_paths.py
@@ -73,6 +73,23 @@
         await asyncio.shield(self._check)
         return self.is_cut_off
 
+    async def is_refused(self, address: str) -> bool:
+        """Returns whether nothing listens at the address of a target."""
+        try:
+            async with asyncio.timeout(
+                clock_lib.to_seconds(CONNECT_TIMEOUT_MS)
+            ):
+                await self._connect(address)
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            # Time-outs included: they don't tell whether the process runs.
+            logger.info(
+                "target_not_checked",
+                extra={"address": address, "reason": repr(error)},
+            )
+        return False
+
     async def run(self) -> None:
         """Checks repeatedly while this host is cut off, until cancelled."""
         while True:
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -45,6 +45,7 @@
         no_stamp: Omit the stamp, the target's signature, from answers.
         endless: Kind of endless answer, a key of `ENDLESS`, or empty.
         limit: Requests per second that answers name as the limit, or empty.
+        crash_body: Body of the requests that crash the worker, or empty.
     """
 
     shed: bool = False
@@ -54,6 +55,7 @@
     no_stamp: bool = False
     endless: str = ""
     limit: str = ""
+    crash_body: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,6 +160,8 @@
                 self._clock.now_ms(),
             )
         )
+        if body and body == self.faults.crash_body.encode():
+            await self.crash()
         return await self._count_running(lambda: self._run(request, name))
 
     async def _count_running(
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -15,13 +15,14 @@
 from typing import TypeVar
 
 from mangotally import ids
-from mangotally.policy import target_view
+from mangotally.policy import crash_histories, target_view
 
 T = TypeVar("T")
 
 # Reasons of refusals for which waiting is useless.
 NO_TARGET = "no-target"
 NO_TARGET_OF_VERSION = "no-target-of-version"
+CRASHES_TARGETS = "crashes-targets"
 # Version of a target that has not said any.
 NO_VERSION = ids.SoftwareVersion("")
 
@@ -73,6 +74,7 @@
         connected: Targets to which the host has an idle connection.
         version: The only software version that may run it, or None. What two
             versions generate can't be joined in one stream.
+        digest: Identifies it if it is sent again under a new id.
     """
 
     ticket: ids.Ticket
@@ -86,6 +88,7 @@
     excluded: frozenset[ids.TargetId] = frozenset()
     connected: frozenset[ids.TargetId] = frozenset()
     version: ids.SoftwareVersion | None = None
+    digest: crash_histories.RequestDigest = crash_histories.NO_DIGEST
 
     def allows(
         self, target: ids.TargetId, version: ids.SoftwareVersion
--- a/mangotally/standins/server.py
+++ b/mangotally/standins/server.py
@@ -17,6 +17,8 @@
         self._port = port
         self._stack = contextlib.AsyncExitStack()
         self.url = ""
+        self._site: web.TCPSite
+        self._server: web.Server | None = None
 
     def application(self) -> web.Application:
         """Returns the aiohttp application to serve."""
@@ -39,6 +41,8 @@
         self._stack.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, self._address, self._port)
         await site.start()
+        self._site = site
+        self._server = runner.server
         host, port = runner.addresses[0][:2]
         self._port = port
         self.url = f"http://{host}:{port}"
@@ -47,6 +51,14 @@
         """Stops the server."""
         await self.stop()
 
+    async def crash(self) -> None:
+        """Aborts all connections, and accepts no more of them."""
+        await self._site.stop()
+        assert self._server is not None
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def stop(self) -> None:
         """Stops the server and closes all connections; `start` restarts it."""
         await self._stack.aclose()
