Hand the bucket of an organisation over to its next home

Cause: the new home began with an empty bucket at the full rate. It knew neither the calls that the old home had admitted with a delay (79 at this rate) nor that the old one still admitted, up to a second after the reassignment.

Now a new home asks the one before it for the bucket, delayed calls included; the old one admits nothing from then on and names the new one. A request of an older generation gets nothing. If the old home does not answer, the new one leaves room for what may be delayed. RateHome has a module of its own.

--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -29,6 +29,7 @@
     loop_lag,
     monitor,
     peers,
+    rate_home,
     rates,
     resumptions,
     sending,
@@ -170,7 +171,13 @@
         self, request: entry_pb2.TakeRequest
     ) -> entry_pb2.TakeReply:
         """Admits a call within an organisation's rate limit."""
-        return self._rate_home.take(request)
+        return await self._rate_home.take(rates.key_of(request), request)
+
+    async def hand_over(
+        self, request: entry_pb2.HandOverRequest
+    ) -> entry_pb2.HandOverReply:
+        """Hands an organisation's bucket over to a later home."""
+        return await self._rate_home.hand_over(request)
 
     async def reserve(
         self, request: entry_pb2.ReserveRequest
@@ -251,13 +258,18 @@
             self._host, self._member, peer_client, self._directory, clock
         )
         bounds = settings.bounds
-        rate_bounds = rates.Bounds(
+        rate_bounds = rate_home.Bounds(
             bounds.rate_window_s * clock_lib.MS_PER_S,
             bounds.rate_overshoot,
             bounds.rate_slack,
         )
-        self._rate_home = rates.RateHome(
-            self._member, self._configuration_cache, rate_bounds, clock
+        self._rate_home = rate_home.RateHome(
+            settings.listen.hosts,
+            self._member,
+            peer_client,
+            self._configuration_cache,
+            rate_bounds,
+            clock,
         )
         origins = stream_origins.StreamOrigins(self._store, partitions, clock)
         texts = stream_texts.StreamTexts(self._store, partitions, clock)
--- a/mangotally/entry/homes.py
+++ b/mangotally/entry/homes.py
@@ -40,6 +40,13 @@
     def home_of(self, key: str) -> HostAddress | None:
         """Returns the home of a key as last read, or None."""
 
+    @property
+    def generation(self) -> int:
+        """Number of the latest assignment of keys that this host knows."""
+
+    def previous_home_of(self, key: str) -> HostAddress | None:
+        """Returns the home of a key before this host became it, or None."""
+
     def is_self(self, host: HostAddress) -> bool:
         """Returns whether an address belongs to this host."""
 
--- a/mangotally/entry/peers.py
+++ b/mangotally/entry/peers.py
@@ -73,6 +73,11 @@
     ) -> entry_pb2.TakeReply:
         """Admits a call within an organisation's rate limit."""
 
+    async def hand_over(
+        self, request: entry_pb2.HandOverRequest
+    ) -> entry_pb2.HandOverReply:
+        """Hands an organisation's bucket over to a later home."""
+
     async def reserve(
         self, request: entry_pb2.ReserveRequest
     ) -> entry_pb2.ReserveReply:
@@ -232,6 +237,17 @@
         """Asks an organisation's home to admit a call; None if no answer."""
         return await self._call_home(address, "TakeTokens", request, timeout_ms)
 
+    async def hand_over(
+        self,
+        address: str,
+        request: entry_pb2.HandOverRequest,
+        timeout_ms: float,
+    ) -> entry_pb2.HandOverReply | None:
+        """Asks an earlier home for a bucket; None if it does not answer."""
+        if not self.is_available(address):
+            return None
+        return await self._call(address, "HandOver", request, timeout_ms)
+
     async def reserve(
         self,
         address: str,
@@ -313,6 +329,12 @@
                 request, timeout=clock_lib.to_seconds(timeout_ms)
             )
         except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.UNIMPLEMENTED:
+                # A host of an earlier version.
+                logger.info(
+                    "call_unknown", extra={"address": address, "call": method}
+                )
+                return None
             self._handle_failure(address, method, error.code().name, sent_ms)
             return None
         self._record_answer(address)
@@ -405,6 +427,7 @@
     ) -> None:
         self.CallStore = _unary(handlers.call_store, count)
         self.TakeTokens = _unary(handlers.take_tokens, count)
+        self.HandOver = _unary(handlers.hand_over, count)
         self.Reserve = _unary(handlers.reserve, count)
         self.Settle = _unary(handlers.settle, count)
         self.Place = _unary(handlers.place, count)
--- a/mangotally/entry/rates.py
+++ b/mangotally/entry/rates.py
@@ -13,12 +13,11 @@
 from typing import TYPE_CHECKING
 
 from mangotally import ids
-from mangotally.entry import entry_pb2
+from mangotally.entry import entry_pb2, rate_home
 from mangotally.policy import admission
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from mangotally.entry import configuration_cache as cache_lib
     from mangotally.entry import homes as homes_lib
     from mangotally.entry import model, peers
 
@@ -26,45 +25,13 @@
 HOME_TIMEOUT_MS = 300
 # Another host may be able to reach the home.
 UNKNOWN_RETRY_MS = 50
-# Fractions of the tolerated overshoot that the home, the standby home and
-# hosts acting on their own may use. The rest covers clock differences and late
-# configuration changes.
-HOME_TOLERANCE = 0.45
-DEPUTY_TOLERANCE = 0.35
+# Fraction of the tolerated overshoot that hosts acting on their own may use.
 LOCAL_TOLERANCE = 0.1
-# Fraction of the tolerance that delayed calls may take up if their home
-# changes: the new home does not know of them.
-DELAYED_TOLERANCE = 0.4
 # A call may be delayed for this fraction of the time that its caller waits; the
 # rest is needed to run it.
 MAX_DELAY_FRACTION = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Bounds:
-    """Tolerated excess over the rate limit of an organisation.
-
-    Attributes:
-        window_ms: Length of the sliding window that calls are counted in.
-        overshoot: Tolerated excess, as a fraction of the calls that rate and
-            burst allow.
-        slack: Number of calls tolerated in addition.
-    """
-
-    window_ms: float
-    overshoot: float
-    slack: float
-
-    def allowed(self, organisation: model.Organisation) -> float:
-        """Returns the number of calls that rate and burst allow per window."""
-        rate_per_ms = organisation.rate_per_s / clock_lib.MS_PER_S
-        return rate_per_ms * self.window_ms + organisation.burst
-
-    def tolerance(self, organisation: model.Organisation) -> float:
-        """Returns the number of calls per window tolerated in addition."""
-        return self.allowed(organisation) * self.overshoot + self.slack
-
-
 @dataclasses.dataclass(frozen=True)
 class Admitted:
     """A call may run now.
@@ -104,7 +71,7 @@
 
 
 def local_call_limit(
-    organisation: model.Organisation, bounds: Bounds, hosts: int
+    organisation: model.Organisation, bounds: rate_home.Bounds, hosts: int
 ) -> int:
     """Returns the number of calls per window that a host admits on its own.
 
@@ -133,93 +100,12 @@
     return f"deputy/{organisation}"
 
 
-class RateHome:
-    """Rate limiters of the organisations that this host is the home of."""
-
-    def __init__(
-        self,
-        homes: homes_lib.Homes,
-        configuration_cache: cache_lib.ConfigurationCache,
-        bounds: Bounds,
-        clock: clock_lib.Clock,
-    ) -> None:
-        """Starts without rate limiters.
-
-        Args:
-            homes: Homes of keys.
-            configuration_cache: The active configuration.
-            bounds: Tolerated excess.
-            clock: Clock for rates.
-        """
-        self._homes = homes
-        self._configuration_cache = configuration_cache
-        self._bounds = bounds
-        self._clock = clock
-        self._limiters: dict[str, _Limiter] = {}
-
-    def take(self, request: entry_pb2.TakeRequest) -> entry_pb2.TakeReply:
-        """Admits a call, or returns when to retry it."""
-        limiter = self._find(
-            ids.OrganisationId(request.organisation), request.as_deputy
-        )
-        if limiter is None:
-            return entry_pb2.TakeReply()
-        max_delay_ms = admission.MAX_DELAY_MS
-        if request.HasField("max_delay_ms"):
-            max_delay_ms = request.max_delay_ms
-        decision = limiter.admit(
-            request.program, request.kind, self._clock.now_ms(), max_delay_ms
-        )
-        reply = entry_pb2.TakeReply(
-            is_new=decision.is_new,
-            limit_calls=limiter.limit.calls,
-            programs=limiter.active_programs,
-        )
-        if isinstance(decision, admission.Admitted):
-            reply.outcome = reply.ADMITTED
-            reply.wait_ms = decision.delay_ms
-        else:
-            reply.outcome = reply.OVER_RATE
-            reply.wait_ms = decision.retry_after_ms
-        return reply
-
-    def _find(
-        self, organisation: ids.OrganisationId, as_deputy: bool
-    ) -> admission.AdmissionController | None:
-        key = deputy_key(organisation) if as_deputy else home_key(organisation)
-        since_ms = self._homes.owned_since_ms(key)
-        found = _find_organisation(
-            self._configuration_cache.configuration, organisation
-        )
-        if since_ms is None or found is None:
-            self._limiters.pop(key, None)
-            return None
-        now_ms = self._clock.now_ms()
-        limit = self._limit(found, as_deputy)
-        limiter = self._limiters.get(key)
-        if limiter is None or limiter.since_ms != since_ms:
-            # The calls admitted by the previous home are unknown, so start
-            # without tokens.
-            limiter = _Limiter(
-                admission.AdmissionController(limit, now_ms), since_ms
-            )
-            self._limiters[key] = limiter
-        if limiter.controller.limit != limit:
-            limiter.controller.set_limit(limit, now_ms)
-        return limiter.controller
-
-    def _limit(
-        self, organisation: model.Organisation, as_deputy: bool
-    ) -> admission.Limit:
-        tolerance = self._bounds.tolerance(organisation)
-        calls = tolerance * DEPUTY_TOLERANCE
-        if not as_deputy:
-            calls = (
-                self._bounds.allowed(organisation) + tolerance * HOME_TOLERANCE
-            )
-        return admission.Limit(
-            calls, self._bounds.window_ms, tolerance * DELAYED_TOLERANCE
-        )
+def key_of(request: entry_pb2.TakeRequest) -> str:
+    """Returns the key whose home a call is sent to."""
+    organisation = ids.OrganisationId(request.organisation)
+    if request.as_deputy:
+        return deputy_key(organisation)
+    return home_key(organisation)
 
 
 class Rates:
@@ -227,10 +113,10 @@
 
     def __init__(
         self,
-        home: RateHome,
+        home: rate_home.RateHome,
         homes: homes_lib.Homes,
         links: peers.PeerClient,
-        bounds: Bounds,
+        bounds: rate_home.Bounds,
         clock: clock_lib.Clock,
     ) -> None:
         """Initializes the client.
@@ -295,14 +181,25 @@
     async def _ask(
         self, request: entry_pb2.TakeRequest
     ) -> entry_pb2.TakeReply | None:
-        organisation = ids.OrganisationId(request.organisation)
-        key = home_key(organisation)
-        if request.as_deputy:
-            key = deputy_key(organisation)
+        key = key_of(request)
         if self._homes.owned_since_ms(key) is not None:
-            return self._local.take(request)
-        address = self._peers.home_address(self._homes, key)
-        if address is None:
+            reply = await self._local.take(key, request)
+        else:
+            address = self._peers.home_address(self._homes, key)
+            if address is None:
+                return None
+            reply = await self._take_at(address, request)
+        if reply is None or not reply.moved_to:
+            return reply
+        return await self._take_at(reply.moved_to, request)
+
+    async def _take_at(
+        self, address: str, request: entry_pb2.TakeRequest
+    ) -> entry_pb2.TakeReply | None:
+        """Asks the home at an address, which may be this host."""
+        if address == self._local.address:
+            return await self._local.take(key_of(request), request)
+        if not self._peers.is_available(address):
             return None
         return await self._peers.take_tokens(address, request, HOME_TIMEOUT_MS)
 
@@ -327,25 +224,3 @@
             used.append(now_ms)
             return Admitted(None, "alone")
         return HomeUnavailable(UNKNOWN_RETRY_MS)
-
-
-@dataclasses.dataclass
-class _Limiter:
-    """Rate limiter of an organisation.
-
-    Attributes:
-        controller: Decides which calls are admitted.
-        since_ms: Time since which this host is the home.
-    """
-
-    controller: admission.AdmissionController
-    since_ms: float
-
-
-def _find_organisation(
-    configuration: model.Configuration | None,
-    organisation: ids.OrganisationId,
-) -> model.Organisation | None:
-    if configuration is None:
-        return None
-    return configuration.organisations.get(organisation)
--- a/mangotally/platform/groups.py
+++ b/mangotally/platform/groups.py
@@ -91,6 +91,7 @@
         self._owned: frozenset[int] = frozenset()
         self._owned_until_ms = 0.0
         self._owned_since: dict[int, float] = {}
+        self._previous: dict[int, homes.HostAddress] = {}
         self._has_left = False
         # Serialises calls: a join in flight must not reach the store after this
         # host has left.
@@ -115,6 +116,15 @@
         """Returns the home of a key as last read, or None if unknown."""
         return self._owners.get(self._partition(key))
 
+    @property
+    def generation(self) -> int:
+        """Generation of the group that this host has joined last."""
+        return self._generation
+
+    def previous_home_of(self, key: str) -> homes.HostAddress | None:
+        """Returns the home of a key before this host, or None if unknown."""
+        return self._previous.get(self._partition(key))
+
     def is_self(self, host: homes.HostAddress) -> bool:
         """Returns whether an address is that of this host."""
         return host.address == self._this_host.address
@@ -253,6 +263,12 @@
 
     def _apply_assignment(self, generation: int, owned: frozenset[int]) -> None:
         now_ms = self._clock.now_ms()
+        # The known owners are still those of before.
+        for number in owned - self._owned_since.keys():
+            previous = self._owners.get(number)
+            self._previous.pop(number, None)
+            if previous is not None and not self.is_self(previous):
+                self._previous[number] = previous
         self._owned_since = {
             number: self._owned_since.get(number, now_ms) for number in owned
         }
--- a/mangotally/policy/admission.py
+++ b/mangotally/policy/admission.py
@@ -70,6 +70,15 @@
         """Refill rate; burst plus refill over one window equal `calls`."""
         return max(0.0, self.calls - self.burst) / self.window_ms
 
+    @property
+    def undeclared_calls(self) -> float:
+        """Calls beyond `delayed_calls` that a home may have delayed.
+
+        A later home that can't ask it has to leave room for them.
+        """
+        usual_calls = MAX_DELAY_MS * self.rate_per_ms
+        return max(0.0, usual_calls - self.delayed_calls)
+
     @property
     def _one_second_fraction(self) -> float:
         return clock.MS_PER_S / (self.window_ms + clock.MS_PER_S)
@@ -111,15 +120,18 @@
 class AdmissionController:
     """Token bucket of one organisation, and its active programs."""
 
-    def __init__(self, limit: Limit, now_ms: float) -> None:
-        """Starts with an empty bucket, since earlier use is unknown.
+    def __init__(
+        self, limit: Limit, now_ms: float, tokens: float = 0.0
+    ) -> None:
+        """Starts with an empty bucket if earlier use is unknown.
 
         Args:
             limit: Limit of the organisation.
             now_ms: Current time.
+            tokens: Tokens of the bucket; negative if calls are delayed.
         """
         self._limit = limit
-        self._tokens = 0.0
+        self._tokens = min(tokens, limit.burst)
         self._updated_ms = now_ms
         self._created_ms = now_ms
         self._programs: collections.OrderedDict[str, _Program]
@@ -138,6 +150,11 @@
         """Number of active programs."""
         return len(self._programs)
 
+    def tokens(self, now_ms: float) -> float:
+        """Returns the tokens of the bucket; negative if calls are delayed."""
+        self._refill(now_ms)
+        return self._tokens
+
     def set_limit(self, limit: Limit, now_ms: float) -> None:
         """Replaces the limit; tokens above the new burst are discarded."""
         self._refill(now_ms)
--- a/tests/test_entry/test_budgets.py
+++ b/tests/test_entry/test_budgets.py
@@ -83,6 +83,7 @@
     """
 
     max_homes = 1
+    generation = 1
 
     def __init__(self, own_address: str, home: str) -> None:
         self.home = home
@@ -99,6 +100,9 @@
     def owned_since_ms(self, _key: str) -> float | None:
         return -1e9 if self.home == self._own_address else None
 
+    def previous_home_of(self, _key: str) -> homes_lib.HostAddress | None:
+        return None
+
     def others(self) -> list[homes_lib.HostAddress]:
         return []
 
--- a/tests/test_entry/test_parts.py
+++ b/tests/test_entry/test_parts.py
@@ -18,6 +18,7 @@
     events,
     headers,
     model,
+    rate_home,
     rates,
 )
 from mangotally.platform import headers as platform_headers
@@ -257,14 +258,14 @@
 
     def test_fractions_of_the_tolerance_add_up_to_less_than_one(self) -> None:
         fractions = (
-            rates.HOME_TOLERANCE,
-            rates.DEPUTY_TOLERANCE,
+            rate_home.HOME_TOLERANCE,
+            rate_home.DEPUTY_TOLERANCE,
             rates.LOCAL_TOLERANCE,
         )
         self.assertLess(sum(fractions), 1.0)
 
     def test_local_limits_stay_within_their_fraction(self) -> None:
-        bounds = rates.Bounds(5000.0, 0.1, 20.0)
+        bounds = rate_home.Bounds(5000.0, 0.1, 20.0)
         organisation = model.Organisation(
             ids.OrganisationId("o"), frozenset(), None, 79.0, 79.0
         )
--- a/tests/test_entry/test_peers.py
+++ b/tests/test_entry/test_peers.py
@@ -43,7 +43,7 @@
     async def _unused(self, _request: object) -> None:
         raise AssertionError
 
-    call_store = take_tokens = settle = _unused
+    call_store = take_tokens = hand_over = settle = _unused
 
     async def forward(
         self, _request: entry_pb2.ForwardRequest
@@ -155,3 +155,8 @@
         assert part is not None
         self.assertEqual(part.end.outcome, entry_pb2.ForwardEnd.UNABLE)
         self.assertTrue(client.is_available(address))
+        reply = await client.hand_over(
+            address, entry_pb2.HandOverRequest(), ANSWER_MS
+        )
+        self.assertIsNone(reply)
+        self.assertTrue(client.is_available(address))
--- a/tests/test_entry/test_rates.py
+++ b/tests/test_entry/test_rates.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, cast
 
 from mangotally import ids
-from mangotally.entry import homes, model, rates
+from mangotally.entry import homes, model, rate_home, rates
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
@@ -14,7 +14,7 @@
 
 HOSTS = 114
 PARTITIONS = 24
-BOUNDS = rates.Bounds(window_ms=5000.0, overshoot=0.1, slack=20.0)
+BOUNDS = rate_home.Bounds(window_ms=5000.0, overshoot=0.1, slack=20.0)
 # Its rate is high enough that the local limit of each of the 24 homes (the
 # hosts that own a partition) is a few calls.
 ORGANISATION = model.Organisation(
@@ -61,8 +61,10 @@
 
 def _rates(number: int, clock: clock_lib.Clock) -> rates.Rates:
     home_view = cast("homes.Homes", _Homes(number))
-    local = rates.RateHome(
+    local = rate_home.RateHome(
+        "10.0.0.1:1",
         home_view,
+        cast("peers.PeerClient", None),
         cast("configuration_cache.ConfigurationCache", None),
         BOUNDS,
         clock,
--- a/tests/test_entry/test_stale_homes.py
+++ b/tests/test_entry/test_stale_homes.py
@@ -36,7 +36,7 @@
     async def _unused(self, _request: object) -> None:
         raise AssertionError
 
-    call_store = settle = report = _unused
+    call_store = hand_over = settle = report = _unused
 
     async def forward(
         self, _request: entry_pb2.ForwardRequest
--- a/tests/test_platform/test_groups.py
+++ b/tests/test_platform/test_groups.py
@@ -121,6 +121,18 @@
         # Another host may have been the home in between.
         self.assertNotEqual(self.member.owned_since_ms(KEY), since_ms)
 
+    async def test_a_new_home_knows_the_one_before_it(self) -> None:
+        self.group.owned = range(0)
+        await self._run_step()
+        self.assertIsNone(self.member.previous_home_of(KEY))
+        self.clock.advance(10)
+        self.group.generation, self.group.owned = 2, range(PARTITIONS)
+        await self._run_step()
+        before = self.member.previous_home_of(KEY)
+        assert before is not None
+        self.assertEqual(before.address, "10.0.0.2:1")
+        self.assertEqual(self.member.generation, 2)
+
     async def test_rebalance_keeps_partitions_that_stay(self) -> None:
         await self._run_step()
         self.clock.advance(10)
