Skip late copies of earlier answers on a kept connection

Callers saw: 502 for requests that must not be repeated, although their target had run them and answered.

Cause: the copy of an answer to an earlier request on the same connection was taken for a wrong answer to the next one.

Now a connection remembers its last requests; an answer that names one of them, and whose end is known, is skipped, and the request goes on waiting.

--- a/mangotally/entry/connections.py
+++ b/mangotally/entry/connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 import dataclasses
 import functools
 import logging
@@ -17,6 +19,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Mapping
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +35,10 @@
 SMALL_ANSWER_BYTES = 64 * 1024
 # Limits what one connection can deliver in one iteration of the event loop.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+# Copies of earlier answers that are skipped before one answer, and earlier
+# requests of a connection whose copies are known.
+MAX_SKIPPED_ANSWERS = 4
+MAX_EARLIER_REQUESTS = 32
 IDLE_CONNECTION_MS = 9000.0
 # A request must arrive before the target closes the idle connection.
 KEEP_ALIVE_MARGIN_MS = 200.0
@@ -94,6 +101,13 @@
         self._interim_answers = 0
         self._idle_ms = IDLE_CONNECTION_MS
         self._received_ms = 0.0
+        self._expected_id: str | None = None
+        self._earlier_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_EARLIER_REQUESTS
+        )
+        self._skipped_answers = 0
+        # Reads the body of a skipped answer.
+        self._skipping: asyncio.Task[None] | None = None
 
     def is_connected(self) -> bool:
         """Whether a request may be sent; idle connections expire."""
@@ -117,11 +131,18 @@
         self._is_stream = False
         self._has_head = False
         self._interim_answers = 0
+        self._skipped_answers = 0
         super().set_response_params(**params)
 
+    def expect_request(self, headers: Mapping[str, str]) -> None:
+        """Takes the id of the request that is about to be sent."""
+        self._expected_id = headers.get(self._id_header)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stops counting the answer: no more bytes will arrive."""
         self._stop_counting()
+        if self._skipping is not None:
+            self._skipping.cancel()
         if self._has_head and not self._is_complete:
             self._log_end_with_connection(exc or self._socket_error)
         super().connection_lost(exc)
@@ -158,8 +179,12 @@
             return
         if message.code < _FIRST_FINAL_STATUS:
             self._interim_answers += 1
+        elif self._is_late_copy(message, body):
+            self._skip_answer(message, body)
+            return
         else:
             self._has_head = True
+            self._earlier_ids.append(message.headers.get(self._id_header, ""))
             content_type = message.headers.get("Content-Type", "")
             self._is_stream = content_type.startswith(EVENT_STREAM)
             limit_bytes = (
@@ -179,6 +204,44 @@
         super().resume_reading(resume_parser)
         self._after_parsing()
 
+    def _is_late_copy(self, message: Any, body: aiohttp.StreamReader) -> bool:
+        """Returns whether an answer was already received on this connection.
+
+        A copy without a length can't be told from what follows it.
+        """
+        named = message.headers.get(self._id_header, "")
+        has_end = (
+            body.is_eof()
+            or message.chunked
+            or "Content-Length" in message.headers
+        )
+        return (
+            named in self._earlier_ids
+            and named != self._expected_id
+            and has_end
+            and self._skipped_answers < MAX_SKIPPED_ANSWERS
+        )
+
+    def _skip_answer(self, message: Any, body: aiohttp.StreamReader) -> None:
+        """Drops a copy of an earlier answer; the expected one follows it."""
+        self._skipped_answers += 1
+        logger.info(
+            "answer_skipped",
+            extra={
+                "request": self._expected_id,
+                "named": message.headers[self._id_header],
+                "status": message.code,
+            },
+        )
+        self._limit_bytes = MAX_HEAD_BYTES + MAX_BODY_BYTES
+        body.on_eof(self._end_skipped_answer)
+        if not body.is_eof():
+            self._skipping = self._loop.create_task(_read_to_end(body))
+
+    def _end_skipped_answer(self) -> None:
+        self._size_bytes = 0
+        self._limit_bytes = MAX_HEAD_BYTES
+
     def _receive(self, data: bytes) -> None:
         if self._is_complete:
             self._abort_unexpected("bytes")
@@ -247,6 +310,16 @@
             self.transport.abort()
 
 
+class Request(aiohttp.ClientRequest):
+    """A request that names itself to its connection."""
+
+    async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        """Sends the request."""
+        if isinstance(conn.protocol, AnswerHandler):
+            conn.protocol.expect_request(self.headers)
+        return await super().send(conn)
+
+
 class Connector(resets.Connector):
     """Connection pool whose connections limit the size of answers."""
 
@@ -314,6 +387,13 @@
         body._low_water_chunks = MAX_UNREAD_CHUNKS // 2
 
 
+async def _read_to_end(body: aiohttp.StreamReader) -> None:
+    # An error ends the connection, which its request reports.
+    with contextlib.suppress(aiohttp.ClientError, OSError):
+        while await body.readany():
+            pass
+
+
 def _head_chunk_size(data: bytes) -> int:
     """Returns how many bytes to parse next while a head is awaited.
 
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -224,6 +224,7 @@
         )
         self._session = aiohttp.ClientSession(
             connector=self.connections,
+            request_class=connections.Request,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             read_bufsize=READ_BYTES,
--- a/tests/test_entry/test_sending.py
+++ b/tests/test_entry/test_sending.py
@@ -33,6 +33,7 @@
 )
 ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
 UNEXPECTED_ANSWER = ANSWER.replace(b"r1", b"r0").replace(b"ok", b"no")
+EARLIER_ANSWER = UNEXPECTED_ANSWER
 SWITCHING_PROTOCOLS = HEAD.replace(b"200 OK", b"101 Switching Protocols")
 BODY_BYTES = 900_000
 ENDLESS_INTERIM_ANSWERS = (b"", b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -48,13 +49,17 @@
         self.sender = sending.Sender(headers.NAMES, self.clock)
         await self.enterAsyncContext(self.sender)
 
-    async def send(self, server: raw_server.RawServer) -> sending.Outcome:
+    async def send(
+        self,
+        server: raw_server.RawServer,
+        request_id: model.RequestId = REQUEST_ID,
+    ) -> sending.Outcome:
         """Sends a request to a target and returns its outcome."""
         request = sending.Outgoing(
-            REQUEST_ID,
+            request_id,
             "POST",
             "/",
-            multidict.CIMultiDict({"Request-Id": REQUEST_ID}),
+            multidict.CIMultiDict({"Request-Id": request_id}),
             b"in",
             self.clock.now_ms() + DEADLINE_MS,
             lambda _: None,
@@ -411,6 +416,106 @@
         self.assertLess(server.sent_bytes, BUFFERED_BYTES)
 
 
+class LateCopyTest(SendingTest):
+    """An answer that comes again later belongs to no request."""
+
+    async def _check(
+        self, *writes: bytes, first: bytes = EARLIER_ANSWER
+    ) -> sending.Outcome:
+        """Returns the outcome of the second request of a connection.
+
+        Args:
+            writes: What the target sends after it has read that request.
+            first: Its answer to the request before.
+        """
+
+        async def act(
+            server: raw_server.RawServer,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await server.read_request(reader)
+            writer.write(first)
+            await server.read_request(reader)
+            for data in writes:
+                writer.write(data)
+                await asyncio.sleep(0.02)
+
+        server = await self.enterAsyncContext(raw_server.RawServer(act))
+        earlier = await self.send(server, model.RequestId("r0"))
+        self.assertIsInstance(earlier, sending.Whole)
+        outcome = await self.send(server)
+        self.assertEqual(server.connections, 1)
+        return outcome
+
+    async def _check_skipped(self, *writes: bytes) -> None:
+        outcome = await self._check(*writes)
+        assert isinstance(outcome, sending.Whole), outcome
+        self.assertEqual(outcome.body, b"ok")
+
+    # Requests that had run and were answered ended with 502 (issue 35).
+    async def test_before_the_answer(self) -> None:
+        await self._check_skipped(EARLIER_ANSWER, ANSWER)
+
+    async def test_with_the_answer(self) -> None:
+        await self._check_skipped(EARLIER_ANSWER + ANSWER)
+
+    async def test_in_any_two_pieces(self) -> None:
+        data = EARLIER_ANSWER + ANSWER
+        for split in range(1, len(data), 7):
+            await self._check_skipped(data[:split], data[split:])
+
+    async def test_several_copies(self) -> None:
+        await self._check_skipped(EARLIER_ANSWER * 2, EARLIER_ANSWER + ANSWER)
+
+    async def test_copy_in_chunks(self) -> None:
+        head = CHUNKED.replace(b"r1", b"r0")
+        await self._check_skipped(head + b"2\r\nno\r\n", b"0\r\n\r\n" + ANSWER)
+
+    async def test_copy_without_a_body(self) -> None:
+        head = b"HTTP/1.1 204 No Content\r\nRequest-Id: r0\r\n\r\n"
+        await self._check_skipped(head + ANSWER)
+
+    async def test_large_copy(self) -> None:
+        head = HEAD.replace(b"r1", b"r0")
+        head += b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+        await self._check_skipped(head, b"x" * BODY_BYTES, ANSWER)
+
+    async def test_oversize_copy(self) -> None:
+        head = HEAD.replace(b"r1", b"r0")
+        size = 2 * connections.MAX_BODY_BYTES
+        head += b"Content-Length: %d\r\n\r\n" % size
+        outcome = await self._check(head + b"x" * size, ANSWER)
+        self.assertIsInstance(outcome, sending.Broken)
+
+    async def test_copy_that_does_not_end(self) -> None:
+        head = HEAD.replace(b"r1", b"r0") + b"Content-Length: 9\r\n\r\n"
+        tasks = asyncio.all_tasks()
+        outcome = await self._check(head + b"no")
+        self.assertIsInstance(outcome, sending.Broken)
+        await asyncio.sleep(0.05)
+        self.assertLessEqual(asyncio.all_tasks(), tasks)
+
+    async def test_copy_without_a_length(self) -> None:
+        head = HEAD.replace(b"r1", b"r0") + b"\r\n"
+        outcome = await self._check(head + b"no", ANSWER)
+        self.assertIsInstance(outcome, sending.Broken)
+
+    async def test_too_many_copies(self) -> None:
+        copies = connections.MAX_SKIPPED_ANSWERS + 1
+        outcome = await self._check(EARLIER_ANSWER * copies + ANSWER)
+        self.assertIsInstance(outcome, sending.Broken)
+
+    async def test_copy_without_the_answer(self) -> None:
+        outcome = await self._check(EARLIER_ANSWER)
+        self.assertIsInstance(outcome, sending.Broken)
+
+    async def test_answer_to_no_request_of_the_connection(self) -> None:
+        other = ANSWER.replace(b"r1", b"r9")
+        outcome = await self._check(other + ANSWER)
+        self.assertIsInstance(outcome, sending.Broken)
+
+
 class RepeatedRefusalTest(SendingTest):
     """A refusal that is written again says nothing of the next request."""
 
