--- a/tests/test_entry/test_draining.py
+++ b/tests/test_entry/test_draining.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
+from unittest import mock
 
 from tests import entry_fleet
 from tests.entry_fleet import HOST, KEY, LOOKUP, PAY, with_fleet
@@ -14,6 +16,8 @@
 LATE_S = 1.0
 # Longer than the grace period of the fleet.
 ENDLESS_MS = 5000.0
+# How long a host without requests takes to stop.
+STOP_S = 1.4
 
 
 class _KeptConnection:
@@ -111,6 +115,46 @@
         self.assertEqual(float(headers["Retry-After"]), 0.0)
         self.assertNotIn("late", {each.request_id for each in fleet.runs()})
 
+    # Between the moment at which it found itself idle and the closing of its
+    # servers, a host still ran requests, and cut them.
+    @with_fleet
+    async def test_request_that_comes_as_the_host_closes(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        host = fleet.hosts[0]
+        kept = [await _KeptConnection.open(fleet, 0) for _ in range(20)]
+        for number, connection in enumerate(kept):
+            await connection.send("GET", LOOKUP, f"first{number}")
+        for desk in fleet.desks:
+            desk.event_ms = HELD_MS
+
+        async def hang() -> None:
+            await asyncio.sleep(HELD_MS)
+
+        with mock.patch.object(host._budgets, "return_unused", hang):
+            stopping = asyncio.create_task(fleet.stop_host(0))
+            begin_s = time.monotonic()
+            calls = []
+            for number, connection in enumerate(kept):
+                await asyncio.sleep(STOP_S / len(kept))
+                calls.append(
+                    asyncio.create_task(
+                        connection.send("POST", PAY, f"late{number}")
+                    )
+                )
+            await stopping
+            took_s = time.monotonic() - begin_s
+            statuses = await asyncio.gather(*calls)
+        run = {each.request_id for each in fleet.runs()}
+        cut = [
+            number
+            for number, status in enumerate(statuses)
+            if status is None and f"late{number}" in run
+        ]
+        self.assertEqual(cut, [])
+        # The process is killed then, with all that is under way.
+        self.assertLess(took_s, fleet.bounds.grace_s)
+
     # Connections were closed without an answer at the end of the grace period.
     @with_fleet
     async def test_request_that_outlasts_the_grace_period_is_answered(
