Pass no whole answer on in the middle of a stream

Callers saw: the head and text of an error in the middle of a stream that had broken off, and then its end as if it were complete.

Cause: the answer of the target at which the stream was resumed became the result of the request, although events had been sent.

Now it counts as a broken attempt: the stream goes on elsewhere or is broken off.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -216,6 +216,9 @@
                     return _end_after_failure(failure, state)
                 return _refuse_without_slot(slot)
             outcome = await self._run_attempt(state, slot, sink)
+            if isinstance(outcome, sending.Whole) and state.sent_events:
+                # Another answer can't follow the events that have been sent.
+                outcome = sending.Broken(f"status-{outcome.status}-in-stream")
             match outcome:
                 case sending.NotRun():
                     excluded.add(slot.target)
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -45,6 +45,8 @@
         no_stamp: Omit the stamp, the target's signature, from answers.
         endless: Kind of endless answer, a key of `ENDLESS`, or empty.
         limit: Requests per second that answers name as the limit, or empty.
+        resumed_status: Status of a whole answer to requests that continue a
+            stream, or 0 for a stream.
         crash_body: Body of the requests that crash the worker, or empty.
     """
 
@@ -55,6 +57,7 @@
     no_stamp: bool = False
     endless: str = ""
     limit: str = ""
+    resumed_status: int = 0
     crash_body: str = ""
 
 
@@ -186,6 +189,12 @@
             headers_[_NAMES.stamp] = STAMP
         if self.faults.endless:
             await self._send_endlessly(request, headers_)
+        if self.faults.resumed_status and _NAMES.last_event in request.headers:
+            return web.Response(
+                status=self.faults.resumed_status,
+                body=b"whole",
+                headers=headers_,
+            )
         if _NAMES.token_usage in request.headers:
             return await self._stream(request, headers_)
         await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
