Follow a bucket over many changes of its home

Cause (its log): a new home asked three homes one after another and gave up, and began without tokens while the calls of the last home still ran. A home to which no call had come did not know where the bucket was.

Now a home that had no call names the one before it, and up to twelve are asked.

Evidence: two tests of tests/test_entry/test_rate_home.py failed before.

--- a/mangotally/entry/rate_home.py
+++ b/mangotally/entry/rate_home.py
@@ -33,8 +33,9 @@
 DELAYED_TOLERANCE = 0.4
 # Calls wait meanwhile, for less than the time-out of a call to the home.
 HAND_OVER_TIMEOUT_MS = 100
-# Homes that are asked one after another if the bucket has moved on.
-MAX_HAND_OVERS = 3
+# Homes that are asked one after another if the bucket has moved on: at several
+# changes in a row, each knows only the next one.
+MAX_HAND_OVERS = 12
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,15 +174,17 @@
             # The other host does not know yet that it is home no longer.
             return entry_pb2.HandOverReply()
         limiter = self._limiters.pop(key, None)
-        before = self._handed_over.get(key)
+        # No call has come while this host was the home: the bucket is still
+        # where it would have asked for it.
+        before = self._previous_address(key)
         self._handed_over[key] = _HandedOver(
             request.address, self._homes.generation
         )
         if limiter is None:
-            if before is None or before.address == request.address:
+            if before is None or before == request.address:
                 return entry_pb2.HandOverReply()
             return entry_pb2.HandOverReply(
-                outcome=entry_pb2.HandOverReply.MOVED, address=before.address
+                outcome=entry_pb2.HandOverReply.MOVED, address=before
             )
         tokens = limiter.controller.tokens(self._clock.now_ms())
         logger.info(
--- a/tests/test_entry/test_rate_home.py
+++ b/tests/test_entry/test_rate_home.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import unittest
 from typing import TYPE_CHECKING, cast
 
@@ -94,20 +95,21 @@
         # When the admitted calls ran.
         self.runs_ms: list[float] = []
         for address in ("h0", "h1", "h2"):
-            self.homes[address] = _Homes(address)
-            self.links.hosts[address] = rate_home.RateHome(
-                address,
-                cast("homes.Homes", self.homes[address]),
-                cast("peers.PeerClient", self.links),
-                cast(
-                    "configuration_cache.ConfigurationCache",
-                    _Cache(
-                        model.Configuration(1, (), {}, [ORGANISATION], 100_000)
-                    ),
-                ),
-                BOUNDS,
-                self.clock,
-            )
+            self._add_host(address)
+
+    def _add_host(self, address: str) -> None:
+        configuration = model.Configuration(1, (), {}, [ORGANISATION], 100_000)
+        self.homes[address] = _Homes(address)
+        self.links.hosts[address] = rate_home.RateHome(
+            address,
+            cast("homes.Homes", self.homes[address]),
+            cast("peers.PeerClient", self.links),
+            cast(
+                "configuration_cache.ConfigurationCache", _Cache(configuration)
+            ),
+            BOUNDS,
+            self.clock,
+        )
 
     def _assign(self, address: str, previous: str | None) -> None:
         """Makes a host the home; the previous one does not know it yet."""
@@ -221,6 +223,31 @@
         reply = await self._take("h1")
         self.assertEqual(reply.outcome, reply.NOT_HOME)
 
+    async def test_a_bucket_is_found_behind_a_home_without_calls(self) -> None:
+        self._assign("h0", None)
+        await self._take("h0")
+        self.clock.advance(2 * BOUNDS.window_ms)
+        self._assign("h1", "h0")
+        self._assign("h2", "h1")
+        reply = await self._take("h2")
+        self.assertEqual(reply.wait_ms, 0.0)
+        reply = await self._take("h0")
+        self.assertEqual(reply.outcome, reply.NOT_HOME)
+
+    async def test_a_bucket_is_found_after_many_changes(self) -> None:
+        self._assign("h0", None)
+        await self._take("h0")
+        self.clock.advance(2 * BOUNDS.window_ms)
+        names = [f"h{number}" for number in range(8)]
+        for before, after in itertools.pairwise(names):
+            self._add_host(after)
+            self._assign(after, before)
+            await self._take(after)
+        self._add_host("late")
+        self._assign("late", "h0")
+        reply = await self._take("late")
+        self.assertEqual(reply.wait_ms, 0.0)
+
     async def test_a_home_takes_its_bucket_back(self) -> None:
         self._assign("h0", None)
         await self._take("h0")
