Count what a target could send, in the test of endless answers

What the targets could send of each answer bounds what a host can keep, and is checked instead: without the limits of answers the test fails.

--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -112,6 +112,7 @@
         self.executed: list[ExecutedRequest] = []
         self.running = 0
         self.max_running = 0
+        self.endless_bytes = 0
         self.events = events
         self.event_ms = event_ms
         self.version = version
@@ -218,6 +219,7 @@
         while transport is not None and not transport.is_closing():
             transport.write(start + block)
             start = b""
+            self.endless_bytes += len(block)
             await request.protocol._drain_helper()
             await asyncio.sleep(0)
         raise ConnectionAbortedError
