--- a/mangotally/entry/rate_home.py
+++ b/mangotally/entry/rate_home.py
@@ -267,7 +267,7 @@
                 break
             address = reply.address
         if reply is None:
-            tokens, source = -limit.undeclared_calls, "none"
+            tokens, source = -limit.further_delayed_calls, "none"
         elif reply.outcome == reply.GIVEN:
             tokens, source = reply.tokens, "home-before"
         else:
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -127,7 +127,7 @@
     ) -> Slot | SlotRefusal:
         """Waits until a request gets a slot or is refused."""
         while True:
-            refusal = self._refuse_if_crashing(request, "host")
+            refusal = self._refuse_if_crashing(request)
             if refusal is not None:
                 return refusal
             decision = await self._request_slot(service, request)
@@ -206,15 +206,7 @@
         self._limits.merge(request.limits)
         self._crashes.merge(request.crash_history)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
-        refused_ms = self._crashes.refused_for_ms(queued.digest)
-        decision: dispatch.Placed | dispatch.Refused | None
-        if refused_ms is not None:
-            decision = dispatch.Refused(
-                queued.ticket, refused_ms, dispatch.CRASHES_TARGETS
-            )
-        else:
-            pool = self._pool(service)
-            decision = await pool.request_slot(queued, WAIT_POLL_MS)
+        decision = await self._decide(service, queued)
         reply = slot_messages.place_reply(
             decision, self._limits.messages(service)
         )
@@ -380,13 +372,25 @@
         report.held.extend(held)
         await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
+    async def _decide(
+        self, service: ids.ServiceId, queued: dispatch.QueuedRequest
+    ) -> dispatch.Placed | dispatch.Refused | None:
+        """Returns the home's decision; None if the request is still queued."""
+        refused_ms = self._crashes.refused_for_ms(queued.digest)
+        if refused_ms is not None:
+            return dispatch.Refused(
+                queued.ticket, refused_ms, dispatch.CRASHES_TARGETS
+            )
+        return await self._pool(service).request_slot(queued, WAIT_POLL_MS)
+
     def _refuse_if_crashing(
-        self, request: dispatch.QueuedRequest, source: str
+        self, request: dispatch.QueuedRequest
     ) -> SlotRefusal | None:
+        """Refuses a request that has crashed too many targets."""
         refused_ms = self._crashes.refused_for_ms(request.digest)
         if refused_ms is None:
             return None
-        return SlotRefusal(refused_ms, dispatch.CRASHES_TARGETS, source)
+        return SlotRefusal(refused_ms, dispatch.CRASHES_TARGETS, "host")
 
     def _report_crashes(
         self, service: ids.ServiceId, digest: crash_histories.RequestDigest
--- a/mangotally/policy/admission.py
+++ b/mangotally/policy/admission.py
@@ -71,7 +71,7 @@
         return max(0.0, self.calls - self.burst) / self.window_ms
 
     @property
-    def undeclared_calls(self) -> float:
+    def further_delayed_calls(self) -> float:
         """Calls beyond `delayed_calls` that a home may have delayed.
 
         A later home that can't ask it has to leave room for them.
--- a/tests/test_entry/test_rate_home.py
+++ b/tests/test_entry/test_rate_home.py
@@ -272,7 +272,7 @@
 
     async def test_no_room_is_left_at_low_rates(self) -> None:
         limit = admission.Limit(100.0, BOUNDS.window_ms, 20.0)
-        self.assertEqual(limit.undeclared_calls, 0.0)
+        self.assertEqual(limit.further_delayed_calls, 0.0)
 
 
 if __name__ == "__main__":
