Answer 503 at a stop if a rejected request waits again

Callers saw: 504 as a host stops, for a request that no target had run. 504 promises nothing, so they can't repeat one that must run only once.

Cause: the host took every request that had been given a target for one that may have run. The entry in KNOWN-RED.txt suspected a new home; the rejection came before the home changed.

Now the state of a request says whether a target may have run it.

Evidence: test_rejected_request_that_waits_again_has_not_run failed in 3 of 3 runs before (504).

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -73,6 +73,7 @@
         is_new: Whether it is the first request of a program.
         attempts: Number of targets that it was sent to.
         target: The last of these targets, or None.
+        may_have_run: Whether it was sent to a target that has not rejected it.
         queued_ms: Total time in the queues for slots.
         source: What assigned the last slot: `home`, the host that owns the key
             of the service, or `alone`, this host by itself.
@@ -105,6 +106,7 @@
     is_new: bool = False
     attempts: int = 0
     target: ids.TargetId | None = None
+    may_have_run: bool = False
     queued_ms: float = 0.0
     source: str = ""
     slot_wait_ms: float = 0.0
@@ -374,9 +376,13 @@
             state.deadline_ms,
             observe,
         )
+        may_have_run = state.may_have_run
+        state.may_have_run = True
         outcome = await self._client.send(
             target, request, state.route.is_repeatable
         )
+        if isinstance(outcome, sending.NotRun):
+            state.may_have_run = may_have_run
         if isinstance(outcome, sending.Stream):
             state.first_event_ms = None
             return await self._forward_stream(
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -498,7 +498,7 @@
 
 def _end_at_stop(state: attempts.RequestState | None) -> attempts.Result:
     """Returns the end of a request that outlasts the grace period."""
-    if state is None or state.target is None:
+    if state is None or not state.may_have_run:
         return _refuse_at_stop()
     if state.sent_events:
         return attempts.StreamBroken("host-stopped")
--- a/tests/test_entry/test_draining.py
+++ b/tests/test_entry/test_draining.py
@@ -184,6 +184,26 @@
         self.assertEqual((await waiting)[0], 503)
         self.assertNotIn("waiting", {each.request_id for each in fleet.runs()})
 
+    # It was answered 504: the host remembered the target that had rejected it,
+    # but not that it had not run.
+    @with_fleet
+    async def test_rejected_request_that_waits_again_has_not_run(
+        self, fleet: entry_fleet.EntryFleet
+    ) -> None:
+        full, rejecting = fleet.desks
+        full.event_ms = ENDLESS_MS
+        rejecting.faults.shed = True
+        calls = [
+            asyncio.create_task(fleet.call(PAY)) for _ in range(full.slots)
+        ]
+        await entry_fleet.wait_for(lambda: len(fleet.runs()) == full.slots)
+        waiting = asyncio.create_task(fleet.call(PAY, Request_Id="waiting"))
+        await asyncio.sleep(0.3)
+        await fleet.stop_host(0)
+        self.assertEqual((await waiting)[0], 503)
+        await asyncio.gather(*calls)
+        self.assertNotIn("waiting", {each.request_id for each in fleet.runs()})
+
 
 if __name__ == "__main__":
     unittest.main()
