Search for a bucket within one time-out; tests of the way to it

Found on reading the change again: - Each earlier home had a time-out of its own, so several slow ones together outlasted the call that waits for them: 560 ms in a test with a virtual clock, of 300 ms that the call has. Now one time-out bounds the whole search, and a bucket that is not found leaves room for delayed calls. - The log line did not say how the search ended, so it could not tell a search that was given up from a home that knew nothing.

Evidence: test_slow_homes_do_not_outlast_the_call failed before.

--- a/mangotally/entry/rate_home.py
+++ b/mangotally/entry/rate_home.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 from typing import TYPE_CHECKING
 
@@ -31,11 +32,11 @@
 # Fraction of the tolerance that delayed calls may take up if their home does
 # not hand its bucket over: the new home does not know of them.
 DELAYED_TOLERANCE = 0.4
-# Calls wait meanwhile, for less than the time-out of a call to the home.
-HAND_OVER_TIMEOUT_MS = 100
-# Homes that are asked one after another if the bucket has moved on: at several
-# changes in a row, each knows only the next one.
-MAX_HAND_OVERS = 12
+# Time-out for one earlier home. At several changes in a row, each knows only
+# the next one; the second time-out is for all that are asked. Calls wait
+# meanwhile, so it is below the time-out of a call to the home.
+HAND_OVER_TIMEOUT_MS = 100.0
+SEARCH_TIMEOUT_MS = 250.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +91,37 @@
     generation: int
 
 
+class _Outcome(enum.Enum):
+    """How the search for a bucket at earlier homes ended.
+
+    Attributes:
+        GIVEN: An earlier home handed it over.
+        NOT_KEPT: The last one asked has admitted nothing, or knows no more.
+        NOT_FOUND: One did not answer, or the time was up.
+    """
+
+    GIVEN = "given"
+    NOT_KEPT = "not-kept"
+    NOT_FOUND = "not-found"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Found:
+    """Result of that search.
+
+    Attributes:
+        outcome: How it ended.
+        address: The home that it ended at.
+        asked: Number of homes that were asked.
+        tokens: Tokens of the bucket, if it was given.
+    """
+
+    outcome: _Outcome
+    address: str
+    asked: int
+    tokens: float = 0.0
+
+
 class RateHome:
     """Rate limiters of the organisations that this host is the home of.
 
@@ -253,37 +285,49 @@
         address = self._previous_address(key)
         if address is None:
             return self._tokens_left_here(key)
-        request = entry_pb2.HandOverRequest(
-            key=key, generation=self._homes.generation, address=self.address
-        )
-        reply: entry_pb2.HandOverReply | None = None
-        for _ in range(MAX_HAND_OVERS):
-            if address == self.address:
-                break
-            reply = await self._peer_client.hand_over(
-                address, request, HAND_OVER_TIMEOUT_MS
-            )
-            if reply is None or reply.outcome != reply.MOVED:
-                break
-            address = reply.address
-        if reply is None:
-            tokens, source = -limit.further_delayed_calls, "none"
-        elif reply.outcome == reply.GIVEN:
-            tokens, source = reply.tokens, "home-before"
-        else:
-            # It has admitted nothing, or no longer knows.
-            tokens, source = self._tokens_left_here(key), "here"
+        found = await self._search(key, address)
+        match found.outcome:
+            case _Outcome.GIVEN:
+                tokens = found.tokens
+            case _Outcome.NOT_KEPT:
+                tokens = self._tokens_left_here(key)
+            case _Outcome.NOT_FOUND:
+                tokens = -limit.further_delayed_calls
         logger.info(
             "rate_taken_over",
             extra={
                 "key": key,
-                "address": address,
-                "source": source,
+                "outcome": found.outcome.value,
+                "address": found.address,
+                "asked": found.asked,
                 "tokens": tokens,
             },
         )
         return tokens
 
+    async def _search(self, key: str, address: str) -> _Found:
+        """Asks earlier homes for a bucket, beginning at an address."""
+        request = entry_pb2.HandOverRequest(
+            key=key, generation=self._homes.generation, address=self.address
+        )
+        until_ms = self._clock.now_ms() + SEARCH_TIMEOUT_MS
+        asked = 0
+        while (left_ms := until_ms - self._clock.now_ms()) > 0:
+            if address == self.address:
+                return _Found(_Outcome.NOT_KEPT, address, asked)
+            asked += 1
+            reply = await self._peer_client.hand_over(
+                address, request, min(HAND_OVER_TIMEOUT_MS, left_ms)
+            )
+            if reply is None:
+                break
+            if reply.outcome == reply.GIVEN:
+                return _Found(_Outcome.GIVEN, address, asked, reply.tokens)
+            if reply.outcome == reply.UNKNOWN:
+                return _Found(_Outcome.NOT_KEPT, address, asked)
+            address = reply.address
+        return _Found(_Outcome.NOT_FOUND, address, asked)
+
     def _previous_address(self, key: str) -> str | None:
         handed_over = self._handed_over.get(key)
         if handed_over is not None:
--- a/tests/test_entry/test_rate_home.py
+++ b/tests/test_entry/test_rate_home.py
@@ -60,19 +60,26 @@
 
     Attributes:
         lost: Hosts that don't answer.
+        answer_ms: How long an answer takes.
+        asked: Number of calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clock_lib.ManualClock) -> None:
         self.hosts: dict[str, rate_home.RateHome] = {}
         self.lost: set[str] = set()
+        self.answer_ms = 0.0
+        self.asked = 0
+        self._clock = clock
 
     async def hand_over(
         self,
         address: str,
         request: entry_pb2.HandOverRequest,
-        _timeout_ms: float,
+        timeout_ms: float,
     ) -> entry_pb2.HandOverReply | None:
-        if address in self.lost:
+        self.asked += 1
+        self._clock.advance(min(self.answer_ms, timeout_ms))
+        if address in self.lost or self.answer_ms > timeout_ms:
             return None
         return await self.hosts[address].hand_over(request)
 
@@ -89,7 +96,7 @@
 
     def setUp(self) -> None:
         self.clock = clock_lib.ManualClock(1000.0)
-        self.links = _Links()
+        self.links = _Links(self.clock)
         self.homes: dict[str, _Homes] = {}
         self.generation = 0
         # When the admitted calls ran.
@@ -248,6 +255,28 @@
         reply = await self._take("late")
         self.assertEqual(reply.wait_ms, 0.0)
 
+    # Each home was given its own time-out.
+    async def test_slow_homes_do_not_outlast_the_call(self) -> None:
+        self._assign("h0", None)
+        await self._take("h0")
+        names = [f"h{number}" for number in range(8)]
+        for before, after in itertools.pairwise(names):
+            self._add_host(after)
+            self._assign(after, before)
+            await self._take(after)
+        self._add_host("late")
+        self._assign("late", "h0")
+        self.links.answer_ms = 0.7 * rate_home.HAND_OVER_TIMEOUT_MS
+        self.links.asked = 0
+        begin_ms = self.clock.now_ms()
+        reply = await self._take("late")
+        self.assertGreater(self.links.asked, 1)
+        self.assertLess(
+            self.clock.now_ms() - begin_ms, float(rates.HOME_TIMEOUT_MS)
+        )
+        # Where the bucket is was not found out: calls may still be delayed.
+        self.assertGreater(reply.wait_ms, 0.0)
+
     async def test_a_home_takes_its_bucket_back(self) -> None:
         self._assign("h0", None)
         await self._take("h0")
