--- a/tests/test_entry/test_broken_streams.py
+++ b/tests/test_entry/test_broken_streams.py
@@ -4,25 +4,49 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
 
 from mangotally.platform import standin_worker
 from tests import entry_fleet
 from tests.entry_fleet import HOST, KEY, QUERY
 
+if TYPE_CHECKING:
+    from aiohttp import web
+
 EVENTS = 4
 FIRST_PART = 2
 ATTEMPTS = 3
+# What a target does with a request; other numbers are the status of a whole
+# answer.
+BREAK_OFF = 0
+GO_ON = 1
+
+
+class _ScriptedWorker(standin_worker.StandInWorker):
+    """A target that does what a script says next, whichever target it is."""
+
+    def __init__(self, name: str, script: list[int]) -> None:
+        super().__init__(name, entry_fleet.MODEL, events=EVENTS)
+        self._script = script
+
+    async def _run(self, request: web.Request, name: str) -> web.StreamResponse:
+        step = self._script.pop(0)
+        self.faults.cut_after = FIRST_PART if step == BREAK_OFF else -1
+        self.faults.resumed_status = step if step > GO_ON else 0
+        return await super()._run(request, name)
 
 
 class BrokenStreamTest(unittest.IsolatedAsyncioTestCase):
     """The caller sees nothing but events, and no end that was not made."""
 
     async def asyncSetUp(self) -> None:
-        self.fleet = entry_fleet.EntryFleet(hosts=1, models=ATTEMPTS)
+        self.script: list[int] = []
+        self.fleet = entry_fleet.EntryFleet(hosts=1)
+        self.fleet.models = [
+            _ScriptedWorker(f"m{number}", self.script)
+            for number in range(ATTEMPTS)
+        ]
         await self.enterAsyncContext(self.fleet)
-        for worker in self.fleet.models:
-            worker.events = EVENTS
-            worker.faults.cut_after = FIRST_PART
         await self._allow_attempts(ATTEMPTS)
 
     async def _allow_attempts(self, count: int) -> None:
@@ -68,15 +92,10 @@
             writer.close()
         return received
 
-    def _fail_once_broken(self, status: int) -> None:
-        """Makes targets answer resumed requests as a whole."""
-        for worker in self.fleet.models:
-            worker.faults.resumed_status = status
-
     # The error's head and text were written into the stream.
     async def test_an_error_of_the_next_target_is_not_passed_on(self) -> None:
         for status in (500, 404, 200, 204):
-            self._fail_once_broken(status)
+            self.script[:] = [BREAK_OFF, status, status]
             received = await self._stream()
             head, _, body = received.partition(b"\r\n\r\n")
             with self.subTest(status=status):
@@ -88,18 +107,9 @@
             await asyncio.sleep(1.0)
 
     async def test_goes_on_at_a_target_that_resumes(self) -> None:
-        for worker in self.fleet.models[1:]:
-            worker.faults.shed = True
-        self._fail_once_broken(500)
-        task = asyncio.create_task(self._stream())
-        first, second, third = self.fleet.models
-        await entry_fleet.wait_for(lambda: first.executed)
-        second.faults.shed = False
-        await entry_fleet.wait_for(lambda: second.executed)
-        third.faults.cut_after = -1
-        third.faults.resumed_status = 0
-        third.faults.shed = False
-        received = await task
+        self.script[:] = [BREAK_OFF, 500, GO_ON]
+        received = await self._stream()
+        self.assertEqual(self.script, [])
         for number in range(1, EVENTS + 1):
             self.assertEqual(received.count(standin_worker.event(number)), 1)
         self.assertTrue(received.endswith(b"0\r\n\r\n"))
