--- a/mangotally/entry/access_log.py
+++ b/mangotally/entry/access_log.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from mangotally.entry import attempts, requests, resumptions
+    from mangotally.entry import request_state, requests, resumptions
     from mangotally.util import clock as clock_lib
 
 
@@ -38,7 +38,7 @@
         """Starts the entry of a request that has just arrived."""
         self.received = received
         self._clock = clock
-        self.state: attempts.RequestState | None = None
+        self.state: request_state.RequestState | None = None
         self.version = 0
         self.organisation = ""
         self.admitted_by = ""
--- a/mangotally/entry/answers.py
+++ b/mangotally/entry/answers.py
@@ -10,6 +10,10 @@
 
 from mangotally.util import clock as clock_lib
 
+# Retry-After while the store is unavailable. It is seldom available again
+# sooner, and callers make few attempts.
+STORE_RETRY_MS = 1000.0
+
 
 class Cause(enum.Enum):
     """Why a request was not answered by a target.
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -39,6 +39,7 @@
     stream_texts,
     target_client,
     target_paths,
+    turn_budgets,
 )
 from mangotally.platform import (
     failover,
@@ -281,7 +282,7 @@
             rates=rates.Rates(
                 self._rate_home, self._member, peer_client, rate_bounds, clock
             ),
-            budgets=self._budgets,
+            budgets=turn_budgets.TurnBudgets(self._budgets, clock),
             history=history.History(self._store, self._host, partitions, clock),
             attempts=attempts.AttemptRunner(
                 self._host,
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -9,29 +9,27 @@
 import dataclasses
 import itertools
 import logging
-import math
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Protocol, TypeAlias
 
-import multidict
-
 from mangotally import ids
 from mangotally.entry import (
     answers,
     events,
     model,
+    request_state,
     sending,
     slots,
     stream_origins,
 )
 from mangotally.policy import (
-    crash_histories,
     dispatch,
     resumption,
     run_times,
 )
 
 if TYPE_CHECKING:
+    import multidict
+
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
     from mangotally.entry import target_client
@@ -51,87 +49,6 @@
 _SERVER_FAULT = 500
 
 
-@dataclasses.dataclass
-class RequestState:
-    """State of one request while it is run.
-
-    Attributes:
-        id: Its id.
-        method: HTTP method.
-        path: Path and query, as received.
-        body: Body for the target.
-        make_headers: Builds the headers for the target from those that are
-            set for this attempt.
-        route: Its route.
-        organisation: Its organisation; empty on public routes.
-        service: The service that handles it.
-        priority: Its priority; 0 is the highest.
-        session: Requests with the same value share a cached prefix.
-        due_ms: When its program should be finished.
-        deadline_ms: When its caller no longer needs an answer.
-        digest: Identifies it if it is sent again under a new id.
-        is_new: Whether it is the first request of a program.
-        attempts: Number of targets that it was sent to.
-        target: The last of these targets, or None.
-        may_have_run: Whether it was sent to a target that has not rejected it.
-        queued_ms: Total time in the queues for slots.
-        source: What assigned the last slot: `home`, the host that owns the key
-            of the service, or `alone`, this host by itself.
-        slot_wait_ms: Total time until slots were assigned, calls to homes
-            included.
-        first_event_ms: Time from the last slot to the first event, or None.
-        sent_events: Number of events sent to the caller.
-        event_limit: Number of events that may be sent to the caller so far.
-        raise_event_limit: Raises `event_limit`; returns whether it could.
-        last_event: Id of the last event sent to the caller, or None.
-        earlier_text: What an earlier answer brought of a turn that is resumed.
-        recorder: Records the events before they are forwarded, or None.
-        origin: What began the stream; None before its first event. Only
-            targets of the same version may continue it.
-    """
-
-    id: model.RequestId
-    method: str
-    path: str
-    body: bytes
-    make_headers: Callable[[dict[str, str]], multidict.CIMultiDict[str]]
-    route: model.Route
-    organisation: ids.OrganisationId
-    service: ids.ServiceId
-    priority: int
-    session: str
-    due_ms: float
-    deadline_ms: float
-    digest: crash_histories.RequestDigest
-    is_new: bool = False
-    attempts: int = 0
-    target: ids.TargetId | None = None
-    may_have_run: bool = False
-    queued_ms: float = 0.0
-    source: str = ""
-    slot_wait_ms: float = 0.0
-    first_event_ms: float | None = None
-    sent_events: int = 0
-    event_limit: float = math.inf
-    raise_event_limit: Callable[[], Awaitable[bool]] | None = None
-    last_event: int | None = None
-    earlier_text: bytes = b""
-    recorder: EventRecorder | None = None
-    origin: resumption.Origin | None = None
-
-    def record_first_event(self, after_ms: float) -> None:
-        """Records the time to the first event; later calls do nothing."""
-        if self.first_event_ms is None:
-            self.first_event_ms = after_ms
-
-
-class EventRecorder(Protocol):
-    """Records the events of a stream."""
-
-    async def record(self, new: list[events.Event]) -> None:
-        """Records events that will be forwarded."""
-
-
 class EventSink(Protocol):
     """Receives the events of a stream."""
 
@@ -206,7 +123,9 @@
         self._tickets = itertools.count()
         self._run_times = run_times.UsualRunTimes[model.RouteId]()
 
-    async def run(self, state: RequestState, sink: EventSink) -> Result:
+    async def run(
+        self, state: request_state.RequestState, sink: EventSink
+    ) -> Result:
         """Runs a request and returns how it ended."""
         excluded: set[ids.TargetId] = set()
         unreachable_targets = 0
@@ -245,7 +164,7 @@
                     state.attempts += 1
                     return outcome
 
-    def _may_retry(self, state: RequestState) -> bool:
+    def _may_retry(self, state: request_state.RequestState) -> bool:
         remaining_ms = state.deadline_ms - self._clock.now_ms()
         return (
             state.route.is_repeatable
@@ -254,7 +173,7 @@
             and self._is_version_certain(state)
         )
 
-    def _is_version_certain(self, state: RequestState) -> bool:
+    def _is_version_certain(self, state: request_state.RequestState) -> bool:
         """Returns whether it is certain which version began a stream.
 
         Before its first event, any version may begin it.
@@ -266,7 +185,9 @@
         return version is not None
 
     async def _acquire_slot(
-        self, state: RequestState, excluded: frozenset[ids.TargetId]
+        self,
+        state: request_state.RequestState,
+        excluded: frozenset[ids.TargetId],
     ) -> slots.Slot | slots.SlotRefusal:
         ticket = ids.Ticket(f"{self._host}/{next(self._tickets)}")
         queued = dispatch.QueuedRequest(
@@ -301,7 +222,10 @@
         )
 
     async def _run_attempt(
-        self, state: RequestState, slot: slots.Slot, sink: EventSink
+        self,
+        state: request_state.RequestState,
+        slot: slots.Slot,
+        sink: EventSink,
     ) -> AttemptOutcome:
         state.target = slot.target
         end = dispatch.EndReason.CANCELLED
@@ -324,7 +248,10 @@
         return outcome
 
     async def _record_crash_or_answer(
-        self, state: RequestState, slot: slots.Slot, outcome: AttemptOutcome
+        self,
+        state: request_state.RequestState,
+        slot: slots.Slot,
+        outcome: AttemptOutcome,
     ) -> None:
         """Records whether the target crashed while it ran the request."""
         match outcome:
@@ -341,7 +268,10 @@
                     self._allocator.record_crash(state.digest, target)
 
     async def _send(
-        self, state: RequestState, slot: slots.Slot, sink: EventSink
+        self,
+        state: request_state.RequestState,
+        slot: slots.Slot,
+        sink: EventSink,
     ) -> AttemptOutcome:
         target = self._directory.find(slot.target)
         if target is None:
@@ -392,7 +322,7 @@
 
     async def _forward_stream(
         self,
-        state: RequestState,
+        state: request_state.RequestState,
         slot: slots.Slot,
         target: model.Target,
         stream: sending.Stream,
@@ -431,7 +361,9 @@
             )
         return failure
 
-    def _record_origin(self, state: RequestState, target: model.Target) -> None:
+    def _record_origin(
+        self, state: request_state.RequestState, target: model.Target
+    ) -> None:
         """Records what began a stream, unless it is known already."""
         if state.origin is not None:
             return
@@ -442,7 +374,7 @@
             stream = stream_origins.StreamId(state.organisation, state.id)
             self._origins.record(stream, state.origin)
 
-    def _can_resume(self, state: RequestState) -> bool:
+    def _can_resume(self, state: request_state.RequestState) -> bool:
         return (
             state.last_event is not None
             and state.route.is_repeatable
@@ -451,7 +383,10 @@
         )
 
     def _log_failure(
-        self, state: RequestState, slot: slots.Slot, outcome: object
+        self,
+        state: request_state.RequestState,
+        slot: slots.Slot,
+        outcome: object,
     ) -> None:
         logger.info(
             "attempt_failed",
@@ -468,7 +403,7 @@
 
 
 def _truncation(
-    splitter: events.EventSplitter, state: RequestState
+    splitter: events.EventSplitter, state: request_state.RequestState
 ) -> sending.Broken | None:
     """Returns a failure if a stream can't be complete where it ended."""
     if splitter.has_partial_event:
@@ -489,7 +424,9 @@
     ]
 
 
-async def _may_send(state: RequestState, events_count: int) -> bool:
+async def _may_send(
+    state: request_state.RequestState, events_count: int
+) -> bool:
     """Waits until the caller may be sent more events.
 
     Returns:
@@ -540,7 +477,7 @@
 
 
 def _end_after_failure(
-    outcome: sending.Broken, state: RequestState
+    outcome: sending.Broken, state: request_state.RequestState
 ) -> StreamBroken | answers.Refusal:
     if state.sent_events:
         return StreamBroken(outcome.reason)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -15,15 +15,16 @@
 from mangotally.entry import (
     answers,
     attempts,
-    budgets,
     draining,
     headers,
     history,
     model,
     rates,
+    request_state,
     requests,
     resumptions,
     sending,
+    turn_budgets,
     turns,
 )
 from mangotally.entry import monitor as monitor_lib
@@ -37,9 +38,6 @@
     from mangotally import ids
 
 
-# Retry-After while the store is unavailable. It is seldom available again
-# sooner, and callers make few attempts.
-STORE_RETRY_MS = 1000.0
 # Time-out for saving a turn, which the end of its streaming response waits
 # for. Callers disconnect from a stream after two seconds without data.
 SAVE_TIMEOUT_MS = 1800.0
@@ -67,7 +65,7 @@
 
     access: access_lib.AccessControl
     rates: rates.Rates
-    budgets: budgets.BudgetClient
+    budgets: turn_budgets.TurnBudgets
     history: history.History
     resumptions: resumptions.Resumptions
     attempts: attempts.AttemptRunner
@@ -169,7 +167,7 @@
     async def _prepare_resumption(
         self,
         received: requests.CallerRequest,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> answers.Refusal | None:
         """Prepares a request that continues an interrupted stream.
@@ -191,7 +189,7 @@
         self,
         received: requests.CallerRequest,
         access: access_lib.Access,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> attempts.Result:
@@ -202,7 +200,9 @@
         """
         request_body = state.body
         with log_entry.measure_step("budget"):
-            reserved = await self._reserve(received, access, state)
+            reserved = await self._dependencies.budgets.reserve(
+                received, access, state
+            )
         if isinstance(reserved, answers.Refusal):
             return reserved
         try:
@@ -210,7 +210,9 @@
                 received, access, state, sink, log_entry
             )
         finally:
-            spent = state.sent_events * _event_tokens(access, state.service)
+            spent = state.sent_events * turn_budgets.event_tokens(
+                access, state.service
+            )
             reserved.settle(spent)
         if access.route.is_retained and isinstance(
             answer, attempts.StreamEnded
@@ -224,7 +226,7 @@
         self,
         received: requests.CallerRequest,
         access: access_lib.Access,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> attempts.Result:
@@ -251,7 +253,7 @@
         self,
         received: requests.CallerRequest,
         access: access_lib.Access,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> answers.Refusal | None:
         if access.organisation is None:
@@ -287,7 +289,7 @@
         received: requests.CallerRequest,
         access: access_lib.Access,
         body: bytes,
-    ) -> attempts.RequestState:
+    ) -> request_state.RequestState:
         route = access.route
         time_limit_ms = min(
             received.time_left_ms,
@@ -300,7 +302,7 @@
         )
         organisation = access.organisation
         rank = organisation.priority or 0 if organisation else 0
-        return attempts.RequestState(
+        return request_state.RequestState(
             id=received.id,
             method=received.method,
             path=received.path,
@@ -342,7 +344,7 @@
         self,
         received: requests.CallerRequest,
         access: access_lib.Access,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         log_entry: access_log_lib.AccessLogEntry,
     ) -> bytes | answers.Refusal:
         assert received.parent_turn is not None
@@ -362,90 +364,11 @@
                 )
             case history.HistoryUnavailable():
                 return answers.Refusal(
-                    answers.Cause.TURN_UNKNOWN, chain.reason, STORE_RETRY_MS
+                    answers.Cause.TURN_UNKNOWN,
+                    chain.reason,
+                    answers.STORE_RETRY_MS,
                 )
 
-    async def _reserve(
-        self,
-        received: requests.CallerRequest,
-        access: access_lib.Access,
-        state: attempts.RequestState,
-    ) -> budgets.TurnReservation | answers.Refusal:
-        until_ms = received.arrived_ms + access.route.objective_ms
-        until_ms = min(until_ms, state.deadline_ms)
-        may_be_provisional = not access.route.is_retained
-        result = await self._request_tokens(
-            received,
-            access,
-            received.max_tokens,
-            until_ms,
-            may_be_provisional=may_be_provisional,
-        )
-        if isinstance(result, budgets.Reservation):
-            return self._make_turn_reservation(received, access, state, result)
-        if result.is_spent:
-            return answers.Refusal(
-                answers.Cause.BUDGET_SPENT,
-                f"granted {result.granted} of {received.token_budget}, "
-                f"turn {received.max_tokens}",
-            )
-        return answers.Refusal(
-            answers.Cause.BUDGET_UNKNOWN, retry_after_ms=STORE_RETRY_MS
-        )
-
-    async def _request_tokens(
-        self,
-        received: requests.CallerRequest,
-        access: access_lib.Access,
-        tokens: int,
-        until_ms: float,
-        may_be_provisional: bool,
-    ) -> budgets.Reservation | budgets.Denial:
-        assert received.program is not None
-        assert received.token_budget is not None
-        program = budgets.program_key(access.organisation_id, received.program)
-        return await self._dependencies.budgets.reserve(
-            program, received.token_budget, tokens, until_ms, may_be_provisional
-        )
-
-    def _make_turn_reservation(
-        self,
-        received: requests.CallerRequest,
-        access: access_lib.Access,
-        state: attempts.RequestState,
-        first: budgets.Reservation,
-    ) -> budgets.TurnReservation:
-        """Returns the reservation of a turn.
-
-        If it holds fewer tokens than the turn may generate, the stream waits
-        for more tokens once these are used up.
-        """
-
-        async def reserve(
-            tokens: int,
-        ) -> budgets.Reservation | budgets.Denial:
-            return await self._request_tokens(
-                received,
-                access,
-                tokens,
-                state.deadline_ms,
-                may_be_provisional=False,
-            )
-
-        async def extend() -> bool:
-            is_extended = await reservation.extend(state.deadline_ms)
-            state.event_limit = reservation.tokens // per_event
-            return is_extended
-
-        per_event = _event_tokens(access, state.service)
-        reservation = budgets.TurnReservation(
-            first, received.max_tokens, reserve, self._dependencies.clock
-        )
-        if not reservation.is_fully_reserved:
-            state.event_limit = reservation.tokens // per_event
-            state.raise_event_limit = extend
-        return reservation
-
     async def _save_turn(
         self,
         received: requests.CallerRequest,
@@ -496,7 +419,7 @@
     return answers.Refusal(answers.Cause.LEAVING, retry_after_ms=0.0)
 
 
-def _end_at_stop(state: attempts.RequestState | None) -> attempts.Result:
+def _end_at_stop(state: request_state.RequestState | None) -> attempts.Result:
     """Returns the end of a request that outlasts the grace period."""
     if state is None or not state.may_have_run:
         return _refuse_at_stop()
@@ -510,9 +433,3 @@
     if len(weights) == 1 or not sum(weights):
         return route.backends[0].service
     return random.choices(route.backends, weights)[0].service
-
-
-def _event_tokens(access: access_lib.Access, service: ids.ServiceId) -> int:
-    configured = access.configuration.services.get(service)
-    engine = configured.engine if configured else None
-    return engine.tokens_per_event if engine else 1
--- a/mangotally/entry/resumptions.py
+++ b/mangotally/entry/resumptions.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from mangotally.entry import attempts, requests
     from mangotally.entry import directory as directory_lib
+    from mangotally.entry import request_state, requests
 
 # Retry-After while the store is unavailable. An outage may end before the
 # deadline of the caller.
@@ -78,7 +78,7 @@
     async def prepare(
         self,
         received: requests.CallerRequest,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
     ) -> tuple[Resumption, answers.Refusal | None]:
         """Restricts a request to the version that began its stream.
 
@@ -118,7 +118,9 @@
         return resumed, refusal
 
     def record_events(
-        self, received: requests.CallerRequest, state: attempts.RequestState
+        self,
+        received: requests.CallerRequest,
+        state: request_state.RequestState,
     ) -> None:
         """Has the events of a turn recorded if it can be resumed and kept."""
         if not (state.route.is_retained and state.route.is_resumable):
@@ -133,7 +135,7 @@
     async def _read_text(
         self,
         received: requests.CallerRequest,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
         until_ms: float,
     ) -> answers.Refusal | None:
         """Reads the part of a turn that its caller has already.
@@ -177,7 +179,7 @@
         self,
         resumes: model.RequestId,
         found: stream_origins.Found,
-        state: attempts.RequestState,
+        state: request_state.RequestState,
     ) -> tuple[Resumption, answers.Refusal | None]:
         origin = found.origin
         listed = self._directory.version_of(origin.target)
@@ -197,7 +199,7 @@
         return Resumption(resumes, version, source, age_ms), None
 
     def _apply_only_version(
-        self, state: attempts.RequestState
+        self, state: request_state.RequestState
     ) -> tuple[Resumption, answers.Refusal | None]:
         """Restricts a request whose caller does not name what it resumes.
 
--- a/mangotally/entry/stream_origins.py
+++ b/mangotally/entry/stream_origins.py
@@ -15,8 +15,8 @@
 
 from mangotally import ids
 from mangotally.entry import log as log_lib
-from mangotally.entry import model, partition_writer
-from mangotally.policy import rendezvous, resumption
+from mangotally.entry import model, partitioned_topic
+from mangotally.policy import resumption
 from mangotally.util import background
 from mangotally.util import clock as clock_lib
 
@@ -85,16 +85,9 @@
             clock: Clock for deadlines.
         """
         self._clock = clock
-        self._partition_count = partition_count
-        numbers = range(partition_count)
-        self._writers = [
-            partition_writer.PartitionWriter(log, TOPIC, number)
-            for number in numbers
-        ]
-        self._cursors = [
-            log_lib.Cursor(log, TOPIC, number) for number in numbers
-        ]
-        self._locks = [asyncio.Lock() for _ in numbers]
+        self._topic = partitioned_topic.PartitionedTopic(
+            log, TOPIC, partition_count
+        )
         self._cached: collections.OrderedDict[StreamId, Found]
         self._cached = collections.OrderedDict()
         self._writes = background.DetachedTasks()
@@ -143,12 +136,10 @@
         """Reads the new records of a partition if the stream is unknown."""
         if stream in self._cached:
             return None
-        number = self._partition_of(stream)
-        async with self._locks[number]:
-            return await self._cursors[number].read(self._add_record)
+        return await self._topic.read_new(stream.request, self._add_record)
 
     async def _write(self, stream: StreamId, origin: resumption.Origin) -> None:
-        writer = self._writers[self._partition_of(stream)]
+        writer = self._topic.writer_of(stream.request)
         record = _encode(stream, origin)
         until_ms = self._clock.now_ms() + WRITE_TIMEOUT_MS
         pause_ms = WRITE_RETRY_MS
@@ -176,11 +167,6 @@
         while len(self._cached) > MAX_CACHED:
             self._cached.popitem(last=False)
 
-    def _partition_of(self, stream: StreamId) -> int:
-        return rendezvous.partition_of_key(
-            stream.request, self._partition_count
-        )
-
 
 def _log_not_recorded(stream: StreamId) -> None:
     logger.warning(
--- a/mangotally/entry/stream_texts.py
+++ b/mangotally/entry/stream_texts.py
@@ -17,13 +17,12 @@
 
 from mangotally import ids
 from mangotally.entry import log as log_lib
-from mangotally.entry import model, partition_writer
+from mangotally.entry import model, partitioned_topic
 from mangotally.entry import stream_origins as origins_lib
-from mangotally.policy import rendezvous
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from mangotally.entry import events
+    from mangotally.entry import events, partition_writer
 
 logger = logging.getLogger(__name__)
 
@@ -132,16 +131,9 @@
             clock: Clock for deadlines.
         """
         self._clock = clock
-        self._partition_count = partition_count
-        numbers = range(partition_count)
-        self._writers = [
-            partition_writer.PartitionWriter(log, TOPIC, number)
-            for number in numbers
-        ]
-        self._cursors = [
-            log_lib.Cursor(log, TOPIC, number) for number in numbers
-        ]
-        self._locks = [asyncio.Lock() for _ in numbers]
+        self._topic = partitioned_topic.PartitionedTopic(
+            log, TOPIC, partition_count
+        )
         self._cached: collections.OrderedDict[
             origins_lib.StreamId, list[_RecordedEvent]
         ] = collections.OrderedDict()
@@ -151,9 +143,7 @@
         self, stream: origins_lib.StreamId, after: int | None
     ) -> Recorder:
         """Returns the recorder of an answer; see `Recorder`."""
-        return Recorder(
-            self._writers[self._partition_of(stream)], stream, after
-        )
+        return Recorder(self._topic.writer_of(stream.request), stream, after)
 
     async def look_up(
         self, stream: origins_lib.StreamId, last: int, until_ms: float
@@ -165,12 +155,12 @@
             last: Id of the last event that is wanted.
             until_ms: Deadline if the log does not respond.
         """
-        number = self._partition_of(stream)
         while True:
             # Events are recorded before they are forwarded, so one read that
             # begins now finds all that the caller has.
-            async with self._locks[number]:
-                failure = await self._cursors[number].read(self._add_record)
+            failure = await self._topic.read_new(
+                stream.request, self._add_record
+            )
             if failure is None:
                 return self._text(stream, last)
             if self._clock.now_ms() + RETRY_MS >= until_ms:
@@ -209,11 +199,6 @@
             _, evicted = self._cached.popitem(last=False)
             self._cached_bytes -= sum(each.size_bytes for each in evicted)
 
-    def _partition_of(self, stream: origins_lib.StreamId) -> int:
-        return rendezvous.partition_of_key(
-            stream.request, self._partition_count
-        )
-
 
 def _encode(stream: origins_lib.StreamId, event: _RecordedEvent) -> bytes:
     fields = [stream.organisation, stream.request, event.number, event.after]
