--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -26,6 +26,7 @@
     homes,
     host_grants,
     isolation,
+    known_closures,
     loop_lag,
     monitor,
     peers,
@@ -241,8 +242,15 @@
             clock, settings.bounds.withdrawn_key_ms
         )
         self._directory = directory.TargetDirectory(clock)
+        self._closures = known_closures.KnownClosures(
+            self._directory, self._configuration_cache, clock
+        )
         self._configuration = followers.ConfigurationFollower(
-            self._store, self._configuration_cache, clock
+            self._store,
+            self._configuration_cache,
+            self._closures,
+            clock,
+            settings.bounds.withdrawn_key_ms,
         )
         self._targets = followers.TargetsFollower(
             self._store, self._directory, clock
@@ -253,10 +261,16 @@
         domain = ids.FailureDomainId(settings.failure_domain)
         partitions = settings.store.partitions
         self._monitor = monitor.Monitor(clock)
+        self._monitor.target_changes = self._closures.changes
         self._drain = draining.Drain(clock)
         client = await self._wire_targets(peer_client)
         self._slot_allocator = slots.SlotAllocator(
-            self._host, self._member, peer_client, self._directory, clock
+            self._host,
+            self._member,
+            peer_client,
+            self._directory,
+            self._closures,
+            clock,
         )
         bounds = settings.bounds
         rate_bounds = rate_home.Bounds(
@@ -290,6 +304,7 @@
                 self._slot_allocator,
                 client,
                 self._directory,
+                self._closures,
                 origins,
                 headers.NAMES,
                 clock,
@@ -321,7 +336,7 @@
             self._sender, self._paths, relays, self._clock
         )
         self._forwarder = forwarder.Forwarder(
-            client, self._directory, self._clock
+            client, self._directory, self._closures, headers.NAMES, self._clock
         )
         return client
 
@@ -379,6 +394,12 @@
             self._handler.active_requests
         )
         self._monitor.gauges["targets_lost"] = self._paths.is_cut_off
+        self._monitor.gauges["domains_evacuated"] = len(
+            self._closures.evacuated_domains
+        )
+        self._monitor.gauges["targets_cold"] = len(
+            self._closures.cold_targets()
+        )
         self._monitor.gauges["proof_age_ms"] = self._configuration_cache.age_ms
         self._monitor.gauges["most_late_ms"] = self._loop_lag.take_max_lag_ms()
         return web.Response(
--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -32,7 +32,7 @@
 
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import headers as headers_lib
-    from mangotally.entry import target_client
+    from mangotally.entry import known_closures, target_client
     from mangotally.util import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -96,6 +96,7 @@
         allocator: slots.SlotAllocator,
         client: target_client.TargetClient,
         directory: directory_lib.TargetDirectory,
+        closures: known_closures.KnownClosures,
         origins: stream_origins.StreamOrigins,
         names: headers_lib.HeaderNames,
         clock: clock_lib.Clock,
@@ -108,6 +109,7 @@
             allocator: Assigns slots at targets.
             client: Sends requests to the targets.
             directory: Lists the targets.
+            closures: Which targets must not get requests now.
             origins: Records what began each stream.
             names: Names of headers.
             clock: Source of the current time.
@@ -117,6 +119,7 @@
         self._allocator = allocator
         self._client = client
         self._directory = directory
+        self._closures = closures
         self._origins = origins
         self._names = names
         self._clock = clock
@@ -143,7 +146,7 @@
             match outcome:
                 case sending.NotRun():
                     excluded.add(slot.target)
-                    unreachable_targets += not outcome.is_reached
+                    unreachable_targets += _is_unreachable(outcome)
                     state.attempts += outcome.is_reached
                     if (
                         state.attempts < state.route.max_attempts
@@ -276,6 +279,9 @@
         target = self._directory.find(slot.target)
         if target is None:
             return sending.NotRun("target-gone", is_reached=False)
+        withheld = self._closures.reason_to_withhold(target, slot.asked_ms)
+        if withheld is not None:
+            return sending.NotRun(withheld, is_reached=False, is_withheld=True)
         if state.origin and target.version != state.origin.version:
             return sending.NotRun("other-version", is_reached=False)
         remaining_ms = state.deadline_ms - self._clock.now_ms()
@@ -284,11 +290,14 @@
         sent_ms = self._clock.now_ms()
 
         def observe(received: multidict.CIMultiDictProxy[str]) -> None:
-            self._allocator.observe_limit(
+            self._allocator.observe_answer(
                 slot,
-                received.getall(self._names.limit, ()),
+                slots.AnswerHead(
+                    limits=received.getall(self._names.limit, ()),
+                    leaving=received.getall(self._names.leaving, ()),
+                    is_run=self._names.not_run not in received,
+                ),
                 sent_ms,
-                is_run=self._names.not_run not in received,
             )
 
         attempt_headers = {
@@ -441,6 +450,10 @@
     return True
 
 
+def _is_unreachable(outcome: sending.NotRun) -> bool:
+    return not outcome.is_reached and not outcome.is_withheld
+
+
 def _end_reason(outcome: object) -> dispatch.EndReason:
     match outcome:
         case sending.Whole() if outcome.status >= _SERVER_FAULT:
@@ -451,6 +464,8 @@
             return dispatch.EndReason.REJECTED
         case sending.Broken() if outcome.is_timeout:
             return dispatch.EndReason.CANCELLED
+        case sending.NotRun() if outcome.is_withheld:
+            return dispatch.EndReason.CANCELLED
         case sending.NotRun() | sending.Broken() | StreamBroken() if (
             outcome.is_path_lost
         ):
--- a/mangotally/entry/directory.py
+++ b/mangotally/entry/directory.py
@@ -66,6 +66,14 @@
             each for each in self._targets.values() if each.service == service
         ]
 
+    def in_domain(self, domain: ids.FailureDomainId) -> list[model.Target]:
+        """Returns the listed targets of a failure domain."""
+        return [
+            each
+            for each in self._targets.values()
+            if each.failure_domain == domain
+        ]
+
     def sample_addresses(self, count: int) -> list[str]:
         """Returns the addresses of some random targets that are ready."""
         addresses = [
@@ -98,11 +106,13 @@
         """Adds or updates a target."""
         self._removal_due_ms.pop(target.id, None)
         known = self._targets.get(target.id)
+        self._targets[target.id] = target
         if known == target:
+            if target.cold_ms:
+                self._notify(target.id)
             return
         if known is not None:
             self._record_end(known)
-        self._targets[target.id] = target
         logger.info(
             "target_changed",
             extra={
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -59,6 +59,14 @@
         for outcome, count in sorted(monitor.forwarded.items()):
             forwarded.add_metric([outcome], count)
         yield forwarded
+        changes = metrics_core.CounterMetricFamily(
+            "mangotally_target_changes",
+            "Changes of which targets get requests, by kind.",
+            labels=["kind"],
+        )
+        for kind, count in sorted(monitor.target_changes.items()):
+            changes.add_metric([kind], count)
+        yield changes
         for name, value in sorted(monitor.gauges.items()):
             yield metrics_core.GaugeMetricFamily(
                 f"mangotally_{name}", name.replace("_", " "), value
--- a/mangotally/entry/forwarder.py
+++ b/mangotally/entry/forwarder.py
@@ -14,7 +14,8 @@
     import multidict
 
     from mangotally.entry import directory as directory_lib
-    from mangotally.entry import model, target_client
+    from mangotally.entry import headers as headers_lib
+    from mangotally.entry import known_closures, model, target_client
     from mangotally.util import clock as clock_lib
 
 
@@ -25,6 +26,8 @@
         self,
         client: target_client.TargetClient,
         directory: directory_lib.TargetDirectory,
+        closures: known_closures.KnownClosures,
+        names: headers_lib.HeaderNames,
         clock: clock_lib.Clock,
     ) -> None:
         """Initialises the forwarder.
@@ -32,10 +35,14 @@
         Args:
             client: Sends requests to targets.
             directory: Lists the targets.
+            closures: Which targets must not get requests now.
+            names: Names of headers.
             clock: Source of the current time.
         """
         self._client = client
         self._directory = directory
+        self._closures = closures
+        self._names = names
         self._clock = clock
         self.is_draining = False
         self.active_requests = 0
@@ -45,7 +52,11 @@
     ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
         """Sends a request to its target, and yields the parts of the answer."""
         target = self._directory.find(ids.TargetId(request.target))
-        is_able = target is not None and not self.is_draining
+        is_able = (
+            target is not None
+            and not self.is_draining
+            and self._closures.closure_of(target) is None
+        )
         if not is_able or not await self._client.can_forward():
             yield forward_messages.end(entry_pb2.ForwardEnd.UNABLE)
             return
@@ -65,8 +76,15 @@
         self, target: model.Target, request: entry_pb2.ForwardRequest
     ) -> AsyncGenerator[entry_pb2.ForwardPart, None]:
         received: list[multidict.CIMultiDictProxy[str]] = []
+
+        def observe(head: multidict.CIMultiDictProxy[str]) -> None:
+            received.append(head)
+            self._closures.observe_answer(
+                target.id, head.getall(self._names.leaving, ())
+            )
+
         outgoing = forward_messages.outgoing(
-            request, self._clock.now_ms(), received.append
+            request, self._clock.now_ms(), observe
         )
         outcome = await self._client.send_directly(
             target, outgoing, is_repeatable=False
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -33,6 +33,7 @@
         load: Running and queued requests of a target, and its slots.
         limit: Requests per second that an overloaded target accepts from all
             hosts together.
+        leaving: "1" if the target is about to stop and takes no requests.
         not_run: Present if the target has not run the request.
         stamp: The target's signature of its answer.
         internal: Headers that callers must not set.
@@ -53,6 +54,7 @@
     target: str
     load: str
     limit: str
+    leaving: str
     not_run: str
     stamp: str
     internal: frozenset[str]
--- a/mangotally/entry/model.py
+++ b/mangotally/entry/model.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NewType
 
 from mangotally import ids
+from mangotally.policy import target_closures
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -111,10 +112,13 @@
     Attributes:
         id: Name of the service.
         engine: Engine properties; only set for model services.
+        cold_start: How its targets bear load after a start; None if they bear
+            all of it at once.
     """
 
     id: ids.ServiceId
     engine: Engine | None = None
+    cold_start: target_closures.ColdStart | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -205,6 +209,8 @@
         state: Whether it accepts new requests.
         version: Version of its software. A stream can be continued only by a
             target of the version that began it.
+        cold_ms: How much longer it is cold after its start. A change of it is
+            not a change of the target.
     """
 
     id: ids.TargetId
@@ -215,3 +221,4 @@
     slots: int
     state: TargetState
     version: ids.SoftwareVersion
+    cold_ms: float = dataclasses.field(default=0.0, compare=False)
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -24,6 +24,8 @@
     Attributes:
         gauges: Values of gauges by name, without the common prefix.
         forwarded: Number of requests sent through other hosts, by outcome.
+        target_changes: Number of changes of which targets get requests, by
+            kind.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -34,6 +36,7 @@
         self._latency: dict[str, histograms.LatencyHistogram] = {}
         self.gauges: dict[str, float] = {}
         self.forwarded: Mapping[str, int] = {}
+        self.target_changes: Mapping[str, int] = {}
 
     def record(
         self, entry: access_log.AccessLogEntry, answer: attempts.Result | None
--- a/mangotally/entry/sending.py
+++ b/mangotally/entry/sending.py
@@ -83,12 +83,15 @@
         is_reached: Whether the target answered at all.
         is_path_lost: Whether this host reaches no target, so that the outcome
             says nothing about this one.
+        is_withheld: Whether this host did not send the request, because of
+            what it knows of the target.
     """
 
     reason: str
     status: int = 0
     is_reached: bool = True
     is_path_lost: bool = False
+    is_withheld: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mangotally/entry/service_pool.py
+++ b/mangotally/entry/service_pool.py
@@ -5,14 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mangotally.entry import model
 from mangotally.policy import dispatch
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from mangotally import ids
     from mangotally.entry import directory as directory_lib
-    from mangotally.entry import known_limits
+    from mangotally.entry import known_closures, known_limits, model
 
 # A host that has not reported for this time is treated as failed, and its
 # slots are free again.
@@ -27,6 +26,7 @@
         service: ids.ServiceId,
         directory: directory_lib.TargetDirectory,
         limits: known_limits.KnownLimits,
+        closures: known_closures.KnownClosures,
         clock: clock_lib.Clock,
     ) -> None:
         """Initialises the pool with the targets that the directory lists.
@@ -35,12 +35,14 @@
             service: The service.
             directory: Lists the targets.
             limits: Limits that the targets have named.
+            closures: Which targets must not get requests now.
             clock: Source of the current time.
         """
         self.dispatcher = dispatch.Dispatcher()
         self._service = service
         self._directory = directory
         self._limits = limits
+        self._closures = closures
         self._clock = clock
         self._start_ms: dict[ids.TargetId, int] = {}
         self._waiters: dict[
@@ -69,11 +71,11 @@
             name,
             target.slots,
             target.failure_domain,
-            target.state is model.TargetState.READY,
+            self._closures.closure_of(target) is None,
             target.version,
         )
         self.dispatcher.set_limit(
-            name, self._limits.limit_of(name), self._clock.now_ms()
+            name, self._rate_per_s(target), self._clock.now_ms()
         )
         self.advance()
 
@@ -109,7 +111,10 @@
 
     def finish(self, finished: dispatch.Finished) -> None:
         """Frees the slot of a request that has ended at its target."""
-        self.dispatcher.finish(finished, self._clock.now_ms())
+        has_returned = self.dispatcher.finish(finished, self._clock.now_ms())
+        if has_returned:
+            # It may have been away because it was started again.
+            self._closures.mark_cold(finished.target, "returned")
         self.advance()
 
     def sync_held(
@@ -146,6 +151,16 @@
             del self._waiters[ticket]
         self.advance()
 
+    def _rate_per_s(self, target: model.Target) -> float | None:
+        """Returns the most requests per second for a target, or None."""
+        rates_per_s = (
+            self._limits.limit_of(target.id),
+            self._closures.cold_rate_per_s(target),
+        )
+        return min(
+            (each for each in rates_per_s if each is not None), default=None
+        )
+
     def advance(self) -> None:
         """Passes new decisions of the dispatcher on to waiting requests.
 
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -6,7 +6,12 @@
 
 from mangotally import ids
 from mangotally.entry import entry_pb2
-from mangotally.policy import crash_histories, dispatch, target_limits
+from mangotally.policy import (
+    crash_histories,
+    dispatch,
+    target_closures,
+    target_limits,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -133,3 +138,25 @@
         message.limit_per_s if has_limit else None,
         now_ms - message.age_ms,
     )
+
+
+def target_leaving(
+    notice: target_closures.LeavingNotice, now_ms: float
+) -> entry_pb2.TargetLeaving:
+    """Returns the message about a target that is about to stop."""
+    return entry_pb2.TargetLeaving(
+        target=notice.target,
+        born_ms=notice.born_ms,
+        age_ms=now_ms - notice.at_ms,
+    )
+
+
+def leaving_notice(
+    message: entry_pb2.TargetLeaving, now_ms: float
+) -> target_closures.LeavingNotice:
+    """Returns the notice in a message about a target that is leaving."""
+    return target_closures.LeavingNotice(
+        ids.TargetId(message.target),
+        message.born_ms,
+        now_ms - message.age_ms,
+    )
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from mangotally import ids
@@ -25,11 +26,9 @@
 from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import homes as homes_lib
-    from mangotally.entry import model, peers
+    from mangotally.entry import known_closures, model, peers
     from mangotally.policy import crash_histories
 
 # The home keeps a call for a slot open for this time at most. A request that
@@ -53,6 +52,7 @@
         target: The target.
         queued_ms: How long the request was queued.
         source: What assigned the slot, `home` or `alone`.
+        asked_ms: When it was last asked for.
         assigned_ms: When it was assigned.
     """
 
@@ -61,9 +61,25 @@
     target: ids.TargetId
     queued_ms: float
     source: str
+    asked_ms: float
     assigned_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswerHead:
+    """What the head of a target's answer says of the target.
+
+    Attributes:
+        limits: Values of the header for its limit.
+        leaving: Values of the header that it is about to stop.
+        is_run: Whether it ran the request.
+    """
+
+    limits: Sequence[str]
+    leaving: Sequence[str]
+    is_run: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class SlotRefusal:
     """No slot is available in time.
@@ -97,6 +113,7 @@
         homes: homes_lib.Homes,
         peer_client: peers.PeerClient,
         directory: directory_lib.TargetDirectory,
+        closures: known_closures.KnownClosures,
         clock: clock_lib.Clock,
     ) -> None:
         """Initialises the allocator and follows changes of the directory.
@@ -106,6 +123,7 @@
             homes: Looks up the homes of keys.
             peer_client: Calls other hosts.
             directory: Lists the targets.
+            closures: Which targets must not get requests now.
             clock: Source of the current time.
         """
         self._host = host
@@ -120,6 +138,8 @@
             directory, self._update_pools, clock
         )
         self._crashes = known_crashes.KnownCrashes(clock)
+        self._closures = closures
+        closures.add_listener(self._update_pools)
         directory.add_listener(self._update_target)
 
     async def acquire(
@@ -162,24 +182,24 @@
         report.finished.append(slot_messages.finished_place(finished))
         self._send_report(report)
 
-    def observe_limit(
-        self, slot: Slot, values: Sequence[str], sent_ms: float, is_run: bool
+    def observe_answer(
+        self, slot: Slot, head: AnswerHead, sent_ms: float
     ) -> None:
-        """Reads the limit that a target names in an answer.
+        """Reads what a target says of itself in an answer.
 
         A change is reported to the home at once: a streaming answer may last
         for seconds.
 
         Args:
             slot: The slot of the request that was answered.
-            values: Values of the answer's header for the limit.
+            head: What the target says.
             sent_ms: When the request was sent.
-            is_run: Whether the target ran the request.
         """
-        is_changed = self._limits.observe_answer(
-            slot.target, values, sent_ms, is_run
+        is_limited = self._limits.observe_answer(
+            slot.target, head.limits, sent_ms, head.is_run
         )
-        if is_changed:
+        is_leaving = self._closures.observe_answer(slot.target, head.leaving)
+        if is_limited or is_leaving:
             self._send_report(self._make_report(slot.service))
 
     def record_crash(
@@ -205,11 +225,13 @@
             return entry_pb2.PlaceReply()
         self._limits.merge(request.limits)
         self._crashes.merge(request.crash_history)
+        self._closures.merge(request.leaving)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
         decision = await self._decide(service, queued)
         reply = slot_messages.place_reply(
             decision, self._limits.messages(service)
         )
+        reply.leaving.extend(self._closures.messages(service))
         reply.crash_history.CopyFrom(self._crashes.message(queued.digest))
         return reply
 
@@ -222,6 +244,7 @@
             # A report without a service only checks that this host answers.
             return entry_pb2.ReportReply()
         self._limits.merge(request.limits)
+        self._closures.merge(request.leaving)
         for history in request.crash_histories:
             self._crashes.merge(history)
         pool = self._pool(service)
@@ -250,6 +273,7 @@
         """Processes time-outs and the ends of back-offs, until cancelled."""
         while True:
             await asyncio.sleep(clock_lib.to_seconds(DISPATCH_INTERVAL_MS))
+            self._closures.end_cold_starts()
             for pool in self._pools.values():
                 if pool.dispatcher.waiting:
                     pool.advance()
@@ -263,28 +287,43 @@
         address = self._peer_client.home_address(self._homes, key)
         if address is None:
             return await self._acquire_alone(service, request)
+        asked_ms = self._clock.now_ms()
         reply = await self._peer_client.place(
             address,
-            slot_messages.place_request(
-                service,
-                request,
-                self._limits.messages(service),
-                self._crashes.message(request.digest),
-                self._clock.now_ms(),
-            ),
+            self._place_request(service, request),
             WAIT_POLL_MS + HOME_TIMEOUT_MS,
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
             return await self._acquire_alone(service, request)
         self._limits.merge(reply.limits)
         self._crashes.merge(reply.crash_history)
-        return self._read_reply(reply, service, request)
+        self._closures.merge(reply.leaving)
+        return self._read_reply(reply, service, request, asked_ms)
+
+    def _place_request(
+        self, service: ids.ServiceId, request: dispatch.QueuedRequest
+    ) -> entry_pb2.PlaceRequest:
+        """Returns the call for a slot at a target that may get requests.
+
+        The home may not have read that a target is closed.
+        """
+        excluded = request.excluded | self._closures.closed_targets(service)
+        message = slot_messages.place_request(
+            service,
+            dataclasses.replace(request, excluded=excluded),
+            self._limits.messages(service),
+            self._crashes.message(request.digest),
+            self._clock.now_ms(),
+        )
+        message.leaving.extend(self._closures.messages(service))
+        return message
 
     def _read_reply(
         self,
         reply: entry_pb2.PlaceReply,
         service: ids.ServiceId,
         request: dispatch.QueuedRequest,
+        asked_ms: float,
     ) -> Slot | SlotRefusal | None:
         if reply.outcome == reply.WAITING:
             return None
@@ -292,7 +331,7 @@
             return SlotRefusal(reply.retry_after_ms, reply.reason, "home")
         target = ids.TargetId(reply.target)
         slot = self._record_slot(
-            service, request, target, reply.waited_ms, "home"
+            service, request, target, reply.waited_ms, "home", asked_ms
         )
         self._pool(service).dispatcher.adopt(request.ticket, self._host, target)
         return slot
@@ -300,12 +339,16 @@
     async def _acquire_alone(
         self, service: ids.ServiceId, request: dispatch.QueuedRequest
     ) -> Slot | SlotRefusal | None:
-        """Assigns a slot without the home, at a target without a limit.
+        """Assigns a slot without the home, at a warm target without a limit.
 
         A limit holds for all hosts together, and each host's share of it would
-        be less than one request.
+        be less than one request. So does the rate of a cold target.
         """
-        excluded = request.excluded | self._limits.limited_targets()
+        excluded = (
+            request.excluded
+            | self._limits.limited_targets()
+            | self._closures.cold_targets()
+        )
         return await self._acquire_locally(
             service, dataclasses.replace(request, excluded=excluded), "alone"
         )
@@ -317,6 +360,7 @@
         source: str,
     ) -> Slot | SlotRefusal | None:
         pool = self._pool(service)
+        asked_ms = self._clock.now_ms()
         try:
             decision = await pool.request_slot(request, WAIT_POLL_MS)
         except asyncio.CancelledError:
@@ -330,6 +374,7 @@
                     decision.target,
                     decision.waited_ms,
                     source,
+                    asked_ms,
                 )
             case dispatch.Refused():
                 return SlotRefusal(
@@ -344,6 +389,7 @@
         target: ids.TargetId,
         queued_ms: float,
         source: str,
+        asked_ms: float,
     ) -> Slot:
         slot = Slot(
             request.ticket,
@@ -351,6 +397,7 @@
             target,
             queued_ms,
             source,
+            asked_ms,
             self._clock.now_ms(),
         )
         self._held[request.ticket] = slot
@@ -413,19 +460,25 @@
             service=service,
             host=self._host,
             limits=self._limits.messages(service),
+            leaving=self._closures.messages(service),
         )
 
     def _pool(self, service: ids.ServiceId) -> service_pool.ServicePool:
         pool = self._pools.get(service)
         if pool is None:
             pool = service_pool.ServicePool(
-                service, self._directory, self._limits, self._clock
+                service,
+                self._directory,
+                self._limits,
+                self._closures,
+                self._clock,
             )
             self._pools[service] = pool
         return pool
 
     def _update_target(self, name: ids.TargetId) -> None:
         self._limits.update_target(name)
+        self._closures.update_target(name)
         self._update_pools(name)
 
     def _update_pools(self, name: ids.TargetId) -> None:
--- a/mangotally/platform/followers.py
+++ b/mangotally/platform/followers.py
@@ -19,15 +19,20 @@
 
     from mangotally.entry import configuration_cache as cache_lib
     from mangotally.entry import directory as directory_lib
-    from mangotally.entry import model
+    from mangotally.entry import known_closures, model
 
 logger = logging.getLogger(__name__)
 
 OPERATORS = store.Topic("keyed.op")
 TARGETS = store.Topic("keyed.servers")
 CONFIGURATION_KEY = "config"
+# Followed by the name of a failure domain: its targets get no requests.
+EVACUATION_PREFIX = "evacuate/"
 # Long-poll time: how long a read waits at the store for a change.
 WAIT_MS = 1000
+# A read confirms what was so when it was sent. So the age of the configuration
+# reaches twice the long-poll time, and must stay well below its bound.
+MAX_WAIT_FRACTION = 0.2
 # Pause after a read, so that frequent changes are read in one batch.
 CONFIGURATION_PAUSE_MS = 20
 TARGETS_PAUSE_MS = 450
@@ -47,6 +52,7 @@
         topic: store.Topic,
         clock: clock_lib.Clock,
         pause_ms: float,
+        wait_ms: float = WAIT_MS,
     ) -> None:
         """Creates a follower that has read nothing.
 
@@ -55,11 +61,13 @@
             topic: The topic.
             clock: A clock that includes time in suspension.
             pause_ms: Pause after each read.
+            wait_ms: How long a read waits for a change.
         """
         self._client = client
         self._topic = topic
         self._clock = clock
         self._pause_ms = pause_ms
+        self._wait_ms = int(wait_ms)
         self._next_offset: store.Offset | None = None
         self._failed_ms = -float("inf")
 
@@ -75,7 +83,7 @@
             # After a failure, read without waiting: the answer confirms at
             # once that everything written so far has been read.
             has_succeeded = await self._read_once(
-                WAIT_MS if has_succeeded else 0
+                self._wait_ms if has_succeeded else 0
             )
             pause_ms = self._pause_ms
             if not has_succeeded:
@@ -141,25 +149,61 @@
 
 
 class ConfigurationFollower(Follower):
-    """Updates the configuration cache from the operators' configuration."""
+    """Applies the operators' configuration and evacuations."""
 
     def __init__(
         self,
         client: store.Store,
         cache: cache_lib.ConfigurationCache,
+        closures: known_closures.KnownClosures,
         clock: clock_lib.Clock,
+        max_age_ms: float,
     ) -> None:
-        super().__init__(client, OPERATORS, clock, CONFIGURATION_PAUSE_MS)
+        """Creates a follower that has read nothing.
+
+        Args:
+            client: The store.
+            cache: Holds the configuration.
+            closures: Holds the evacuated failure domains.
+            clock: A clock that includes time in suspension.
+            max_age_ms: Age at which the configuration is outdated.
+        """
+        super().__init__(
+            client,
+            OPERATORS,
+            clock,
+            CONFIGURATION_PAUSE_MS,
+            min(WAIT_MS, MAX_WAIT_FRACTION * max_age_ms),
+        )
         self._cache = cache
+        self._closures = closures
         self._is_decodable = False
 
     def _apply_snapshot(self, records: Iterable[store.KeyedRecord]) -> None:
-        self._apply_changes(records)
+        latest = list(records)
+        # What is not listed any more has been taken back.
+        self._closures.retain_evacuated(
+            _evacuated_domain(each)
+            for each in latest
+            if each.key.startswith(EVACUATION_PREFIX)
+        )
+        self._apply_changes(latest)
 
     def _apply_changes(self, records: Iterable[store.KeyedRecord]) -> None:
         for record in records:
             if record.key == CONFIGURATION_KEY and record.value:
                 self._update(record.value)
+            elif record.key.startswith(EVACUATION_PREFIX):
+                self._apply_evacuation(record)
+
+    def _apply_evacuation(self, record: store.KeyedRecord) -> None:
+        domain = _evacuated_domain(record)
+        if not record.value:
+            self._closures.reopen(domain)
+        elif wire.is_evacuation(record.value):
+            self._closures.evacuate(domain)
+        else:
+            logger.warning("evacuation_unreadable", extra={"domain": domain})
 
     def _update(self, value: bytes) -> None:
         decoded = wire.decode_configuration(value)
@@ -179,6 +223,10 @@
             self._cache.confirm_current(sent_ms)
 
 
+def _evacuated_domain(record: store.KeyedRecord) -> ids.FailureDomainId:
+    return ids.FailureDomainId(record.key.removeprefix(EVACUATION_PREFIX))
+
+
 class TargetsFollower(Follower):
     """Updates the directory of targets from the topic of targets."""
 
--- a/mangotally/platform/headers.py
+++ b/mangotally/platform/headers.py
@@ -23,6 +23,7 @@
     target="Instance-Id",
     load="Server-Load",
     limit="Server-Limit",
+    leaving="Server-Leaving",
     not_run="Not-Executed",
     stamp="Server-Stamp",
     internal=frozenset(
--- a/mangotally/platform/standin_worker.py
+++ b/mangotally/platform/standin_worker.py
@@ -45,6 +45,7 @@
         no_stamp: Omit the stamp, the target's signature, from answers.
         endless: Kind of endless answer, a key of `ENDLESS`, or empty.
         limit: Requests per second that answers name as the limit, or empty.
+        leaving: What answers say of the worker's leaving, or empty.
         resumed_status: Status of a whole answer to requests that continue a
             stream, or 0 for a stream.
         crash_body: Body of the requests that crash the worker, or empty.
@@ -57,6 +58,7 @@
     no_stamp: bool = False
     endless: str = ""
     limit: str = ""
+    leaving: str = ""
     resumed_status: int = 0
     crash_body: str = ""
 
@@ -93,6 +95,7 @@
         events: int = 3,
         event_ms: float = 2.0,
         version: str = FIRST_VERSION,
+        domain: str = "z1",
     ) -> None:
         """Creates a worker.
 
@@ -103,6 +106,7 @@
             events: Number of events in a stream.
             event_ms: Time per event, or per plain answer.
             version: Version of its software, which changes what it generates.
+            domain: Its failure domain.
         """
         super().__init__()
         self.name = name
@@ -116,6 +120,8 @@
         self.events = events
         self.event_ms = event_ms
         self.version = version
+        self.domain = domain
+        self.cold_ms = 0
         self._clock = clock_lib.SystemClock()
 
     def registration(self, state: str = "ready") -> dict[str, object]:
@@ -123,11 +129,11 @@
         return {
             "Service": self.service,
             "Address": self.url.removeprefix("http://"),
-            "Zone": "z1",
+            "Zone": self.domain,
             "Version": self.version,
             "Slots": self.slots,
             "State": state,
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self.cold_ms,
             "Seq": 1,
             "born": 1,
         }
@@ -144,14 +150,17 @@
         expected = request.headers.get(_NAMES.expected_target, self.name)
         body = await request.read()
         if expected != self.name:
-            return web.Response(status=421, headers={_NAMES.target: self.name})
+            return web.Response(
+                status=421,
+                headers={_NAMES.target: self.name, **self._notice_headers()},
+            )
         if self.faults.shed or self.running >= self.slots:
             return web.Response(
                 status=503,
                 headers={
                     _NAMES.not_run: "1",
                     _NAMES.request_id: name,
-                    **self._limit_headers(),
+                    **self._notice_headers(),
                 },
             )
         self.executed.append(
@@ -184,7 +193,7 @@
         headers_ = {
             _NAMES.request_id: "other" if self.faults.wrong_id else name,
             _NAMES.load: f"{self.running},0,{self.slots}",
-            **self._limit_headers(),
+            **self._notice_headers(),
         }
         if not self.faults.no_stamp:
             headers_[_NAMES.stamp] = STAMP
@@ -201,9 +210,12 @@
         await asyncio.sleep(clock_lib.to_seconds(self.event_ms))
         return web.Response(body=b"answer", headers=headers_)
 
-    def _limit_headers(self) -> dict[str, str]:
-        limit = self.faults.limit
-        return {_NAMES.limit: limit} if limit else {}
+    def _notice_headers(self) -> dict[str, str]:
+        notices = {
+            _NAMES.limit: self.faults.limit,
+            _NAMES.leaving: self.faults.leaving,
+        }
+        return {name: value for name, value in notices.items() if value}
 
     async def _send_endlessly(
         self, request: web.Request, headers_: dict[str, str]
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import logging
 from typing import Any
 
 from returns import result
@@ -11,11 +12,17 @@
 from mangotally import ids
 from mangotally.entry import model
 from mangotally.platform import fields
+from mangotally.policy import target_closures
 from mangotally.util import clock as clock_lib
 
+logger = logging.getLogger(__name__)
+
 MAX_BODY_BYTES = 4_194_304
 # More than any target runs at once; far larger numbers break arithmetic.
 MAX_SLOTS = 1_000_000
+# Larger rates limit nothing, and larger times never end.
+MAX_COLD_RATE_PER_S = 1_000_000.0
+MAX_COLD_MS = 600_000.0
 _PORT_DIGITS = 5
 _MAX_PORT = 65_535
 
@@ -73,12 +80,22 @@
                 max(1, found.bounded_count("Slots", MAX_SLOTS)),
                 _STATES[found.text("State")],
                 ids.SoftwareVersion(found.text("Version")),
+                _cold_ms(found),
             )
         )
     except (KeyError, ValueError) as error:
         return result.Failure(_error_text(error))
 
 
+def is_evacuation(data: bytes) -> bool:
+    """Returns whether a record's value orders an evacuation."""
+    try:
+        fields.Fields(_parse(data))
+    except ValueError:
+        return False
+    return True
+
+
 def _parse(data: bytes) -> Any:
     try:
         parsed = json.loads(data)
@@ -130,9 +147,39 @@
     return model.Service(
         ids.ServiceId(found.text("Name")),
         _engine(found.row("Engine")) if found.has("Engine") else None,
+        _cold_start(found),
     )
 
 
+def _cold_start(
+    found: fields.Fields,
+) -> target_closures.ColdStart | None:
+    """Returns how the targets of a service start, or None.
+
+    Bad values don't make the rest of the configuration unreadable.
+    """
+    if not (found.has("ColdStartS") and found.has("ColdRateS")):
+        return None
+    try:
+        duration_ms = found.amount("ColdStartS") * clock_lib.MS_PER_S
+        rate_per_s = found.amount("ColdRateS")
+    except fields.FieldError as error:
+        logger.warning("cold_start_unreadable", extra={"reason": str(error)})
+        return None
+    if duration_ms > MAX_COLD_MS or rate_per_s > MAX_COLD_RATE_PER_S:
+        logger.warning("cold_start_unreadable", extra={"reason": "too large"})
+        return None
+    if not (duration_ms and rate_per_s):
+        return None
+    return target_closures.ColdStart(duration_ms, rate_per_s)
+
+
+def _cold_ms(found: fields.Fields) -> float:
+    if not found.has("ColdRemainingMs"):
+        return 0.0
+    return min(found.amount("ColdRemainingMs"), MAX_COLD_MS)
+
+
 def _engine(found: fields.Fields) -> model.Engine:
     return model.Engine(
         found.count("Slots"),
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -255,22 +255,27 @@
             for view in self._targets.values():
                 view.in_flight.pop(ticket, None)
 
-    def finish(self, finished: Finished, now_ms: float) -> None:
-        """Records that a request has ended at its target."""
+    def finish(self, finished: Finished, now_ms: float) -> bool:
+        """Records that a request has ended at its target.
+
+        Returns:
+            Whether the target answers again after it has been paused.
+        """
         view = self._targets.get(finished.target)
         if view is None:
-            return
+            return False
         view.in_flight.pop(finished.ticket, None)
         match finished.end:
             case EndReason.DONE:
-                view.succeed()
                 self._update_run_times(view, finished)
+                return view.succeed()
             case EndReason.REJECTED:
                 view.reject(now_ms, self._average_run_ms / max(1, view.slots))
             case EndReason.FAILED:
                 view.fail(now_ms)
             case EndReason.CANCELLED:
                 pass
+        return False
 
     def adopt(
         self, ticket: ids.Ticket, host: ids.HostId, target: ids.TargetId
--- a/mangotally/policy/target_view.py
+++ b/mangotally/policy/target_view.py
@@ -8,8 +8,9 @@
 from mangotally.policy import target_limits
 from mangotally.util import clock
 
-# Pause of a target after its second consecutive fault; doubled by each further
-# one up to the maximum.
+# Pause of a target after this number of consecutive faults; doubled by each
+# further one up to the maximum.
+BACKOFF_FAILURES = 2
 BACKOFF_MS = 1000.0
 MAX_BACKOFF_MS = 8000.0
 
@@ -85,17 +86,18 @@
             return throughput
         return min(throughput, self._intake.rate_per_s / clock.MS_PER_S)
 
-    def succeed(self) -> None:
-        """Records a complete answer."""
+    def succeed(self) -> bool:
+        """Records a complete answer; returns whether it ends a back-off."""
+        is_return = self._consecutive_failures >= BACKOFF_FAILURES
         self._consecutive_failures = 0
+        return is_return
 
     def fail(self, now_ms: float) -> None:
         """Records a fault; consecutive faults start an exponential backoff."""
         self._consecutive_failures += 1
-        if self._consecutive_failures >= 2:
-            pause_ms = BACKOFF_MS * 2.0 ** min(
-                self._consecutive_failures - 2, 4
-            )
+        excess = self._consecutive_failures - BACKOFF_FAILURES
+        if excess >= 0:
+            pause_ms = BACKOFF_MS * 2.0 ** min(excess, 4)
             self._paused_until_ms = now_ms + min(pause_ms, MAX_BACKOFF_MS)
 
     def reject(self, now_ms: float, pause_ms: float) -> None:
