--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -53,13 +53,20 @@
             a signal from the soak.
     """
 
-    def __init__(self, number: int, store: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        number: int,
+        store: str,
+        folder: pathlib.Path,
+        withdrawn_key_ms: float = WITHDRAWN_KEY_MS,
+    ) -> None:
         """Writes the settings file; does not start the process.
 
         Args:
             number: Number of the host, from 0.
             store: Address at which this host reaches the store.
             folder: Folder for the settings file and the log.
+            withdrawn_key_ms: How long a withdrawn key may be used.
         """
         self.name = f"h{number}"
         self.ip = host_ip(number)
@@ -70,9 +77,9 @@
         self.unexpected_exit_codes: list[int] = []
         self._settings = folder / f"{self.name}.yaml"
         self._log = folder / f"{self.name}.log"
-        self._settings.write_text(
-            yaml.safe_dump(self._make_settings(number, store))
-        )
+        settings = self._make_settings(number, store)
+        settings["bounds"]["withdrawn_key_ms"] = withdrawn_key_ms
+        self._settings.write_text(yaml.safe_dump(settings))
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -103,6 +110,12 @@
         self._process = None
         return False
 
+    @property
+    def pid(self) -> int:
+        """Id of its process, which must be running."""
+        assert self._process is not None
+        return self._process.pid
+
     def start(self) -> None:
         """Starts the process unless it is running."""
         if self.is_running:
@@ -160,7 +173,6 @@
             },
             "store": {"address": store},
             "bounds": {
-                "withdrawn_key_ms": WITHDRAWN_KEY_MS,
                 "grace_s": STOP_GRACE_S,
                 "rate_window_s": RATE_WINDOW_S,
                 "rate_overshoot": RATE_OVERSHOOT,
