--- a/mangotally/entry/answers.py
+++ b/mangotally/entry/answers.py
@@ -26,6 +26,7 @@
     NO_ROUTE = "no-route"
     BAD_KEY = "bad-key"
     TOO_LARGE = "too-large"
+    BODY_STALLED = "body-stalled"
     BAD_REQUEST = "bad-request"
     OVER_RATE = "over-rate"
     RATE_UNKNOWN = "rate-unknown"
@@ -49,6 +50,7 @@
     Cause.NO_ROUTE: 404,
     Cause.BAD_KEY: 401,
     Cause.TOO_LARGE: 413,
+    Cause.BODY_STALLED: 408,
     Cause.BAD_REQUEST: 400,
     Cause.OVER_RATE: 429,
     Cause.RATE_UNKNOWN: 503,
--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import resource
 import secrets
 import signal
 from typing import TYPE_CHECKING, Self
@@ -15,6 +16,7 @@
 from mangotally.entry import (
     access,
     attempts,
+    bodies,
     budgets,
     configuration_cache,
     directory,
@@ -71,6 +73,10 @@
 # Time reserved before that for the last answers.
 ANSWER_RESERVE_MS = 200
 DRAIN_POLL_MS = 50
+# Fractions of the process's descriptors for connections of callers, and for
+# those at each other address. The rest is for targets, the store and hosts.
+CALLER_DESCRIPTORS = 0.5
+INTERNAL_DESCRIPTORS = 0.05
 # Time-out of each step that returns unused tokens. The last two steps share
 # the time reserved for closing; homes or the store may be unavailable.
 RETURN_TOKENS_MS = CLOSE_RESERVE_MS / 2
@@ -111,10 +117,16 @@
             peers.Server(settings.listen.hosts, self, self._loop_lag.count)
         )
         listen = settings.listen
-        await enter(server.HttpServer(listen.metrics, self._serve_metrics))
-        await enter(server.HttpServer(listen.readiness, self._serve_ready))
+        descriptors = _descriptors(settings.resources.descriptors)
+        few = int(descriptors * INTERNAL_DESCRIPTORS)
+        await enter(server.HttpServer(listen.metrics, self._serve_metrics, few))
+        await enter(server.HttpServer(listen.readiness, self._serve_ready, few))
         self._callers = await enter(
-            server.HttpServer(listen.callers, self._handler.handle)
+            server.HttpServer(
+                listen.callers,
+                self._handler.handle,
+                int(descriptors * CALLER_DESCRIPTORS),
+            )
         )
         tasks = background.BackgroundTasks(
             self._configuration.run,
@@ -260,7 +272,11 @@
         settings, clock = self._settings, self._clock
         domain = ids.FailureDomainId(settings.failure_domain)
         partitions = settings.store.partitions
+        self._bodies = bodies.Bodies(
+            bodies.budget_bytes(settings.resources), clock
+        )
         self._monitor = monitor.Monitor(clock)
+        self._monitor.refused_bodies = self._bodies.refused
         self._monitor.target_changes = self._closures.changes
         self._drain = draining.Drain(clock)
         client = await self._wire_targets(peer_client)
@@ -293,6 +309,7 @@
             access=access.AccessControl(
                 self._configuration_cache, self._configuration.read_now
             ),
+            bodies=self._bodies,
             rates=rates.Rates(
                 self._rate_home, self._member, peer_client, rate_bounds, clock
             ),
@@ -393,6 +410,7 @@
         self._monitor.gauges["requests_under_way"] = (
             self._handler.active_requests
         )
+        self._monitor.gauges["body_bytes"] = self._bodies.lent_bytes
         self._monitor.gauges["targets_lost"] = self._paths.is_cut_off
         self._monitor.gauges["domains_evacuated"] = len(
             self._closures.evacuated_domains
@@ -412,6 +430,14 @@
         logger.info("reload", extra={"changed": "nothing"})
 
 
+def _descriptors(configured: int) -> int:
+    """Returns how many descriptors the process may have open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return configured
+    return min(configured, soft)
+
+
 async def _run_with_timeout(timeout_ms: float, work: Awaitable[None]) -> None:
     """Awaits work, and cancels it after the time-out."""
     with contextlib.suppress(TimeoutError):
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -59,6 +59,14 @@
         for outcome, count in sorted(monitor.forwarded.items()):
             forwarded.add_metric([outcome], count)
         yield forwarded
+        refused = metrics_core.CounterMetricFamily(
+            "mangotally_refused_bodies",
+            "Bodies that were not received, by reason.",
+            labels=["reason"],
+        )
+        for reason, count in sorted(monitor.refused_bodies.items()):
+            refused.add_metric([reason], count)
+        yield refused
         changes = metrics_core.CounterMetricFamily(
             "mangotally_target_changes",
             "Changes of which targets get requests, by kind.",
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -27,6 +27,7 @@
     turn_budgets,
     turns,
 )
+from mangotally.entry import bodies as bodies_lib
 from mangotally.entry import monitor as monitor_lib
 from mangotally.entry import sink as sink_lib
 from mangotally.policy import crash_histories
@@ -52,6 +53,7 @@
 
     Attributes:
         access: Decides what a request may access.
+        bodies: Receives the bodies of requests.
         rates: Rate limits of organisations.
         budgets: Token budgets of programs.
         history: Saved turns.
@@ -64,6 +66,7 @@
     """
 
     access: access_lib.AccessControl
+    bodies: bodies_lib.Bodies
     rates: rates.Rates
     budgets: turn_budgets.TurnBudgets
     history: history.History
@@ -143,12 +146,24 @@
         access = await self._dependencies.access.check(received, log_entry)
         if isinstance(access, answers.Refusal):
             return access
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return answers.Refusal(answers.Cause.TOO_LARGE)
-        if len(body) > access.configuration.max_body_bytes:
-            return answers.Refusal(answers.Cause.TOO_LARGE)
+        async with self._dependencies.bodies.receive(
+            request, access.configuration.max_body_bytes
+        ) as body:
+            if isinstance(body, answers.Refusal):
+                return body
+            return await self._answer_whole(
+                received, access, body, sink, log_entry
+            )
+
+    async def _answer_whole(
+        self,
+        received: requests.CallerRequest,
+        access: access_lib.Access,
+        body: bytes,
+        sink: sink_lib.CallerSink,
+        log_entry: access_log_lib.AccessLogEntry,
+    ) -> attempts.Result:
+        """Answers a request whose body has been received."""
         if self._dependencies.drain.phase is draining.Phase.REFUSING:
             return _refuse_at_stop()
         state = self._make_state(received, access, body)
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -24,6 +24,7 @@
     Attributes:
         gauges: Values of gauges by name, without the common prefix.
         forwarded: Number of requests sent through other hosts, by outcome.
+        refused_bodies: Number of bodies that were not received, by reason.
         target_changes: Number of changes of which targets get requests, by
             kind.
     """
@@ -36,6 +37,7 @@
         self._latency: dict[str, histograms.LatencyHistogram] = {}
         self.gauges: dict[str, float] = {}
         self.forwarded: Mapping[str, int] = {}
+        self.refused_bodies: Mapping[str, int] = {}
         self.target_changes: Mapping[str, int] = {}
 
     def record(
--- a/mangotally/settings/entry.py
+++ b/mangotally/settings/entry.py
@@ -65,6 +65,25 @@
         return self.share * self.speed
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Resources(_Settings):
+    """What the process may use of its machine.
+
+    Attributes:
+        memory_mb: Memory.
+        descriptors: Number of open files and connections; the limit of the
+            operating system holds if it is lower.
+    """
+
+    memory_mb: float = 136.0
+    descriptors: int = 1024
+
+    def __post_init__(self) -> None:
+        """Checks the ranges."""
+        _check(self.memory_mb > 0, "memory_mb", "must be above 0")
+        _check(self.descriptors > 0, "descriptors", "must be above 0")
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Store(_Settings):
     """The platform's store.
@@ -122,6 +141,7 @@
         listen: Addresses that the host listens on.
         store: The platform's store.
         processor: The processor capacity that the host may use.
+        resources: What the process may use of its machine.
         bounds: Guarantees to the operators.
     """
 
@@ -130,6 +150,7 @@
     listen: Listen
     store: Store
     processor: Processor = dataclasses.field(default_factory=Processor)
+    resources: Resources = dataclasses.field(default_factory=Resources)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
 
     def __post_init__(self) -> None:
--- a/tests/test_entry/test_hostile_callers.py
+++ b/tests/test_entry/test_hostile_callers.py
@@ -156,7 +156,6 @@
     """A host bears callers that don't keep to any rule."""
 
     async def asyncSetUp(self) -> None:
-        _allow_many_descriptors()
         stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(stack.aclose)
         folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -170,12 +169,9 @@
         self.host = processes.HostProcess(
             0, address, pathlib.Path(folder), WITHDRAWN_KEY_MS
         )
-        self.host.start()
+        with _limited_descriptors():
+            self.host.start()
         stack.callback(self.host.kill)
-        await entry_fleet.wait_for(lambda: self.host.is_running)
-        resource.prlimit(
-            self.host.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
-        )
         await self._serve_one()
 
     async def test_bodies_one_byte_short(self) -> None:
@@ -290,10 +286,15 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
-def _allow_many_descriptors() -> None:
-    """Raises the soft limit of this process to the hard one."""
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+@contextlib.contextmanager
+def _limited_descriptors() -> Iterator[None]:
+    """Limits the descriptors of processes that are started meanwhile."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, 4096), hard))
 
 
 def _peak_memory_kb(pid: int) -> int:
