--- a/mangotally/entry/application.py
+++ b/mangotally/entry/application.py
@@ -277,6 +277,7 @@
         )
         self._monitor = monitor.Monitor(clock)
         self._monitor.refused_bodies = self._bodies.refused
+        self._monitor.store_calls = self._store.calls
         self._monitor.target_changes = self._closures.changes
         self._drain = draining.Drain(clock)
         client = await self._wire_targets(peer_client)
--- a/mangotally/entry/exposition.py
+++ b/mangotally/entry/exposition.py
@@ -9,7 +9,7 @@
 from mangotally.metrics import exposition
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from mangotally.entry import monitor as monitor_lib
 
@@ -43,39 +43,47 @@
         for route, histogram in sorted(monitor.latency.items()):
             latency.add_metric([route], *histogram.buckets())
         yield latency
-        resumptions = metrics_core.CounterMetricFamily(
+        yield _counter(
             "mangotally_stream_resumptions",
             "Requests that continue an interrupted stream, by outcome.",
-            labels=["outcome"],
+            "outcome",
+            monitor.resumption_outcomes,
         )
-        for outcome, count in sorted(monitor.resumption_outcomes.items()):
-            resumptions.add_metric([outcome], count)
-        yield resumptions
-        forwarded = metrics_core.CounterMetricFamily(
+        yield _counter(
             "mangotally_forwarded_requests",
             "Requests sent to targets through other hosts, by outcome.",
-            labels=["outcome"],
+            "outcome",
+            monitor.forwarded,
         )
-        for outcome, count in sorted(monitor.forwarded.items()):
-            forwarded.add_metric([outcome], count)
-        yield forwarded
-        refused = metrics_core.CounterMetricFamily(
+        yield _counter(
             "mangotally_refused_bodies",
             "Bodies that were not received, by reason.",
-            labels=["reason"],
+            "reason",
+            monitor.refused_bodies,
         )
-        for reason, count in sorted(monitor.refused_bodies.items()):
-            refused.add_metric([reason], count)
-        yield refused
-        changes = metrics_core.CounterMetricFamily(
+        yield _counter(
             "mangotally_target_changes",
             "Changes of which targets get requests, by kind.",
-            labels=["kind"],
+            "kind",
+            monitor.target_changes,
+        )
+        yield _counter(
+            "mangotally_store_calls",
+            "Calls to the store, by path and topic.",
+            "call",
+            monitor.store_calls,
         )
-        for kind, count in sorted(monitor.target_changes.items()):
-            changes.add_metric([kind], count)
-        yield changes
         for name, value in sorted(monitor.gauges.items()):
             yield metrics_core.GaugeMetricFamily(
                 f"mangotally_{name}", name.replace("_", " "), value
             )
+
+
+def _counter(
+    name: str, text: str, label: str, counts: Mapping[str, int]
+) -> metrics_core.CounterMetricFamily:
+    """Returns a counter with one label."""
+    family = metrics_core.CounterMetricFamily(name, text, labels=[label])
+    for value, count in sorted(counts.items()):
+        family.add_metric([value], count)
+    return family
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -25,6 +25,7 @@
         gauges: Values of gauges by name, without the common prefix.
         forwarded: Number of requests sent through other hosts, by outcome.
         refused_bodies: Number of bodies that were not received, by reason.
+        store_calls: Number of calls to the store, by path and topic.
         target_changes: Number of changes of which targets get requests, by
             kind.
     """
@@ -38,6 +39,7 @@
         self.gauges: dict[str, float] = {}
         self.forwarded: Mapping[str, int] = {}
         self.refused_bodies: Mapping[str, int] = {}
+        self.store_calls: Mapping[str, int] = {}
         self.target_changes: Mapping[str, int] = {}
 
     def record(
--- a/mangotally/platform/store.py
+++ b/mangotally/platform/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import collections
 import dataclasses
 import json
 import struct
@@ -118,7 +119,11 @@
 
 
 class Store:
-    """Typed calls to the store."""
+    """Typed calls to the store.
+
+    Attributes:
+        calls: Number of calls by path and topic.
+    """
 
     def __init__(self, transport: Transport) -> None:
         """Creates the client.
@@ -127,6 +132,7 @@
             transport: Sends the calls.
         """
         self._transport = transport
+        self.calls: collections.Counter[str] = collections.Counter()
 
     async def append(
         self,
@@ -267,6 +273,7 @@
         wait_ms: float = 0.0,
     ) -> Reply | Unavailable:
         target = f"{path}?{urls.urlencode(query)}"
+        self.calls[f"{path} {query.get('Topic', '')}".strip()] += 1
         call = Call(
             method,
             target,
