--- a/mangotally/entry/model.py
+++ b/mangotally/entry/model.py
@@ -52,7 +52,7 @@
 
     Attributes:
         id: Name of the route.
-        host: Value of the Host header.
+        host: Name of the host in requests, in lower case.
         path_prefix: Prefix of the path; ends with a slash.
         kind: Retry semantics.
         timeout_ms: Maximum time to answer a request.
--- a/mangotally/entry/requests.py
+++ b/mangotally/entry/requests.py
@@ -18,6 +18,8 @@
 # Larger numbers are reduced to this, which fits the messages between hosts.
 MAX_TOKENS = 2**53
 _EVENT_ID = re.compile(r"\d{1,18}", re.ASCII)
+_ABSOLUTE_TARGET = re.compile(r"https?://([^/?#]*)", re.ASCII | re.IGNORECASE)
+_PORT = re.compile(r":\d*$", re.ASCII)
 # Ids of the last event that say that there was none.
 _NO_EVENTS = frozenset({"", "0"})
 
@@ -29,7 +31,7 @@
     Attributes:
         id: Its id, empty if it has none.
         method: HTTP method.
-        host: Value of the Host header.
+        host: Name of the host it is for, in lower case and without a port.
         path: Path and query, as received.
         headers: All headers.
         arrived_ms: When its headers had been read.
@@ -86,6 +88,7 @@
     arrived_ms: float,
 ) -> CallerRequest:
     """Parses a request; malformed numbers are treated as absent."""
+    authority, path = _split_target(path)
     parent = headers.get(names.parent_turn)
     resumes = headers.get(names.resumes)
     last_event = headers.get(names.last_event, "")
@@ -93,7 +96,7 @@
     return CallerRequest(
         id=model.RequestId(headers.get(names.request_id, "")),
         method=method,
-        host=headers.get("Host", ""),
+        host=_host_name(authority or headers.get("Host", "")),
         path=path,
         headers=headers,
         arrived_ms=arrived_ms,
@@ -111,6 +114,22 @@
     )
 
 
+def _split_target(target: str) -> tuple[str, str]:
+    """Returns the authority and the path of a request target.
+
+    The authority is empty unless the target is absolute.
+    """
+    found = _ABSOLUTE_TARGET.match(target)
+    if found is None:
+        return "", target
+    path = target[found.end() :]
+    return found[1], path if path.startswith("/") else f"/{path}"
+
+
+def _host_name(authority: str) -> str:
+    return _PORT.sub("", authority).lower()
+
+
 def _bearer_key(authorization: str | None) -> str | None:
     scheme, _, key = (authorization or "").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else None
--- a/mangotally/platform/wire.py
+++ b/mangotally/platform/wire.py
@@ -128,7 +128,7 @@
     max_attempts = found.count("MaxAttempts") if found.has("MaxAttempts") else 1
     return model.Route(
         id=model.RouteId(found.text("Name")),
-        host=found.text("Host"),
+        host=found.text("Host").lower(),
         path_prefix=found.text("PathPrefix"),
         kind=_KINDS[found.text("RouteKind")],
         timeout_ms=found.amount("TimeoutMs"),
--- a/tests/test_entry/test_requests.py
+++ b/tests/test_entry/test_requests.py
@@ -34,6 +34,32 @@
     )
 
 
+class RequestTargetTest(unittest.TestCase):
+    """All spellings of a host and a path that HTTP allows are understood."""
+
+    def _read(self, target: str, host: str) -> tuple[str, str]:
+        headers = multidict.CIMultiDict({"Host": host})
+        found = requests.read(
+            "GET", target, multidict.CIMultiDictProxy(headers), NAMES, 5.0
+        )
+        return found.host, found.path
+
+    def test_host(self) -> None:
+        for host in ("desk.example", "Desk.EXAMPLE", "desk.example:8080"):
+            self.assertEqual(self._read("/a", host)[0], "desk.example")
+        self.assertEqual(self._read("/a", "[::1]:80")[0], "[::1]")
+
+    def test_absolute_target(self) -> None:
+        for target, path in (
+            ("http://Desk.example:80/a%2Fb?x=/y", "/a%2Fb?x=/y"),
+            ("HTTPS://desk.example", "/"),
+            ("http://desk.example?x", "/?x"),
+        ):
+            found = self._read(target, "other")
+            self.assertEqual(found, ("desk.example", path))
+        self.assertEqual(self._read("//a/b", "h"), ("h", "//a/b"))
+
+
 class ReadTest(unittest.TestCase):
     """Numbers from callers decide about tokens, so all must be valid."""
 
