--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -25,6 +25,7 @@
     dispatch,
     resumption,
     run_times,
+    stream_lengths,
 )
 
 if TYPE_CHECKING:
@@ -125,6 +126,7 @@
         self._clock = clock
         self._tickets = itertools.count()
         self._run_times = run_times.UsualRunTimes[model.RouteId]()
+        self._lengths = stream_lengths.StreamLengths[model.RouteId]()
 
     async def run(
         self, state: request_state.RequestState, sink: EventSink
@@ -206,6 +208,7 @@
             connected=self._idle_connected_targets(state.service),
             version=state.origin.version if state.origin else None,
             digest=state.digest,
+            units=self._predicted_units(state),
         )
         begin_ms = self._clock.now_ms()
         decision = await self._allocator.acquire(state.service, queued)
@@ -215,6 +218,15 @@
             state.source = decision.source
         return decision
 
+    def _predicted_units(self, state: request_state.RequestState) -> float:
+        """Returns the work that is left of a request; 0 if unknown."""
+        if state.route.kind is not model.RouteKind.STREAMING:
+            return self._run_times.usual_ms(state.route.id)
+        events_ = self._lengths.predict(
+            state.route.id, state.stated_events, state.max_events
+        )
+        return PREFILL_UNITS + max(0.0, events_ - state.sent_events)
+
     def _idle_connected_targets(
         self, service: ids.ServiceId
     ) -> frozenset[ids.TargetId]:
@@ -242,6 +254,8 @@
                 units = self._run_times.add(state.route.id, run_ms)
             elif isinstance(outcome, StreamEnded):
                 sent = state.sent_events - events_before
+                if not events_before:
+                    self._lengths.add(state.route.id, state.stated_events, sent)
                 units = PREFILL_UNITS + sent
         finally:
             self._allocator.release(slot, end, units)
@@ -295,6 +309,7 @@
                 slots.AnswerHead(
                     limits=received.getall(self._names.limit, ()),
                     leaving=received.getall(self._names.leaving, ()),
+                    load=received.get(self._names.load),
                     is_run=self._names.not_run not in received,
                 ),
                 sent_ms,
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -317,6 +317,9 @@
         )
         organisation = access.organisation
         rank = organisation.priority or 0 if organisation else 0
+        service = _choose_service(route)
+        tokens_per_event = max(1, turn_budgets.event_tokens(access, service))
+        stated_tokens = received.stated_tokens
         return request_state.RequestState(
             id=received.id,
             method=received.method,
@@ -327,7 +330,7 @@
             ),
             route=route,
             organisation=access.organisation_id,
-            service=_choose_service(route),
+            service=service,
             priority=rank * ORGANISATION_RANK + route.priority,
             session=received.session or received.program or "",
             due_ms=received.arrived_ms + due_ms,
@@ -339,6 +342,10 @@
                 received.parent_turn or "",
                 body,
             ),
+            stated_events=(
+                stated_tokens / tokens_per_event if stated_tokens else None
+            ),
+            max_events=received.max_tokens / tokens_per_event,
         )
 
     def _target_headers(
--- a/mangotally/entry/headers.py
+++ b/mangotally/entry/headers.py
@@ -23,6 +23,7 @@
         program_time_left: Milliseconds until the program should be finished.
         token_budget: Tokens that all turns of a program may generate.
         token_usage: Tokens of the prompt, and the maximum to generate.
+        length_hint: The caller's estimate of the tokens to generate.
         parent_turn: Id of the turn that this one continues.
         last_event: Id of the last event that the sender has received.
         resumes: Id of the request whose answer brought the first event of the
@@ -46,6 +47,7 @@
     program_time_left: str
     token_budget: str
     token_usage: str
+    length_hint: str
     parent_turn: str
     last_event: str
     resumes: str
--- a/mangotally/entry/request_state.py
+++ b/mangotally/entry/request_state.py
@@ -43,6 +43,8 @@
         due_ms: When its program should be finished.
         deadline_ms: When its caller no longer needs an answer.
         digest: Identifies it if it is sent again under a new id.
+        stated_events: Number of events that its caller expects, or None.
+        max_events: Number of events that are not exceeded.
         is_new: Whether it is the first request of a program.
         attempts: Number of targets that it was sent to.
         target: The last of these targets, or None.
@@ -76,6 +78,8 @@
     due_ms: float
     deadline_ms: float
     digest: crash_histories.RequestDigest
+    stated_events: float | None = None
+    max_events: float = math.inf
     is_new: bool = False
     attempts: int = 0
     target: ids.TargetId | None = None
--- a/mangotally/entry/requests.py
+++ b/mangotally/entry/requests.py
@@ -42,6 +42,7 @@
         program_left_ms: Time until its program should be finished, or None.
         token_budget: Tokens that its program may generate, or None.
         max_tokens: Maximum number of tokens that this turn generates.
+        stated_tokens: Tokens that its caller expects, or None.
         parent_turn: The turn that it continues, or None.
         continues_stream: Whether its caller has received events of the stream
             from an earlier answer.
@@ -64,6 +65,7 @@
     program_left_ms: float | None
     token_budget: int | None
     max_tokens: int
+    stated_tokens: int | None
     parent_turn: model.TurnId | None
     continues_stream: bool
     last_event: int | None
@@ -107,6 +109,7 @@
         program_left_ms=_number(headers.get(names.program_time_left)),
         token_budget=_token_count(headers.get(names.token_budget)),
         max_tokens=_max_tokens(headers.get(names.token_usage)),
+        stated_tokens=_token_count(headers.get(names.length_hint)),
         parent_turn=model.TurnId(parent) if parent else None,
         continues_stream=has_events or bool(resumes),
         last_event=_event_id(last_event) if has_events else 0,
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from mangotally import ids
@@ -40,6 +41,7 @@
         limits=limits,
         version=request.version,
         crash_history=crash_history,
+        units=request.units,
     )
 
 
@@ -64,6 +66,7 @@
             else None
         ),
         digest=crash_histories.RequestDigest(request.crash_history.digest),
+        units=_amount(request.units),
     )
 
 
@@ -160,3 +163,8 @@
         message.born_ms,
         now_ms - message.age_ms,
     )
+
+
+def _amount(value: float) -> float:
+    """Returns a number of at least 0; another one counts as unknown."""
+    return value if math.isfinite(value) and value > 0.0 else 0.0
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -18,6 +18,7 @@
     entry_pb2,
     known_crashes,
     known_limits,
+    known_paces,
     service_pool,
     slot_messages,
 )
@@ -72,11 +73,13 @@
     Attributes:
         limits: Values of the header for its limit.
         leaving: Values of the header that it is about to stop.
+        load: The header for its load, or None.
         is_run: Whether it ran the request.
     """
 
     limits: Sequence[str]
     leaving: Sequence[str]
+    load: str | None
     is_run: bool
 
 
@@ -140,6 +143,7 @@
         self._crashes = known_crashes.KnownCrashes(clock)
         self._closures = closures
         closures.add_listener(self._update_pools)
+        self._paces = known_paces.KnownPaces(self._apply_pace, clock)
         directory.add_listener(self._update_target)
 
     async def acquire(
@@ -195,6 +199,7 @@
             head: What the target says.
             sent_ms: When the request was sent.
         """
+        self._paces.observe_answer(slot.service, slot.target, head.load)
         is_limited = self._limits.observe_answer(
             slot.target, head.limits, sent_ms, head.is_run
         )
@@ -226,6 +231,7 @@
         self._limits.merge(request.limits)
         self._crashes.merge(request.crash_history)
         self._closures.merge(request.leaving)
+        self._paces.merge(request.paces)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
         decision = await self._decide(service, queued)
         reply = slot_messages.place_reply(
@@ -316,6 +322,7 @@
             self._clock.now_ms(),
         )
         message.leaving.extend(self._closures.messages(service))
+        message.paces.extend(self._paces.take_messages(service))
         return message
 
     def _read_reply(
@@ -333,7 +340,9 @@
         slot = self._record_slot(
             service, request, target, reply.waited_ms, "home", asked_ms
         )
-        self._pool(service).dispatcher.adopt(request.ticket, self._host, target)
+        self._pool(service).dispatcher.adopt(
+            request.ticket, self._host, target, self._clock.now_ms()
+        )
         return slot
 
     async def _acquire_alone(
@@ -484,3 +493,9 @@
     def _update_pools(self, name: ids.TargetId) -> None:
         for pool in self._pools.values():
             pool.update_target(name)
+
+    def _apply_pace(self, statement: known_paces.Statement) -> None:
+        for pool in self._pools.values():
+            pool.dispatcher.set_pace(
+                statement.target, statement.pace, statement.at_ms
+            )
--- a/mangotally/platform/headers.py
+++ b/mangotally/platform/headers.py
@@ -15,6 +15,7 @@
     # The budget of all turns of the program together, not of a single turn.
     token_budget="Token-Budget",
     token_usage="Token-Usage",
+    length_hint="Length-Hint",
     parent_turn="Parent-Turn",
     last_event="Last-Event-Id",
     resumes="Resumes",
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -15,7 +15,12 @@
 from typing import TypeVar
 
 from mangotally import ids
-from mangotally.policy import crash_histories, target_view
+from mangotally.policy import (
+    crash_histories,
+    target_choice,
+    target_view,
+    work_estimates,
+)
 
 T = TypeVar("T")
 
@@ -26,25 +31,6 @@
 # Version of a target that has not said any.
 NO_VERSION = ids.SoftwareVersion("")
 
-# Weight of a new observation in the moving average of a target's relative
-# time.
-RELATIVE_TIME_SMOOTHING = 0.15
-MIN_RELATIVE_TIME = 0.25
-MAX_RELATIVE_TIME = 20.0
-# Relative slowdown of a request by the other requests of a full batch.
-BATCH_SLOWDOWN = 0.25
-# Reductions of the cost of a target, as fractions of the time of a run at an
-# average target without load: if the target last ran a request of the session
-# and so has its prefix cached, if the host has an idle connection to it, and if
-# it is in the failure domain of the host. With many hosts, each has few
-# requests: unless it returns to the same targets, its connections expire
-# unused. A target half as slow again as the others is left nevertheless.
-CACHED_PREFIX_BONUS = 0.2
-OPEN_CONNECTION_BONUS = 0.5
-SAME_DOMAIN_BONUS = 0.04
-# Initial moving average of run times, and the weight of a new observation.
-INITIAL_RUN_MS = 150.0
-RUN_TIME_SMOOTHING = 0.05
 # Under overload, a request that starts a program is refused if it would wait
 # longer than this fraction of the time left for the program, or than the fixed
 # time for short programs. The program needs many more turns: if it started, it
@@ -75,6 +61,8 @@
         version: The only software version that may run it, or None. What two
             versions generate can't be joined in one stream.
         digest: Identifies it if it is sent again under a new id.
+        units: Predicted work, in a unit that is the same for all requests of
+            the service; 0 if unknown.
     """
 
     ticket: ids.Ticket
@@ -89,6 +77,7 @@
     connected: frozenset[ids.TargetId] = frozenset()
     version: ids.SoftwareVersion | None = None
     digest: crash_histories.RequestDigest = crash_histories.NO_DIGEST
+    units: float = 0.0
 
     def allows(
         self, target: ids.TargetId, version: ids.SoftwareVersion
@@ -181,8 +170,7 @@
         self._sessions: dict[str, ids.TargetId] = {}
         # Sessions whose program was refused before any of it ran.
         self._refused_sessions: dict[str, None] = {}
-        self._average_run_ms = INITIAL_RUN_MS
-        self._average_unit_ms = 0.0
+        self._estimates = work_estimates.WorkEstimates()
         self._results: list[Placed | Refused] = []
 
     @property
@@ -235,6 +223,12 @@
         if view is not None:
             view.set_limit(limit_per_s, now_ms)
 
+    def set_pace(self, target: ids.TargetId, pace: float, at_ms: float) -> None:
+        """Records how long work takes at a target; see `target_pace`."""
+        view = self._targets.get(target)
+        if view is not None:
+            view.pace.add(pace, at_ms)
+
     def drop_target(self, target: ids.TargetId) -> None:
         """Removes a target."""
         self._targets.pop(target, None)
@@ -267,10 +261,10 @@
         view.in_flight.pop(finished.ticket, None)
         match finished.end:
             case EndReason.DONE:
-                self._update_run_times(view, finished)
+                self._estimates.add(view, finished.run_ms, finished.units)
                 return view.succeed()
             case EndReason.REJECTED:
-                view.reject(now_ms, self._average_run_ms / max(1, view.slots))
+                view.reject(now_ms, self._estimates.run_ms / max(1, view.slots))
             case EndReason.FAILED:
                 view.fail(now_ms)
             case EndReason.CANCELLED:
@@ -278,12 +272,16 @@
         return False
 
     def adopt(
-        self, ticket: ids.Ticket, host: ids.HostId, target: ids.TargetId
+        self,
+        ticket: ids.Ticket,
+        host: ids.HostId,
+        target: ids.TargetId,
+        now_ms: float,
     ) -> None:
         """Adds a request that another dispatcher assigned to a target."""
         view = self._targets.get(target)
-        if view is not None:
-            view.in_flight.setdefault(ticket, host)
+        if view is not None and ticket not in view.in_flight:
+            view.adopt(ticket, host, now_ms)
 
     def retain(self, host: ids.HostId, tickets: frozenset[ids.Ticket]) -> None:
         """Drops in-flight requests of a host except those listed.
@@ -295,8 +293,8 @@
         for view in self._targets.values():
             dropped = [
                 ticket
-                for ticket, request_host in view.in_flight.items()
-                if request_host == host and ticket not in tickets
+                for ticket, run in view.in_flight.items()
+                if run.host == host and ticket not in tickets
             ]
             for ticket in dropped:
                 del view.in_flight[ticket]
@@ -340,8 +338,12 @@
     ) -> None:
         request = entry.request
         del self._queue[request.ticket]
-        self._targets[target].in_flight[request.ticket] = request.host
-        self._targets[target].count_request(now_ms)
+        self._targets[target].begin(
+            request.ticket,
+            request.host,
+            self._estimates.size(request.units),
+            now_ms,
+        )
         if request.session:
             self._refused_sessions.pop(request.session, None)
             _remember(self._sessions, request.session, target)
@@ -360,28 +362,13 @@
         session_target = (
             self._sessions.get(request.session) if request.session else None
         )
-        best: ids.TargetId | None = None
-        best_cost = float("inf")
-        for name, view in self._targets.items():
-            if not request.allows(name, view.version):
-                continue
-            if view.free_slots(now_ms) <= 0:
-                continue
-            cost = self._cost(request, view)
-            cost -= CACHED_PREFIX_BONUS * (name == session_target)
-            cost -= OPEN_CONNECTION_BONUS * (name in request.connected)
-            if cost < best_cost:
-                best, best_cost = name, cost
-        return best
-
-    def _cost(
-        self, request: QueuedRequest, view: target_view.TargetView
-    ) -> float:
-        load = len(view.in_flight) / view.slots
-        cost = view.relative_time * (1.0 + BATCH_SLOWDOWN * load)
-        if view.failure_domain == request.failure_domain:
-            cost -= SAME_DOMAIN_BONUS
-        return cost
+        return target_choice.choose(
+            request,
+            self._targets.items(),
+            session_target,
+            self._estimates.run_ms,
+            now_ms,
+        )
 
     def _sorted_queue(self, now_ms: float) -> list[_QueueEntry]:
         return sorted(
@@ -401,23 +388,29 @@
         remaining = [
             each for each in ordered if each.request.ticket in self._queue
         ]
-        for position, entry in enumerate(remaining):
+        kept_work = refused_work = 0.0
+        for entry in remaining:
             request = entry.request
             allowed = (request.excluded, request.version)
             capacity = capacities.get(allowed)
             if capacity is None:
                 capacity = self._capacity(request, now_ms)
                 capacities[allowed] = capacity
-            wait_ms = capacity.wait_ms(position)
+            wait_ms = capacity.wait_ms(kept_work)
+            size = self._estimates.size(request.units)
             reason = (
-                self._refusal(request, wait_ms, now_ms)
+                self._refusal(request, wait_ms, size, now_ms)
                 if capacity.throughput_per_ms
                 else _no_target(request)
             )
             if reason is None:
+                kept_work += size
                 continue
+            # Those refused return one after another, behind those kept.
+            return_ms = capacity.wait_ms(kept_work + refused_work)
+            refused_work += size
             retry_after_ms = max(
-                min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)),
+                min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, return_ms)),
                 capacity.limit_wait_ms,
             )
             del self._queue[request.ticket]
@@ -437,16 +430,19 @@
             if view.is_open and request.allows(name, view.version)
         ]
         return target_view.Capacity(
-            sum(each.throughput_per_ms(self._average_run_ms) for each in views),
+            sum(
+                each.throughput_per_ms(self._estimates.run_ms) for each in views
+            ),
             min((each.limit_wait_ms(now_ms) for each in views), default=0.0),
-            self._average_run_ms,
+            self._estimates.run_ms,
         )
 
     def _refusal(
-        self, request: QueuedRequest, wait_ms: float, now_ms: float
+        self, request: QueuedRequest, wait_ms: float, size: float, now_ms: float
     ) -> str | None:
         """Returns the reason to refuse a request, or None to keep it queued."""
-        if now_ms + wait_ms + self._average_run_ms > request.deadline_ms:
+        run_ms = size * self._estimates.run_ms
+        if now_ms + wait_ms + run_ms > request.deadline_ms:
             return "too-late"
         max_wait_ms = max(
             MIN_NEW_PROGRAM_WAIT_MS,
@@ -456,31 +452,6 @@
             return "queue-full"
         return None
 
-    def _update_run_times(
-        self, view: target_view.TargetView, finished: Finished
-    ) -> None:
-        if finished.run_ms <= 0:
-            return
-        self._average_run_ms += RUN_TIME_SMOOTHING * (
-            finished.run_ms - self._average_run_ms
-        )
-        if finished.units <= 0:
-            return
-        unit_ms = finished.run_ms / finished.units
-        if not self._average_unit_ms:
-            self._average_unit_ms = unit_ms
-        observed_time = min(
-            MAX_RELATIVE_TIME,
-            max(MIN_RELATIVE_TIME, unit_ms / self._average_unit_ms),
-        )
-        view.relative_time += RELATIVE_TIME_SMOOTHING * (
-            observed_time - view.relative_time
-        )
-        self._average_unit_ms += RUN_TIME_SMOOTHING * (
-            unit_ms / max(MIN_RELATIVE_TIME, view.relative_time)
-            - self._average_unit_ms
-        )
-
 
 def _no_target(request: QueuedRequest) -> str:
     return NO_TARGET if request.version is None else NO_TARGET_OF_VERSION
--- a/mangotally/policy/run_times.py
+++ b/mangotally/policy/run_times.py
@@ -34,6 +34,11 @@
         """Starts without observations."""
         self._averages: dict[K, _Average] = {}
 
+    def usual_ms(self, kind: K) -> float:
+        """Returns the usual run time of requests; 0 if there was none."""
+        average = self._averages.get(kind)
+        return average.value_ms if average is not None else 0.0
+
     def add(self, kind: K, run_ms: float) -> float:
         """Adds the run time of a request.
 
--- a/tests/test_policy/test_dispatch.py
+++ b/tests/test_policy/test_dispatch.py
@@ -10,7 +10,12 @@
 import unittest
 
 from mangotally import ids
-from mangotally.policy import dispatch, run_times, target_view
+from mangotally.policy import (
+    dispatch,
+    run_times,
+    target_view,
+    work_estimates,
+)
 
 HOST = ids.HostId("h1")
 DOMAIN = ids.FailureDomainId("z1")
@@ -110,7 +115,7 @@
             for each in dispatcher.advance(0.0)
             if isinstance(each, dispatch.Refused)
         ]
-        run_ms = dispatch.INITIAL_RUN_MS
+        run_ms = work_estimates.INITIAL_RUN_MS
         self.assertEqual(times_ms, [run_ms, 2 * run_ms, 3 * run_ms])
 
     def test_pauses_a_target_after_consecutive_faults(self) -> None:
@@ -118,7 +123,7 @@
         bad = ids.TargetId("t0")
         for number in range(2):
             ticket = ids.Ticket(f"f{number}")
-            dispatcher.adopt(ticket, HOST, bad)
+            dispatcher.adopt(ticket, HOST, bad, 0.0)
             dispatcher.finish(
                 dispatch.Finished(ticket, bad, dispatch.EndReason.FAILED), 0.0
             )
