Tell the home of a crash before its caller is answered; split slots and attempts

Cause: the report of a crash was sent beside the caller's answer. Change: the answer waits for the report, at most its time-out.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import logging
-from typing import TYPE_CHECKING, Protocol, TypeAlias
+from typing import TYPE_CHECKING, Protocol
 
 from mangotally import ids
 from mangotally.entry import (
-    answers,
     events,
     model,
+    outcomes,
     request_state,
     sending,
     slots,
     stream_origins,
+    target_news,
 )
 from mangotally.policy import (
     dispatch,
@@ -44,10 +44,6 @@
 PREFILL_UNITS = 0.6
 # A request is not sent to a target with less time than this to its deadline.
 MIN_SEND_MS = 5.0
-# Retry-After when targets rejected the request: a full target is expected to
-# have a free slot again after this time.
-NOT_RUN_RETRY_MS = 100.0
-_SERVER_FAULT = 500
 
 
 class EventSink(Protocol):
@@ -60,33 +56,6 @@
         """Receives complete events."""
 
 
-@dataclasses.dataclass(frozen=True)
-class StreamEnded:
-    """A stream was forwarded completely."""
-
-
-@dataclasses.dataclass(frozen=True)
-class StreamBroken:
-    """A stream was interrupted after events had been sent to the caller.
-
-    Attributes:
-        reason: What went wrong.
-        is_path_lost: Whether this host reaches no target, so that the outcome
-            says nothing about this one.
-        is_disconnected: Whether the target's connection ended early.
-    """
-
-    reason: str
-    is_path_lost: bool = False
-    is_disconnected: bool = False
-
-
-AttemptOutcome: TypeAlias = (
-    sending.Whole | sending.NotRun | sending.Broken | StreamEnded | StreamBroken
-)
-Result: TypeAlias = sending.Whole | StreamEnded | StreamBroken | answers.Refusal
-
-
 class AttemptRunner:
     """Runs requests at targets, with retries."""
 
@@ -130,7 +99,7 @@
 
     async def run(
         self, state: request_state.RequestState, sink: EventSink
-    ) -> Result:
+    ) -> outcomes.Result:
         """Runs a request and returns how it ended."""
         excluded: set[ids.TargetId] = set()
         unreachable_targets = 0
@@ -139,8 +108,8 @@
             slot = await self._acquire_slot(state, frozenset(excluded))
             if isinstance(slot, slots.SlotRefusal):
                 if failure is not None:
-                    return _end_after_failure(failure, state)
-                return _refuse_without_slot(slot)
+                    return outcomes.end_after_failure(failure, state)
+                return outcomes.refuse_without_slot(slot)
             outcome = await self._run_attempt(state, slot, sink)
             if isinstance(outcome, sending.Whole) and state.sent_events:
                 # Another answer can't follow the events that have been sent.
@@ -148,7 +117,7 @@
             match outcome:
                 case sending.NotRun():
                     excluded.add(slot.target)
-                    unreachable_targets += _is_unreachable(outcome)
+                    unreachable_targets += outcomes.is_unreachable(outcome)
                     state.attempts += outcome.is_reached
                     if (
                         state.attempts < state.route.max_attempts
@@ -156,15 +125,15 @@
                     ):
                         continue
                     if failure is not None:
-                        return _end_after_failure(failure, state)
-                    return _refuse_not_run(outcome)
+                        return outcomes.end_after_failure(failure, state)
+                    return outcomes.refuse_not_run(outcome)
                 case sending.Broken():
                     failure = outcome
                     excluded.add(slot.target)
                     state.attempts += 1
                     if self._may_retry(state):
                         continue
-                    return _end_after_failure(outcome, state)
+                    return outcomes.end_after_failure(outcome, state)
                 case _:
                     state.attempts += 1
                     return outcome
@@ -241,18 +210,18 @@
         state: request_state.RequestState,
         slot: slots.Slot,
         sink: EventSink,
-    ) -> AttemptOutcome:
+    ) -> outcomes.AttemptOutcome:
         state.target = slot.target
         end = dispatch.EndReason.CANCELLED
         units = 0.0
         events_before = state.sent_events
         try:
             outcome = await self._send(state, slot, sink)
-            end = _end_reason(outcome)
+            end = outcomes.end_reason(outcome)
             if isinstance(outcome, sending.Whole):
                 run_ms = self._clock.now_ms() - slot.assigned_ms
                 units = self._run_times.add(state.route.id, run_ms)
-            elif isinstance(outcome, StreamEnded):
+            elif isinstance(outcome, outcomes.StreamEnded):
                 sent = state.sent_events - events_before
                 if not events_before:
                     self._lengths.add(state.route.id, state.stated_events, sent)
@@ -268,13 +237,13 @@
         self,
         state: request_state.RequestState,
         slot: slots.Slot,
-        outcome: AttemptOutcome,
+        outcome: outcomes.AttemptOutcome,
     ) -> None:
         """Records whether the target crashed while it ran the request."""
         match outcome:
-            case sending.Whole() | StreamEnded():
+            case sending.Whole() | outcomes.StreamEnded():
                 self._allocator.record_answer(state.service, state.digest)
-            case sending.Broken() | StreamBroken():
+            case sending.Broken() | outcomes.StreamBroken():
                 target = self._directory.find(slot.target)
                 if (
                     outcome.is_disconnected
@@ -282,14 +251,14 @@
                     and target is not None
                     and await self._client.has_crashed(target)
                 ):
-                    self._allocator.record_crash(state.digest, target)
+                    await self._allocator.record_crash(state.digest, target)
 
     async def _send(
         self,
         state: request_state.RequestState,
         slot: slots.Slot,
         sink: EventSink,
-    ) -> AttemptOutcome:
+    ) -> outcomes.AttemptOutcome:
         target = self._directory.find(slot.target)
         if target is None:
             return sending.NotRun("target-gone", is_reached=False)
@@ -306,7 +275,7 @@
         def observe(received: multidict.CIMultiDictProxy[str]) -> None:
             self._allocator.observe_answer(
                 slot,
-                slots.AnswerHead(
+                target_news.AnswerHead(
                     limits=received.getall(self._names.limit, ()),
                     leaving=received.getall(self._names.leaving, ()),
                     load=received.get(self._names.load),
@@ -351,7 +320,7 @@
         target: model.Target,
         stream: sending.Stream,
         sink: EventSink,
-    ) -> StreamEnded | StreamBroken | sending.Broken:
+    ) -> outcomes.StreamEnded | outcomes.StreamBroken | sending.Broken:
         splitter = events.EventSplitter()
         try:
             if not state.sent_events:
@@ -364,7 +333,7 @@
                     self._clock.now_ms() - slot.assigned_ms
                 )
                 if not await _may_send(state, len(new)):
-                    return StreamBroken("tokens-used-up")
+                    return outcomes.StreamBroken("tokens-used-up")
                 self._record_origin(state, target)
                 if state.recorder is not None:
                     await state.recorder.record(new)
@@ -378,9 +347,9 @@
                 stream.close()
         failure = stream.failure or _truncation(splitter, state)
         if failure is None:
-            return StreamEnded()
+            return outcomes.StreamEnded()
         if state.sent_events and not self._can_resume(state):
-            return StreamBroken(
+            return outcomes.StreamBroken(
                 failure.reason, failure.is_path_lost, failure.is_disconnected
             )
         return failure
@@ -463,54 +432,3 @@
         ):
             return False
     return True
-
-
-def _is_unreachable(outcome: sending.NotRun) -> bool:
-    return not outcome.is_reached and not outcome.is_withheld
-
-
-def _end_reason(outcome: object) -> dispatch.EndReason:
-    match outcome:
-        case sending.Whole() if outcome.status >= _SERVER_FAULT:
-            return dispatch.EndReason.CANCELLED
-        case sending.Whole() | StreamEnded():
-            return dispatch.EndReason.DONE
-        case sending.NotRun() if outcome.is_reached:
-            return dispatch.EndReason.REJECTED
-        case sending.Broken() if outcome.is_timeout:
-            return dispatch.EndReason.CANCELLED
-        case sending.NotRun() if outcome.is_withheld:
-            return dispatch.EndReason.CANCELLED
-        case sending.NotRun() | sending.Broken() | StreamBroken() if (
-            outcome.is_path_lost
-        ):
-            return dispatch.EndReason.CANCELLED
-        case _:
-            return dispatch.EndReason.FAILED
-
-
-def _refuse_without_slot(slot: slots.SlotRefusal) -> answers.Refusal:
-    detail = f"{slot.reason} by {slot.source}"
-    if slot.reason == dispatch.NO_TARGET_OF_VERSION:
-        return answers.Refusal(answers.Cause.VERSION_GONE, detail)
-    if slot.reason == dispatch.CRASHES_TARGETS:
-        return answers.Refusal(
-            answers.Cause.CRASHES_TARGETS, detail, slot.retry_after_ms
-        )
-    return answers.Refusal(answers.Cause.NO_PLACE, detail, slot.retry_after_ms)
-
-
-def _refuse_not_run(outcome: sending.NotRun) -> answers.Refusal:
-    return answers.Refusal(
-        answers.Cause.NOT_RUN, outcome.reason, NOT_RUN_RETRY_MS
-    )
-
-
-def _end_after_failure(
-    outcome: sending.Broken, state: request_state.RequestState
-) -> StreamBroken | answers.Refusal:
-    if state.sent_events:
-        return StreamBroken(outcome.reason)
-    if outcome.is_timeout:
-        return answers.Refusal(answers.Cause.TIMEOUT, outcome.reason)
-    return answers.Refusal(answers.Cause.MAY_HAVE_RUN, outcome.reason)
--- a/mangotally/entry/handler.py
+++ b/mangotally/entry/handler.py
@@ -19,6 +19,7 @@
     headers,
     history,
     model,
+    outcomes,
     rates,
     request_state,
     requests,
@@ -104,7 +105,7 @@
         log_entry = access_log_lib.AccessLogEntry(
             received, self._dependencies.clock
         )
-        answer: attempts.Result | None = None
+        answer: outcomes.Result | None = None
         try:
             answer = await self._answer_until_stop(
                 request, received, sink, log_entry
@@ -128,7 +129,7 @@
         received: requests.CallerRequest,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
-    ) -> attempts.Result:
+    ) -> outcomes.Result:
         """Answers a request; gives up if this host is about to end."""
         try:
             async with self._dependencies.drain.limit():
@@ -142,7 +143,7 @@
         received: requests.CallerRequest,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
-    ) -> attempts.Result:
+    ) -> outcomes.Result:
         access = await self._dependencies.access.check(received, log_entry)
         if isinstance(access, answers.Refusal):
             return access
@@ -162,7 +163,7 @@
         body: bytes,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
-    ) -> attempts.Result:
+    ) -> outcomes.Result:
         """Answers a request whose body has been received."""
         if self._dependencies.drain.phase is draining.Phase.REFUSING:
             return _refuse_at_stop()
@@ -207,7 +208,7 @@
         state: request_state.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
-    ) -> attempts.Result:
+    ) -> outcomes.Result:
         """Runs a turn within the token budget of its program.
 
         The budget is checked before the rate limit: a program that has spent
@@ -230,7 +231,7 @@
             )
             reserved.settle(spent)
         if access.route.is_retained and isinstance(
-            answer, attempts.StreamEnded
+            answer, outcomes.StreamEnded
         ):
             with log_entry.measure_step("keep"):
                 content = request_body + state.earlier_text + sink.text
@@ -244,7 +245,7 @@
         state: request_state.RequestState,
         sink: sink_lib.CallerSink,
         log_entry: access_log_lib.AccessLogEntry,
-    ) -> attempts.Result:
+    ) -> outcomes.Result:
         """Runs a request within the rate limit.
 
         If the route retains turns, the content of the earlier turns is put
@@ -396,8 +397,8 @@
         received: requests.CallerRequest,
         access: access_lib.Access,
         content: bytes,
-        answer: attempts.StreamEnded,
-    ) -> attempts.Result:
+        answer: outcomes.StreamEnded,
+    ) -> outcomes.Result:
         turn = turns.Turn(
             model.TurnId(received.id),
             access.organisation_id,
@@ -407,19 +408,19 @@
         until_ms = self._dependencies.clock.now_ms() + SAVE_TIMEOUT_MS
         if await self._dependencies.history.save(turn, until_ms):
             return answer
-        return attempts.StreamBroken("turn-not-kept")
+        return outcomes.StreamBroken("turn-not-kept")
 
     async def _respond(
         self,
-        answer: attempts.Result,
+        answer: outcomes.Result,
         request: web.BaseRequest,
         received: requests.CallerRequest,
         sink: sink_lib.CallerSink,
     ) -> web.StreamResponse:
         match answer:
-            case attempts.StreamEnded():
+            case outcomes.StreamEnded():
                 return await sink.end()
-            case attempts.StreamBroken():
+            case outcomes.StreamBroken():
                 sink.abort()
                 raise ConnectionAbortedError(answer.reason)
             case sending.Whole():
@@ -441,12 +442,12 @@
     return answers.Refusal(answers.Cause.LEAVING, retry_after_ms=0.0)
 
 
-def _end_at_stop(state: request_state.RequestState | None) -> attempts.Result:
+def _end_at_stop(state: request_state.RequestState | None) -> outcomes.Result:
     """Returns the end of a request that outlasts the grace period."""
     if state is None or not state.may_have_run:
         return _refuse_at_stop()
     if state.sent_events:
-        return attempts.StreamBroken("host-stopped")
+        return outcomes.StreamBroken("host-stopped")
     return answers.Refusal(answers.Cause.TIMEOUT, "host-stopped")
 
 
--- a/mangotally/entry/monitor.py
+++ b/mangotally/entry/monitor.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from mangotally.entry import answers, attempts, sending
+from mangotally.entry import answers, outcomes, sending
 from mangotally.metrics import histograms
 
 if TYPE_CHECKING:
@@ -43,20 +43,20 @@
         self.target_changes: Mapping[str, int] = {}
 
     def record(
-        self, entry: access_log.AccessLogEntry, answer: attempts.Result | None
+        self, entry: access_log.AccessLogEntry, answer: outcomes.Result | None
     ) -> None:
         """Counts and logs one request."""
         total_ms = self._clock.now_ms() - entry.received.arrived_ms
         outcome = _outcome(entry, answer)
         route = entry.state.route.id if entry.state else ""
         self._outcomes[route, outcome] += 1
-        if isinstance(answer, sending.Whole | attempts.StreamEnded):
+        if isinstance(answer, sending.Whole | outcomes.StreamEnded):
             histogram = self._latency.setdefault(
                 route, histograms.LatencyHistogram()
             )
             histogram.record(total_ms)
         level = logging.INFO
-        if isinstance(answer, answers.Refusal | attempts.StreamBroken):
+        if isinstance(answer, answers.Refusal | outcomes.StreamBroken):
             level = logging.WARNING
         logger.log(level, "request", extra=_fields(entry, answer, total_ms))
         if entry.resumption is not None:
@@ -105,14 +105,14 @@
 
 
 def _outcome(
-    entry: access_log.AccessLogEntry, answer: attempts.Result | None
+    entry: access_log.AccessLogEntry, answer: outcomes.Result | None
 ) -> str:
     match answer:
         case sending.Whole():
             return f"status-{answer.status}"
-        case attempts.StreamEnded():
+        case outcomes.StreamEnded():
             return "streamed"
-        case attempts.StreamBroken():
+        case outcomes.StreamBroken():
             return "stream-broken"
         case answers.Refusal():
             return answer.cause.value
@@ -122,7 +122,7 @@
 
 def _fields(
     entry: access_log.AccessLogEntry,
-    answer: attempts.Result | None,
+    answer: outcomes.Result | None,
     total_ms: float,
 ) -> dict[str, object]:
     received, state = entry.received, entry.state
@@ -156,6 +156,6 @@
     if isinstance(answer, answers.Refusal):
         fields["detail"] = answer.detail
         fields["retry_after_ms"] = answer.retry_after_ms
-    if isinstance(answer, attempts.StreamBroken):
+    if isinstance(answer, outcomes.StreamBroken):
         fields["detail"] = answer.reason
     return fields
--- a/mangotally/entry/slot_messages.py
+++ b/mangotally/entry/slot_messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 from mangotally import ids
 from mangotally.entry import entry_pb2
@@ -14,14 +13,10 @@
     target_limits,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 
 def place_request(
     service: ids.ServiceId,
     request: dispatch.QueuedRequest,
-    limits: Iterable[entry_pb2.TargetLimit],
     crash_history: entry_pb2.CrashHistory,
     now_ms: float,
 ) -> entry_pb2.PlaceRequest:
@@ -38,7 +33,6 @@
         session=request.session,
         excluded=sorted(request.excluded),
         connected=sorted(request.connected),
-        limits=limits,
         version=request.version,
         crash_history=crash_history,
         units=request.units,
@@ -72,27 +66,22 @@
 
 def place_reply(
     decision: dispatch.Placed | dispatch.Refused | None,
-    limits: Iterable[entry_pb2.TargetLimit],
 ) -> entry_pb2.PlaceReply:
     """Returns the reply to a call for a slot; None if it is still queued."""
     match decision:
         case None:
-            return entry_pb2.PlaceReply(
-                outcome=entry_pb2.PlaceReply.WAITING, limits=limits
-            )
+            return entry_pb2.PlaceReply(outcome=entry_pb2.PlaceReply.WAITING)
         case dispatch.Placed():
             return entry_pb2.PlaceReply(
                 outcome=entry_pb2.PlaceReply.PLACED,
                 target=decision.target,
                 waited_ms=decision.waited_ms,
-                limits=limits,
             )
         case dispatch.Refused():
             return entry_pb2.PlaceReply(
                 outcome=entry_pb2.PlaceReply.REFUSED,
                 retry_after_ms=decision.retry_after_ms,
                 reason=decision.reason,
-                limits=limits,
             )
 
 
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -10,17 +10,15 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from mangotally import ids
 from mangotally.entry import (
     entry_pb2,
     known_crashes,
-    known_limits,
-    known_paces,
     service_pool,
     slot_messages,
+    target_news,
 )
 from mangotally.policy import dispatch
 from mangotally.util import background
@@ -29,7 +27,7 @@
 if TYPE_CHECKING:
     from mangotally.entry import directory as directory_lib
     from mangotally.entry import homes as homes_lib
-    from mangotally.entry import known_closures, model, peers
+    from mangotally.entry import known_closures, known_paces, model, peers
     from mangotally.policy import crash_histories
 
 # The home keeps a call for a slot open for this time at most. A request that
@@ -66,23 +64,6 @@
     assigned_ms: float
 
 
-@dataclasses.dataclass(frozen=True)
-class AnswerHead:
-    """What the head of a target's answer says of the target.
-
-    Attributes:
-        limits: Values of the header for its limit.
-        leaving: Values of the header that it is about to stop.
-        load: The header for its load, or None.
-        is_run: Whether it ran the request.
-    """
-
-    limits: Sequence[str]
-    leaving: Sequence[str]
-    load: str | None
-    is_run: bool
-
-
 @dataclasses.dataclass(frozen=True)
 class SlotRefusal:
     """No slot is available in time.
@@ -137,13 +118,11 @@
         self._pools: dict[ids.ServiceId, service_pool.ServicePool] = {}
         self._held: dict[ids.Ticket, Slot] = {}
         self._reports = background.DetachedTasks()
-        self._limits = known_limits.KnownLimits(
-            directory, self._update_pools, clock
-        )
         self._crashes = known_crashes.KnownCrashes(clock)
         self._closures = closures
-        closures.add_listener(self._update_pools)
-        self._paces = known_paces.KnownPaces(self._apply_pace, clock)
+        self._news = target_news.TargetNews(
+            directory, closures, self._update_pools, self._apply_pace, clock
+        )
         directory.add_listener(self._update_target)
 
     async def acquire(
@@ -187,7 +166,7 @@
         self._send_report(report)
 
     def observe_answer(
-        self, slot: Slot, head: AnswerHead, sent_ms: float
+        self, slot: Slot, head: target_news.AnswerHead, sent_ms: float
     ) -> None:
         """Reads what a target says of itself in an answer.
 
@@ -199,27 +178,26 @@
             head: What the target says.
             sent_ms: When the request was sent.
         """
-        self._paces.observe_answer(slot.service, slot.target, head.load)
-        is_limited = self._limits.observe_answer(
-            slot.target, head.limits, sent_ms, head.is_run
-        )
-        is_leaving = self._closures.observe_answer(slot.target, head.leaving)
-        if is_limited or is_leaving:
+        if self._news.observe_answer(slot.service, slot.target, head, sent_ms):
             self._send_report(self._make_report(slot.service))
 
-    def record_crash(
+    async def record_crash(
         self, digest: crash_histories.RequestDigest, target: model.Target
     ) -> None:
-        """Records that a target crashed while it ran a request."""
+        """Records that a target crashed while it ran a request.
+
+        Returns once the home knows it: the caller may send the request again
+        to another host as soon as it is answered.
+        """
         self._crashes.record_crash(digest, target)
-        self._report_crashes(target.service, digest)
+        await self._report(self._crash_report(target.service, digest))
 
     def record_answer(
         self, service: ids.ServiceId, digest: crash_histories.RequestDigest
     ) -> None:
         """Records that a target answered a request."""
         if self._crashes.record_answer(digest):
-            self._report_crashes(service, digest)
+            self._send_report(self._crash_report(service, digest))
 
     async def handle_slot_request(
         self, request: entry_pb2.PlaceRequest
@@ -228,16 +206,12 @@
         service = ids.ServiceId(request.service)
         if self._homes.owned_since_ms(pool_key(service)) is None:
             return entry_pb2.PlaceReply()
-        self._limits.merge(request.limits)
+        self._news.merge(request)
         self._crashes.merge(request.crash_history)
-        self._closures.merge(request.leaving)
-        self._paces.merge(request.paces)
         queued = slot_messages.queued_request(request, self._clock.now_ms())
         decision = await self._decide(service, queued)
-        reply = slot_messages.place_reply(
-            decision, self._limits.messages(service)
-        )
-        reply.leaving.extend(self._closures.messages(service))
+        reply = slot_messages.place_reply(decision)
+        self._news.add_to(reply, service)
         reply.crash_history.CopyFrom(self._crashes.message(queued.digest))
         return reply
 
@@ -249,8 +223,7 @@
         if not service:
             # A report without a service only checks that this host answers.
             return entry_pb2.ReportReply()
-        self._limits.merge(request.limits)
-        self._closures.merge(request.leaving)
+        self._news.merge(request)
         for history in request.crash_histories:
             self._crashes.merge(history)
         pool = self._pool(service)
@@ -301,9 +274,8 @@
         )
         if reply is None or reply.outcome == reply.NOT_HOME:
             return await self._acquire_alone(service, request)
-        self._limits.merge(reply.limits)
+        self._news.merge(reply)
         self._crashes.merge(reply.crash_history)
-        self._closures.merge(reply.leaving)
         return self._read_reply(reply, service, request, asked_ms)
 
     def _place_request(
@@ -317,12 +289,10 @@
         message = slot_messages.place_request(
             service,
             dataclasses.replace(request, excluded=excluded),
-            self._limits.messages(service),
             self._crashes.message(request.digest),
             self._clock.now_ms(),
         )
-        message.leaving.extend(self._closures.messages(service))
-        message.paces.extend(self._paces.take_messages(service))
+        self._news.add_to(message, service)
         return message
 
     def _read_reply(
@@ -353,11 +323,7 @@
         A limit holds for all hosts together, and each host's share of it would
         be less than one request. So does the rate of a cold target.
         """
-        excluded = (
-            request.excluded
-            | self._limits.limited_targets()
-            | self._closures.cold_targets()
-        )
+        excluded = request.excluded | self._news.unassignable_alone()
         return await self._acquire_locally(
             service, dataclasses.replace(request, excluded=excluded), "alone"
         )
@@ -448,29 +414,28 @@
             return None
         return SlotRefusal(refused_ms, dispatch.CRASHES_TARGETS, "host")
 
-    def _report_crashes(
+    def _crash_report(
         self, service: ids.ServiceId, digest: crash_histories.RequestDigest
-    ) -> None:
+    ) -> entry_pb2.PlaceReport:
         report = self._make_report(service)
         report.crash_histories.append(self._crashes.message(digest))
-        self._send_report(report)
+        return report
 
     def _send_report(self, report: entry_pb2.PlaceReport) -> None:
-        """Sends a report to the home of a service, unless that is this host."""
+        """Sends a report without waiting for the home's reply."""
+        self._reports.start(self._report(report))
+
+    async def _report(self, report: entry_pb2.PlaceReport) -> None:
+        """Reports to the home of a service, unless that is this host."""
         home = self._homes.home_of(pool_key(ids.ServiceId(report.service)))
         if home is None or self._homes.is_self(home):
             return
-        self._reports.start(
-            self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
-        )
+        await self._peer_client.report(home.address, report, REPORT_TIMEOUT_MS)
 
     def _make_report(self, service: ids.ServiceId) -> entry_pb2.PlaceReport:
-        return entry_pb2.PlaceReport(
-            service=service,
-            host=self._host,
-            limits=self._limits.messages(service),
-            leaving=self._closures.messages(service),
-        )
+        report = entry_pb2.PlaceReport(service=service, host=self._host)
+        self._news.add_to(report, service)
+        return report
 
     def _pool(self, service: ids.ServiceId) -> service_pool.ServicePool:
         pool = self._pools.get(service)
@@ -478,7 +443,7 @@
             pool = service_pool.ServicePool(
                 service,
                 self._directory,
-                self._limits,
+                self._news.limits,
                 self._closures,
                 self._clock,
             )
@@ -486,8 +451,7 @@
         return pool
 
     def _update_target(self, name: ids.TargetId) -> None:
-        self._limits.update_target(name)
-        self._closures.update_target(name)
+        self._news.update_target(name)
         self._update_pools(name)
 
     def _update_pools(self, name: ids.TargetId) -> None:
