Refuse no request for a predicted size

Suspected: hosts that have just started predict the stated maximum, and large requests counted as too late.

--- a/mangotally/entry/attempts.py
+++ b/mangotally/entry/attempts.py
@@ -194,6 +194,8 @@
         events_ = self._lengths.predict(
             state.route.id, state.stated_events, state.max_events
         )
+        if events_ is None:
+            return 0.0
         return PREFILL_UNITS + max(0.0, events_ - state.sent_events)
 
     def _idle_connected_targets(
--- a/mangotally/policy/stream_lengths.py
+++ b/mangotally/policy/stream_lengths.py
@@ -49,8 +49,10 @@
         """Starts without observations."""
         self._kinds: dict[K, _Kind] = {}
 
-    def predict(self, kind: K, stated: float | None, maximum: float) -> float:
-        """Returns the expected number of events.
+    def predict(
+        self, kind: K, stated: float | None, maximum: float
+    ) -> float | None:
+        """Returns the expected number of events, or None.
 
         Args:
             kind: The kind of request, such as its route.
@@ -61,7 +63,7 @@
         if stated:
             correction = known.correction if known else 1.0
             return min(maximum, stated * correction)
-        return min(maximum, known.events) if known else maximum
+        return min(maximum, known.events) if known else None
 
     def add(self, kind: K, stated: float | None, events: float) -> None:
         """Adds a complete stream; see `predict`."""
