--- a/mangotally/entry/sink.py
+++ b/mangotally/entry/sink.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from mangotally.entry import headers
+from mangotally.entry import caller_connections, headers
+from mangotally.util import clock as clock_lib
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,10 +49,21 @@
         )
 
     async def send_events(self, complete: list[events.Event]) -> None:
-        """Sends complete events."""
+        """Sends complete events.
+
+        Raises:
+            ConnectionAbortedError: The caller does not read them.
+        """
         response = await self._prepared_response()
         self._data += [each.data for each in complete]
-        await response.write(b"".join(each.raw for each in complete))
+        timeout_s = clock_lib.to_seconds(caller_connections.UNREAD_TIMEOUT_MS)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await response.write(b"".join(each.raw for each in complete))
+        except TimeoutError:
+            # Its target waits too, and its slot is of no use to anybody.
+            self.abort()
+            raise ConnectionAbortedError("events-unread") from None
 
     async def end(self) -> web.StreamResponse:
         """Ends the answer as complete."""
