Soak: targets that say in their answers alone that they leave

Each run draws two of them, apart from its other faults, which stay the same for each seed. The oracle finds requests that a host sends there later than 2 s after it has passed on such an answer.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,8 @@
 MAX_DELAY_MS = 300.0
 MAX_DOWN_MS = 2000.0
 DRAIN_MS = 2000.0
+# A target that leaves goes on serving for longer than it may get requests.
+LEAVING_MS = 5000.0
 KILL_MANY_FRACTION = 0.5
 RESET_GAP_MS = 150.0
 # Probability that a key is withdrawn during an outage of the store.
@@ -57,6 +59,7 @@
     TARGET_DRAIN = "target-drain"
     TARGET_CRASH = "target-crash"
     TARGET_UNLIST = "target-unlist"
+    TARGET_LEAVE = "target-leave"
     WITHDRAW_KEY = "withdraw-key"
     MOVE_ROUTE = "move-route"
     CHANGE_RATE = "change-rate"
@@ -82,7 +85,14 @@
     FaultKind.TARGET_FAULTS: 4,
     FaultKind.WITHDRAW_KEY: 4,
 }
-_KINDS = [each for each in FaultKind for _ in range(_WEIGHTS.get(each, 1))]
+# Kinds that are drawn apart, so that the other faults of a seed stay the same.
+_SEPARATE_KINDS = frozenset({FaultKind.TARGET_LEAVE})
+_KINDS = [
+    each
+    for each in FaultKind
+    if each not in _SEPARATE_KINDS
+    for _ in range(_WEIGHTS.get(each, 1))
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,9 +133,24 @@
         # The last fault kills all hosts at once, so that all state in memory
         # is lost.
         plan.append(Fault(duration_ms, FaultKind.KILL_MANY, 0.0, seed))
+    plan += _leaving_targets(seed, duration_ms)
     return sorted(plan, key=lambda each: each.at_ms)
 
 
+def _leaving_targets(seed: int, duration_ms: float) -> list[Fault]:
+    rng = random.Random(f"leaving {seed}")
+    begins_ms = [rng.uniform(0.0, duration_ms) for _ in range(2)]
+    return [
+        Fault(
+            begin_ms,
+            FaultKind.TARGET_LEAVE,
+            min(LEAVING_MS, duration_ms - begin_ms),
+            rng.getrandbits(32),
+        )
+        for begin_ms in begins_ms
+    ]
+
+
 @dataclasses.dataclass
 class Environment:
     """Everything that faults act on.
@@ -171,6 +196,7 @@
             FaultKind.TARGET_DRAIN: self._drain_target,
             FaultKind.TARGET_CRASH: self._crash_target,
             FaultKind.TARGET_UNLIST: self._unlist_target,
+            FaultKind.TARGET_LEAVE: self._leave_target,
             FaultKind.WITHDRAW_KEY: self._withdraw_key,
             FaultKind.MOVE_ROUTE: self._move_route,
             FaultKind.CHANGE_RATE: self._change_rate,
@@ -257,6 +283,7 @@
         self._note_fault(fault, host.name)
         host.send_signal(number)
         await host.wait_for_exit()
+        self._environment.oracle.excuse_leaving(host.name)
         down_ms = rng.uniform(0.0, min(MAX_DOWN_MS, fault.duration_ms))
         await asyncio.sleep(clock_lib.to_seconds(down_ms))
         host.start()
@@ -266,6 +293,7 @@
         self._note_fault(fault, host.name)
         host.send_signal(signal.SIGSTOP)
         await _wait_for_duration(fault)
+        self._environment.oracle.excuse_leaving(host.name)
         host.send_signal(signal.SIGCONT)
 
     async def _reload(self, fault: Fault, rng: random.Random) -> None:
@@ -400,6 +428,16 @@
             "keyed.servers", target.name, target.store_record()
         )
 
+    async def _leave_target(self, fault: Fault, rng: random.Random) -> None:
+        """Lets a target say in its answers alone that it leaves."""
+        target = rng.choice(self._environment.targets)
+        self._note_fault(fault, target.name)
+        name = target.name
+        target.is_leaving = True
+        await _wait_for_duration(fault)
+        self._environment.store.put("keyed.servers", name, None)
+        self._restart_target(target, name, rng)
+
     async def _unlist_target(self, fault: Fault, rng: random.Random) -> None:
         target = rng.choice(self._environment.targets)
         self._note_fault(fault, target.name)
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 from mangotally.util import clock as clock_lib
@@ -19,6 +20,8 @@
 # A graceful stop may close a connection whose request was not read yet.
 UNREAD_MS = 200
 MAX_FINDINGS = 20
+# A target that leaves gets no requests after this time.
+DRAIN_MS = 2000
 MAX_IN_WINDOW = (
     workload.RATE_PER_S * processes.RATE_WINDOW_S + workload.BURST
 ) * (1 + processes.RATE_OVERSHOOT) + processes.RATE_SLACK
@@ -170,6 +173,8 @@
         withdrawn_ms: When each key was withdrawn.
         services: The services that each route may lead to.
         planned_stops: When each host was stopped gracefully.
+        leaving_ms: When each host first passed on an answer of a target that
+            said that it leaves, by host and target.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -183,6 +188,7 @@
         self.withdrawn_ms: dict[str, float] = {}
         self.services: dict[str, set[str]] = {}
         self.planned_stops: dict[str, float] = {}
+        self.leaving_ms: dict[tuple[str, str], float] = {}
         self._reported: set[tuple[str, str]] = set()
 
     def add_finding(
@@ -221,6 +227,9 @@
             self.add_finding("TWICE", attempt, f"{stamps}")
         if attempt.ended_ms is not None:
             self._check_refusal(attempt)
+        left_ms = self.leaving_ms.get((attempt.host, run.target), math.inf)
+        if attempt.sent_ms > left_ms + DRAIN_MS:
+            self.add_finding("DRAIN", attempt, f"run by {run.target}")
         if run.service not in self.services[attempt.kind.value]:
             self.add_finding("ROUTE", attempt, f"run by {run.service}")
 
@@ -260,6 +269,17 @@
             self._check_spent(attempt)
         self._check_planned_stop(attempt)
 
+    def record_leaving(self, attempt: Attempt) -> None:
+        """Records that an answer says that its target leaves."""
+        target = attempt.stamp.rpartition(".")[0]
+        known = (attempt.host, target)
+        self.leaving_ms.setdefault(known, self.clock.now_ms())
+
+    def excuse_leaving(self, host: str) -> None:
+        """Forgets what a host has passed on: it was restarted or paused."""
+        for known in [each for each in self.leaving_ms if each[0] == host]:
+            del self.leaving_ms[known]
+
     def check_rates(self) -> None:
         """Checks the rate of the limited organisation in every window.
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -64,6 +64,7 @@
         service: The service it belongs to.
         faults: The faults it injects.
         link: The proxy through which hosts reach it.
+        is_leaving: Whether its answers say that it is about to stop.
     """
 
     link: proxy.Link
@@ -96,6 +97,7 @@
     def restart(self, version: str) -> None:
         """Takes a new id and start time, as a restarted process has."""
         self._version = version
+        self.is_leaving = False
         self.name = f"t{self._number}-{next(self._starts)}"
         self._start_ms = clock_lib.SystemClock().wall_ms()
 
@@ -166,6 +168,8 @@
             request.transport.write(INVALID_RESPONSE)
             self._abort(request, run)
         headers = {"Request-Id": name, "Server-Stamp": run.stamp}
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         if self._occurs(faults.wrong_id):
             run.is_faulty = True
             headers["Request-Id"] = "other"
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -245,6 +245,8 @@
         ) as response:
             attempt.status = response.status
             attempt.stamp = response.headers.get("Server-Stamp", "")
+            if response.headers.get("Server-Leaving") == "1":
+                self._oracle.record_leaving(attempt)
             answered_id = response.headers.get("Request-Id")
             if answered_id not in (attempt.id, None):
                 self._oracle.add_finding(
