Bound what waits to be passed on; a body of the usual maximum always fits

Found in the read-through: a host that is the home itself kept statements of paces for ever; on machines below 92 MB a body of 4 MiB would never have found room. Test of a whole large body, announced and in chunks.

--- a/mangotally/entry/bodies.py
+++ b/mangotally/entry/bodies.py
@@ -27,7 +27,8 @@
 # A body is held in pieces as it arrives, then in one piece, and once more
 # while it is sent to its target.
 COPIES = 3
-MIN_BUDGET_BYTES = 4 * BYTES_PER_MB
+# A body of the usual maximum fits, also as a large one.
+MIN_BUDGET_BYTES = 8 * BYTES_PER_MB
 # A body must grow within this time, also while there is memory for it.
 IDLE_TIMEOUT_MS = 15_000.0
 # How long a body waits for memory before it looks for others to end.
--- a/mangotally/entry/known_closures.py
+++ b/mangotally/entry/known_closures.py
@@ -93,8 +93,8 @@
         if closure is not None:
             return closure.value
         age_ms = self._clock.now_ms() - asked_ms
-        is_cold = target.id in self._cold.names()
-        if is_cold and age_ms > MAX_COLD_SLOT_AGE_MS:
+        is_late = age_ms > MAX_COLD_SLOT_AGE_MS
+        if is_late and self._cold.is_cold(target.id):
             return COLD_SLOT_EXPIRED
         return None
 
@@ -112,7 +112,7 @@
 
     def cold_rate_per_s(self, target: model.Target) -> float | None:
         """Returns the rate of requests to a cold target; None if it is warm."""
-        if target.id not in self._cold.names():
+        if not self._cold.is_cold(target.id):
             return None
         cold_start = self._cold_start(target)
         return cold_start.assigned_per_s if cold_start is not None else None
--- a/mangotally/entry/known_paces.py
+++ b/mangotally/entry/known_paces.py
@@ -19,6 +19,9 @@
 
     from mangotally.util import clock as clock_lib
 
+# Statements of a service that wait to be passed on. The home of the service
+# passes none on.
+MAX_UNSENT = 200
 # Older statements are not worth passing on.
 MAX_AGE_MS = 2 * target_pace.HALF_LIFE_MS
 
@@ -63,7 +66,11 @@
         if pace is None:
             return
         statement = Statement(target, pace, self._clock.now_ms())
-        self._unsent.setdefault(service, {})[target] = statement
+        unsent = self._unsent.setdefault(service, {})
+        unsent.pop(target, None)
+        unsent[target] = statement
+        if len(unsent) > MAX_UNSENT:
+            del unsent[next(iter(unsent))]
         self._on_statement(statement)
 
     def merge(self, messages: Iterable[entry_pb2.TargetPace]) -> None:
--- a/mangotally/policy/target_closures.py
+++ b/mangotally/policy/target_closures.py
@@ -121,6 +121,10 @@
         """Returns the cold targets."""
         return frozenset(self._until_ms)
 
+    def is_cold(self, target: ids.TargetId) -> bool:
+        """Returns whether a target is cold."""
+        return target in self._until_ms
+
     def add(self, target: ids.TargetId, until_ms: float) -> bool:
         """Extends the time that a target is cold; returns whether it was warm.
 
--- a/tests/test_entry/test_hostile_callers.py
+++ b/tests/test_entry/test_hostile_callers.py
@@ -1,4 +1,4 @@
-"""Callers that don't keep to any rule can't end a host or block the others.
+"""Callers that misbehave can't end a host or block the others.
 
 A host runs as a process of its own. While a crowd of such callers stays
 connected, its memory and its descriptors stay bounded, and an ordinary request
@@ -153,7 +153,7 @@
 
 
 class HostileCallersTest(unittest.IsolatedAsyncioTestCase):
-    """A host bears callers that don't keep to any rule."""
+    """A host bears callers that misbehave."""
 
     async def asyncSetUp(self) -> None:
         stack = contextlib.AsyncExitStack()
@@ -161,9 +161,10 @@
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         store = await stack.enter_async_context(standin_store.StandInStore())
         store.put("keyed.op", "config", _configuration())
-        worker = standin_worker.StandInWorker("d0", entry_fleet.DESK)
-        await stack.enter_async_context(worker)
-        store.put("keyed.servers", worker.name, worker.registration())
+        self.worker = standin_worker.StandInWorker("d0", entry_fleet.DESK)
+        await stack.enter_async_context(self.worker)
+        record = self.worker.registration()
+        store.put("keyed.servers", self.worker.name, record)
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
         address = store.url.removeprefix("http://")
         self.host = processes.HostProcess(
@@ -222,6 +223,18 @@
     async def test_more_connections_than_descriptors(self) -> None:
         await self._check([iter(()) for _ in range(2 * DESCRIPTORS)])
 
+    async def test_a_large_body_is_served_in_calm(self) -> None:
+        """Both with an announced length and in chunks."""
+        body = os.urandom(MAX_BODY_BYTES)
+
+        async def chunks() -> AsyncIterator[bytes]:
+            for begin in range(0, MAX_BODY_BYTES, PIECE_BYTES):
+                yield body[begin : begin + PIECE_BYTES]
+
+        for data in (body, chunks()):
+            self.assertEqual(await self._send_ordinary(data), SERVED)
+            self.assertTrue(self.worker.executed[-1].body == body)
+
     async def _check(
         self,
         crowd: list[Iterator[bytes]],
@@ -253,7 +266,9 @@
             await asyncio.sleep(TRY_PAUSE_S)
         self.fail("no ordinary request is served")
 
-    async def _send_ordinary(self) -> int:
+    async def _send_ordinary(
+        self, data: bytes | AsyncIterator[bytes] = b"in"
+    ) -> int:
         headers = {
             "Host": entry_fleet.HOST,
             "Request-Id": "ordinary",
@@ -262,7 +277,7 @@
             "Connection": "close",
         }
         async with self.session.post(
-            self.host.url + entry_fleet.LOOKUP, headers=headers, data=b"in"
+            self.host.url + entry_fleet.LOOKUP, headers=headers, data=data
         ) as response:
             await response.read()
             return response.status
