--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -441,7 +441,7 @@
         self, request: QueuedRequest, wait_ms: float, size: float, now_ms: float
     ) -> str | None:
         """Returns the reason to refuse a request, or None to keep it queued."""
-        # A large size may be wrong: it makes others wait, but nobody too late.
+        # A large prediction may be wrong, so it is no reason to refuse.
         run_ms = min(1.0, size) * self._estimates.run_ms
         if now_ms + wait_ms + run_ms > request.deadline_ms:
             return "too-late"
