Weigh no remaining work in the choice of a target

An overloaded target takes longer than predicted, so it looked idle and got more. Taken: requests counted, pace and sizes as they were.

--- a/mangotally/entry/service_pool.py
+++ b/mangotally/entry/service_pool.py
@@ -130,9 +130,8 @@
         """
         self._reported_ms[host] = self._clock.now_ms()
         self.dispatcher.retain(host, frozenset(held))
-        now_ms = self._clock.now_ms()
         for ticket, target in held.items():
-            self.dispatcher.adopt(ticket, host, target, now_ms)
+            self.dispatcher.adopt(ticket, host, target)
         self.advance()
 
     def drop_stale_hosts(self, this_host: ids.HostId) -> None:
--- a/mangotally/entry/slots.py
+++ b/mangotally/entry/slots.py
@@ -310,9 +310,7 @@
         slot = self._record_slot(
             service, request, target, reply.waited_ms, "home", asked_ms
         )
-        self._pool(service).dispatcher.adopt(
-            request.ticket, self._host, target, self._clock.now_ms()
-        )
+        self._pool(service).dispatcher.adopt(request.ticket, self._host, target)
         return slot
 
     async def _acquire_alone(
--- a/mangotally/policy/dispatch.py
+++ b/mangotally/policy/dispatch.py
@@ -276,12 +276,11 @@
         ticket: ids.Ticket,
         host: ids.HostId,
         target: ids.TargetId,
-        now_ms: float,
     ) -> None:
         """Adds a request that another dispatcher assigned to a target."""
         view = self._targets.get(target)
-        if view is not None and ticket not in view.in_flight:
-            view.adopt(ticket, host, now_ms)
+        if view is not None:
+            view.in_flight.setdefault(ticket, host)
 
     def retain(self, host: ids.HostId, tickets: frozenset[ids.Ticket]) -> None:
         """Drops in-flight requests of a host except those listed.
@@ -293,8 +292,8 @@
         for view in self._targets.values():
             dropped = [
                 ticket
-                for ticket, run in view.in_flight.items()
-                if run.host == host and ticket not in tickets
+                for ticket, request_host in view.in_flight.items()
+                if request_host == host and ticket not in tickets
             ]
             for ticket in dropped:
                 del view.in_flight[ticket]
@@ -338,12 +337,7 @@
     ) -> None:
         request = entry.request
         del self._queue[request.ticket]
-        self._targets[target].begin(
-            request.ticket,
-            request.host,
-            self._estimates.size(request.units),
-            now_ms,
-        )
+        self._targets[target].begin(request.ticket, request.host, now_ms)
         if request.session:
             self._refused_sessions.pop(request.session, None)
             _remember(self._sessions, request.session, target)
@@ -366,7 +360,6 @@
             request,
             self._targets.items(),
             session_target,
-            self._estimates.run_ms,
             now_ms,
         )
 
--- a/mangotally/policy/target_choice.py
+++ b/mangotally/policy/target_choice.py
@@ -1,8 +1,7 @@
 """Chooses the target of a request by what it would cost there.
 
-Load pattern: requests cost very different amounts of work, and targets differ
-in speed, from each other and from one moment to the next. What each target
-still has to do tells more than the number of its requests.
+Load pattern: targets differ in speed, from each other and from one moment to
+the next.
 """
 
 from __future__ import annotations
@@ -17,8 +16,6 @@
 
 # Relative slowdown of a request by the other requests of a full batch.
 BATCH_SLOWDOWN = 0.25
-# The requests of a target are half done on average.
-USUAL_REMAINING = 0.5
 # Reductions of the cost of a target, as fractions of the time of a run at an
 # average target without load: if the target last ran a request of the session
 # and so has its prefix cached, if the host has an idle connection to it, and if
@@ -34,7 +31,6 @@
     request: dispatch.QueuedRequest,
     targets: Iterable[tuple[ids.TargetId, target_view.TargetView]],
     session_target: ids.TargetId | None,
-    run_ms: float,
     now_ms: float,
 ) -> ids.TargetId | None:
     """Returns the cheapest target with a free slot, or None.
@@ -43,7 +39,6 @@
         request: The request.
         targets: The targets of its service.
         session_target: The target that last ran a request of its session.
-        run_ms: Average run time of a request.
         now_ms: Current time.
     """
     best: ids.TargetId | None = None
@@ -53,7 +48,7 @@
             continue
         if view.free_slots(now_ms) <= 0:
             continue
-        cost = _cost(request, view, run_ms, now_ms)
+        cost = _cost(request, view, now_ms)
         cost -= CACHED_PREFIX_BONUS * (name == session_target)
         cost -= OPEN_CONNECTION_BONUS * (name in request.connected)
         if cost < best_cost:
@@ -64,12 +59,10 @@
 def _cost(
     request: dispatch.QueuedRequest,
     view: target_view.TargetView,
-    run_ms: float,
     now_ms: float,
 ) -> float:
     """Returns the time at a target, relative to an average one without load."""
-    remaining = view.remaining_work(run_ms, now_ms) / USUAL_REMAINING
-    load = remaining / view.slots
+    load = len(view.in_flight) / view.slots
     cost = view.time_factor(now_ms) * (1.0 + BATCH_SLOWDOWN * load)
     if view.failure_domain == request.failure_domain:
         cost -= SAME_DOMAIN_BONUS
--- a/mangotally/policy/target_view.py
+++ b/mangotally/policy/target_view.py
@@ -13,23 +13,6 @@
 BACKOFF_FAILURES = 2
 BACKOFF_MS = 1000.0
 MAX_BACKOFF_MS = 8000.0
-# Fraction of a request's work that remains until it ends.
-MIN_REMAINING = 0.1
-
-
-@dataclasses.dataclass(frozen=True)
-class Run:
-    """A request at a target.
-
-    Attributes:
-        host: The host that sent it.
-        size: Its predicted work, relative to an average request.
-        begin_ms: When it was assigned, or when it became known.
-    """
-
-    host: ids.HostId
-    size: float
-    begin_ms: float
 
 
 class TargetView:
@@ -40,7 +23,7 @@
         failure_domain: Failure domain of the target.
         version: Version of its software.
         is_open: Whether it accepts new requests.
-        in_flight: The requests at the target, by ticket.
+        in_flight: Tickets of the requests at the target, with their hosts.
         relative_time: Time per unit of work, relative to the average of the
             targets of the service.
         pace: How long its work takes at this moment, compared with usual.
@@ -53,7 +36,7 @@
         self.failure_domain = failure_domain
         self.version = ids.SoftwareVersion("")
         self.is_open = is_open
-        self.in_flight: dict[ids.Ticket, Run] = {}
+        self.in_flight: dict[ids.Ticket, ids.HostId] = {}
         self.relative_time = 1.0
         self.pace = target_pace.Pace()
         self._paused_until_ms = 0.0
@@ -90,44 +73,19 @@
         return self._intake.wait_ms(now_ms) if self._intake else 0.0
 
     def begin(
-        self, ticket: ids.Ticket, host: ids.HostId, size: float, now_ms: float
+        self, ticket: ids.Ticket, host: ids.HostId, now_ms: float
     ) -> None:
         """Adds a request that it gets now; it counts towards its limit.
 
         Args:
             ticket: The request.
             host: The host that sends it.
-            size: Predicted work, relative to an average request.
             now_ms: Current time.
         """
-        self.in_flight[ticket] = Run(host, size, now_ms)
+        self.in_flight[ticket] = host
         if self._intake is not None:
             self._intake.take(now_ms)
 
-    def adopt(
-        self, ticket: ids.Ticket, host: ids.HostId, now_ms: float
-    ) -> None:
-        """Adds a request that it got from another dispatcher."""
-        self.in_flight[ticket] = Run(host, 1.0, now_ms)
-
-    def remaining_work(self, run_ms: float, now_ms: float) -> float:
-        """Returns what it still has to do, in average requests.
-
-        Work that takes longer than predicted counts a tenth until it ends.
-
-        Args:
-            run_ms: Average run time of a request.
-            now_ms: Current time.
-        """
-        per_ms = 1.0 / (run_ms * self.relative_time)
-        return sum(
-            max(
-                MIN_REMAINING * run.size,
-                run.size - (now_ms - run.begin_ms) * per_ms,
-            )
-            for run in self.in_flight.values()
-        )
-
     def time_factor(self, now_ms: float) -> float:
         """Returns its time for a unit of work, relative to the average."""
         return self.relative_time * self.pace.factor(now_ms)
--- a/tests/test_settings/test_prepared.py
+++ b/tests/test_settings/test_prepared.py
@@ -109,6 +109,8 @@
             "Platform.parts": 12,
             "Limits.CpuShare": 0.7,
             "Limits.Cores": 3,
+            "Limits.MemoryMb": 136,
+            "Limits.MaxFds": 2870,
             "Bounds.RevokeMs": 5000,
             "Bounds.GraceS": 8,
             "Bounds.QuotaWindowS": 5,
@@ -128,6 +130,7 @@
         found = prepared.build(entry.EntrySettings, json.loads(text))
         self.assertEqual(found.listen.hosts, "10.0.0.1:7780")
         self.assertEqual(found.bounds.rate_slack, 20.0)
+        self.assertEqual(found.resources.memory_mb, 136.0)
 
 
 class ImportsTest(unittest.TestCase):
