Count what the library parses after a pause like what it receives

Found in the read-through: messages that the parser held while it was paused did not update which body is under way, so later bytes of a body could count as a head.

--- a/mangotally/entry/caller_connections.py
+++ b/mangotally/entry/caller_connections.py
@@ -74,7 +74,7 @@
         """Parses received bytes up to the limits of the connection."""
         if not data:
             # The library continues with what its parser holds.
-            super().data_received(data)
+            self._parse_piece(data)
             return
         self._unparsed += data
         self._parse()
